--- /dev/null
+++ b/cmake/AcaciarailPackage.cmake
@@ -0,0 +1,33 @@
+# Compiler settings shared by every target of the workspace.
+add_library(acaciarail_options INTERFACE)
+target_compile_options(acaciarail_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow $<$<BOOL:${ACACIARAIL_WERROR}>:-Werror>)
+target_compile_definitions(acaciarail_options INTERFACE MSGPACK_NO_BOOST)
+if(ACACIARAIL_SANITIZE)
+    target_compile_options(acaciarail_options INTERFACE -fsanitize=${ACACIARAIL_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer)
+    target_link_options(acaciarail_options INTERFACE -fsanitize=${ACACIARAIL_SANITIZE})
+endif()
+
+# acaciarail_package(name DEPS other packages and libraries...)
+# Declares the static library acaciarail_<name> from src/*.cpp with headers below include/.
+function(acaciarail_package name)
+    cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+    add_library(acaciarail_${name} STATIC ${sources})
+    target_include_directories(acaciarail_${name} PUBLIC include)
+    target_link_libraries(acaciarail_${name} PUBLIC acaciarail_options ${ARG_DEPS})
+endfunction()
+
+# acaciarail_test(directory DEPS packages...)
+# Declares one Boost.Test program test_<directory> from tests/<directory>/*.cpp and registers it with CTest.
+function(acaciarail_test directory)
+    cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${directory}/*.cpp)
+    if(NOT sources)
+        return()
+    endif()
+    add_executable(test_${directory} ${sources})
+    target_compile_definitions(test_${directory} PRIVATE BOOST_TEST_DYN_LINK)
+    target_link_libraries(test_${directory} PRIVATE ${ARG_DEPS} boost_unit_test_framework)
+    add_test(NAME ${directory} COMMAND test_${directory})
+    set_tests_properties(${directory} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/packages/core/include/acaciarail/core.h
@@ -0,0 +1,5 @@
+#pragma once
+
+#include <acaciarail/core/error.h>
+#include <acaciarail/core/logging.h>
+#include <acaciarail/core/time.h>
--- /dev/null
+++ b/packages/core/include/acaciarail/core/time.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace Acaciarail {
+
+using namespace std::chrono_literals;
+
+/// Clock tag for monotonic time. Decisions receive the time as an argument, so that tests can simulate it.
+struct MonotonicClock
+{
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<MonotonicClock>;
+    static constexpr bool is_steady = true;
+
+    /// Returns the current time of the steady clock of this process.
+    /// \pre none. Thread-safe.
+    [[nodiscard]] static auto now() noexcept -> time_point
+    {
+        return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    }
+};
+
+using Duration = MonotonicClock::duration;
+using TimePoint = MonotonicClock::time_point;
+
+/// Upper bound for the relative rate difference between the monotonic clocks of two machines.
+/// A lease holder ends its lease early by this fraction, and a waiting party waits longer by it.
+inline constexpr double maxClockDrift = 0.01;
+
+/// Lengthens \a d by the assumed clock drift.
+/// \pre d is not negative. Thread-safe.
+[[nodiscard]] constexpr auto withDriftMargin(Duration d) noexcept -> Duration
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(d.count()) * (1.0 + maxClockDrift)) + 1);
+}
+
+} // namespace Acaciarail
