--- a/packages/core/src/job.cpp
+++ b/packages/core/src/job.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t maxNameLength = 128;
 constexpr std::uint32_t maxAcceleratorsPerTask = 1024;
 constexpr std::uint32_t maxCoresPerTask = 4096;
-constexpr std::uint32_t maxMemoryMiBPerTask = 64U * 1024 * 1024;
+constexpr std::uint32_t maxMemoryMiBPerTask = 64U * 1024U * 1024U;
 constexpr Duration maxRunTime = std::chrono::hours(24 * 90);
 
 auto invalid(std::string detail) -> std::optional<Failure>
--- /dev/null
+++ b/packages/peer/include/acaciarail/peer.h
@@ -0,0 +1,3 @@
+#pragma once
+
+#include <acaciarail/peer/messages.h>
--- /dev/null
+++ b/packages/worker/include/acaciarail/worker.h
@@ -0,0 +1,3 @@
+#pragma once
+
+#include <acaciarail/worker/messages.h>
