Add the state package: log records, replica, outbox, holder lease, membership

Cause: acceptance, at-most-once requests, configuration and shard ownership all need one deterministic state over the platform's log.

--- /dev/null
+++ b/packages/state/include/acaciarail/state.h
@@ -0,0 +1,7 @@
+#pragma once
+
+#include <acaciarail/state/holder_lease.h>
+#include <acaciarail/state/membership.h>
+#include <acaciarail/state/outbox.h>
+#include <acaciarail/state/record.h>
+#include <acaciarail/state/replica.h>
--- /dev/null
+++ b/packages/state/include/acaciarail/state/replica.h
@@ -0,0 +1,235 @@
+#pragma once
+
+#include <acaciarail/state/record.h>
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace Acaciarail::State {
+
+/// A configuration document in force.
+struct Document
+{
+    std::string name;
+    /// 0 when the document does not exist; grows with each change and is kept after a removal.
+    std::uint64_t version = 0;
+    std::string text;
+    Origin origin;
+};
+
+enum class JobPhase : std::uint8_t {
+    Accepted,
+    Assigned,
+    Finished,
+};
+
+/// A job as the log tells it.
+struct JobState
+{
+    Job job;
+    JobPhase phase = JobPhase::Accepted;
+    bool cancelRequested = false;
+    /// Latest assigned attempt; 0 when it was never assigned.
+    std::uint32_t attempt = 0;
+    Term term;
+    std::vector<GangMember> members;
+    JobOutcome outcome = JobOutcome::Failed;
+    JobReason reason = JobReason::None;
+    std::string detail;
+};
+
+struct OrderKey
+{
+    OrganisationName organisation;
+    std::string key;
+
+    friend auto operator<=>(const OrderKey &, const OrderKey &) noexcept -> std::strong_ordering = default;
+};
+
+/// A non-idempotent request as the log tells it.
+struct OrderState
+{
+    OrderKey key;
+    std::uint64_t fingerprint = 0;
+    InstanceName claimant;
+    RecordId claim;
+    bool finished = false;
+    /// Whether the claimant itself wrote the outcome, so that it is final.
+    bool confirmed = false;
+    Execution execution = Execution::Unknown;
+    std::uint32_t httpStatus = 0;
+    std::string contentType;
+    std::string body;
+};
+
+struct ShardKey
+{
+    ZoneName zone;
+    std::uint32_t shard = 0;
+
+    friend auto operator<=>(const ShardKey &, const ShardKey &) noexcept -> std::strong_ordering = default;
+};
+
+/// Latest holder of a shard that the log names.
+struct ShardState
+{
+    ShardKey key;
+    Term term;
+    InstanceName holder;
+    /// 0 while no witness set was chosen.
+    std::uint64_t witnessVersion = 0;
+    /// Sorted by name.
+    std::vector<WorkerName> witnesses;
+    /// The set before the latest change.
+    std::vector<WorkerName> previousWitnesses;
+};
+
+/// Effect of one record, in the order of the log.
+struct ConfigApplied
+{
+    RecordId record;
+    bool accepted = false;
+    std::uint64_t version = 0;
+    /// Set when refused: the document whose version differed, as it is in force.
+    std::optional<Document> winner;
+};
+
+struct JobApplied
+{
+    RecordId record;
+    JobId job;
+    /// False when the record had no effect: an unknown job, a duplicate name, a stale term, or an outcome that is already known.
+    bool accepted = false;
+    /// For a refused acceptance: the job that has the name.
+    JobId existing;
+};
+
+struct OrderApplied
+{
+    RecordId record;
+    OrderKey key;
+    bool accepted = false;
+};
+
+/// A holder or a witness set of the shard changed, or was refused.
+struct ShardApplied
+{
+    ShardKey shard;
+    bool accepted = false;
+};
+
+using Applied = std::variant<std::monostate, ConfigApplied, JobApplied, OrderApplied, ShardApplied>;
+
+/// Limits on what a replica remembers; the same on every instance, since they are part of the fold.
+struct ReplicaLimits
+{
+    std::size_t finishedJobs = 40'000;
+    std::size_t finishedOrders = 50'000;
+    std::size_t incarnations = 16'384;
+};
+
+/// Deterministic fold over the platform's log: two replicas with the same next offset are equal.
+/// No method is thread-safe; one task owns a replica.
+class Replica
+{
+public:
+    /// \pre none.
+    explicit Replica(ReplicaLimits limits = {});
+
+    /// Applies the entry at nextOffset(). Entries before it are ignored.
+    /// Returns its effect; nothing for an undecodable, repeated or older entry.
+    /// \pre entry.offset <= nextOffset().
+    auto apply(const LogEntry &entry) -> Applied;
+
+    /// Offset of the next entry to apply. \pre none.
+    [[nodiscard]] auto nextOffset() const noexcept -> LogOffset;
+
+    /// Number of accepted configuration changes. \pre none.
+    [[nodiscard]] auto configVersion() const noexcept -> std::uint64_t;
+
+    /// All documents, removed ones included, by name. \pre none.
+    [[nodiscard]] auto documents() const noexcept -> const std::map<std::string, Document> &;
+
+    /// Returns the job, or null when it is unknown or forgotten. \pre none.
+    [[nodiscard]] auto job(const JobId &id) const -> const JobState *;
+
+    /// Returns the job with this name in the organisation, or null. \pre none.
+    [[nodiscard]] auto jobByName(const OrganisationName &organisation, std::string_view name) const -> const JobState *;
+
+    /// All jobs that are remembered, in the order of their ids. \pre none.
+    [[nodiscard]] auto jobs() const noexcept -> const std::map<JobId, JobState> &;
+
+    /// Returns the order, or null when it is unknown or forgotten. \pre none.
+    [[nodiscard]] auto order(const OrderKey &key) const -> const OrderState *;
+
+    [[nodiscard]] auto orders() const noexcept -> const std::map<OrderKey, OrderState> &;
+
+    /// Returns the shard's latest holder in the log, or null. \pre none.
+    [[nodiscard]] auto shard(const ShardKey &key) const -> const ShardState *;
+
+    /// Offset that the newest complete snapshot in the log covers; empty when none was seen. \pre none.
+    [[nodiscard]] auto lastSnapshot() const noexcept -> std::optional<LogOffset>;
+
+    /// Encodes the state in parts of at most half of maxWireBytes each. \pre none.
+    [[nodiscard]] auto snapshot() const -> std::vector<std::string>;
+
+    /// Replaces the state by a snapshot taken at \a nextOffset, unless that is not newer than this replica.
+    /// Error: MalformedInput (the replica is unchanged). \pre \a parts are complete and in order.
+    [[nodiscard]] auto restore(LogOffset nextOffset, const std::vector<std::string> &parts) -> std::error_code;
+
+    /// Hash over the whole state, to compare replicas. \pre none.
+    [[nodiscard]] auto digest() const -> std::uint64_t;
+
+private:
+    friend class SnapshotCodec;
+
+    auto applyBody(const RecordId &id, const ConfigChange &change) -> Applied;
+    auto applyBody(const RecordId &id, const JobAccepted &accepted) -> Applied;
+    auto applyBody(const RecordId &id, const JobAssigned &assigned) -> Applied;
+    auto applyBody(const RecordId &id, const JobFinished &finished) -> Applied;
+    auto applyBody(const RecordId &id, const CancelRequested &cancel) -> Applied;
+    auto applyBody(const RecordId &id, const JobMoved &moved) -> Applied;
+    auto applyBody(const RecordId &id, const OrderClaimed &claimed) -> Applied;
+    auto applyBody(const RecordId &id, const OrderFinished &finished) -> Applied;
+    auto applyBody(const RecordId &id, const HolderChanged &changed) -> Applied;
+    auto applyBody(const RecordId &id, const SnapshotRecord &snapshot) -> Applied;
+    auto applyBody(const RecordId &id, const WitnessesChanged &changed) -> Applied;
+
+    auto isRepeated(const RecordId &id) -> bool;
+    auto forgetOldJobs() -> void;
+    auto forgetOldOrders() -> void;
+    [[nodiscard]] auto shardTerm(const ShardKey &key) const -> Term;
+
+    ReplicaLimits m_limits;
+    LogOffset m_nextOffset = 0;
+    std::uint64_t m_configVersion = 0;
+    std::map<std::string, Document> m_documents;
+    std::map<JobId, JobState> m_jobs;
+    std::map<std::pair<OrganisationName, std::string>, JobId> m_jobNames;
+    std::deque<JobId> m_finishedJobs;
+    std::map<OrderKey, OrderState> m_orders;
+    std::deque<OrderKey> m_finishedOrders;
+    std::map<ShardKey, ShardState> m_shards;
+
+    struct IncarnationState
+    {
+        std::uint64_t lastSequence = 0;
+        LogOffset lastOffset = 0;
+    };
+    std::map<std::uint64_t, IncarnationState> m_incarnations;
+
+    std::optional<LogOffset> m_lastSnapshot;
+    LogOffset m_partialSnapshot = 0;
+    std::uint32_t m_partialSnapshotParts = 0;
+};
+
+} // namespace Acaciarail::State
--- /dev/null
+++ b/packages/state/src/replica.cpp
@@ -0,0 +1,315 @@
+#include <acaciarail/state/replica.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Acaciarail::State {
+
+namespace {
+
+/// Number of workers that are in exactly one of two sorted sets.
+auto differenceSize(const std::vector<WorkerName> &a, const std::vector<WorkerName> &b) -> std::size_t
+{
+    std::vector<WorkerName> difference;
+    std::set_symmetric_difference(a.begin(), a.end(), b.begin(), b.end(), std::back_inserter(difference));
+    return difference.size();
+}
+
+} // namespace
+
+Replica::Replica(ReplicaLimits limits)
+    : m_limits(limits)
+{
+}
+
+auto Replica::apply(const LogEntry &entry) -> Applied
+{
+    if (entry.offset != m_nextOffset) {
+        return {};
+    }
+    ++m_nextOffset;
+    Record record;
+    if (const auto ec = decodeRecord(entry.bytes, record)) {
+        return {};
+    }
+    if (isRepeated(record.id)) {
+        return {};
+    }
+    return std::visit([this, &record](const auto &body) { return applyBody(record.id, body); }, record.body);
+}
+
+auto Replica::nextOffset() const noexcept -> LogOffset
+{
+    return m_nextOffset;
+}
+
+auto Replica::configVersion() const noexcept -> std::uint64_t
+{
+    return m_configVersion;
+}
+
+auto Replica::documents() const noexcept -> const std::map<std::string, Document> &
+{
+    return m_documents;
+}
+
+auto Replica::job(const JobId &id) const -> const JobState *
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+auto Replica::jobByName(const OrganisationName &organisation, std::string_view name) const -> const JobState *
+{
+    const auto it = m_jobNames.find({organisation, std::string(name)});
+    return it == m_jobNames.end() ? nullptr : job(it->second);
+}
+
+auto Replica::jobs() const noexcept -> const std::map<JobId, JobState> &
+{
+    return m_jobs;
+}
+
+auto Replica::order(const OrderKey &key) const -> const OrderState *
+{
+    const auto it = m_orders.find(key);
+    return it == m_orders.end() ? nullptr : &it->second;
+}
+
+auto Replica::orders() const noexcept -> const std::map<OrderKey, OrderState> &
+{
+    return m_orders;
+}
+
+auto Replica::shard(const ShardKey &key) const -> const ShardState *
+{
+    const auto it = m_shards.find(key);
+    return it == m_shards.end() ? nullptr : &it->second;
+}
+
+auto Replica::lastSnapshot() const noexcept -> std::optional<LogOffset>
+{
+    return m_lastSnapshot;
+}
+
+auto Replica::isRepeated(const RecordId &id) -> bool
+{
+    auto &state = m_incarnations[id.incarnation];
+    if (id.sequence <= state.lastSequence) {
+        return true;
+    }
+    state = {id.sequence, m_nextOffset};
+    if (m_incarnations.size() > m_limits.incarnations) {
+        const auto oldest = std::min_element(m_incarnations.begin(), m_incarnations.end(),
+                                             [](const auto &a, const auto &b) { return a.second.lastOffset < b.second.lastOffset; });
+        m_incarnations.erase(oldest);
+    }
+    return false;
+}
+
+auto Replica::shardTerm(const ShardKey &key) const -> Term
+{
+    const auto *state = shard(key);
+    return state ? state->term : Term{};
+}
+
+auto Replica::applyBody(const RecordId &id, const ConfigChange &change) -> Applied
+{
+    for (const auto &it : change.documents) {
+        const auto found = m_documents.find(it.name);
+        const auto version = found == m_documents.end() ? 0 : found->second.version;
+        if (version != it.baseVersion) {
+            const auto winner = found == m_documents.end() ? Document{it.name, 0, {}, {}} : found->second;
+            return ConfigApplied{id, false, m_configVersion, winner};
+        }
+    }
+    for (const auto &it : change.documents) {
+        m_documents[it.name] = Document{it.name, it.baseVersion + 1, it.text, it.origin};
+    }
+    ++m_configVersion;
+    return ConfigApplied{id, true, m_configVersion, std::nullopt};
+}
+
+auto Replica::applyBody(const RecordId &id, const JobAccepted &accepted) -> Applied
+{
+    const auto &job = accepted.job;
+    const auto [it, isNew] = m_jobNames.try_emplace({job.spec.organisation, job.spec.name}, job.id);
+    if (!isNew) {
+        return JobApplied{id, job.id, false, it->second};
+    }
+    m_jobs[job.id].job = job;
+    return JobApplied{id, job.id, true, {}};
+}
+
+auto Replica::applyBody(const RecordId &id, const JobAssigned &assigned) -> Applied
+{
+    const JobApplied refused{id, assigned.job, false, {}};
+    const auto it = m_jobs.find(assigned.job);
+    if (it == m_jobs.end() || it->second.phase == JobPhase::Finished || it->second.job.zone != assigned.zone) {
+        return refused;
+    }
+    auto &state = it->second;
+    const auto isAdoption = assigned.attempt == state.attempt && assigned.term > state.term;
+    const auto isNext = assigned.attempt > state.attempt && (state.attempt == 0 || state.job.spec.idempotent);
+    if (assigned.term < shardTerm({assigned.zone, assigned.shard}) || (!isAdoption && !isNext)) {
+        return refused;
+    }
+    state.phase = JobPhase::Assigned;
+    state.attempt = assigned.attempt;
+    state.term = assigned.term;
+    state.members = assigned.members;
+    return JobApplied{id, assigned.job, true, {}};
+}
+
+auto Replica::applyBody(const RecordId &id, const JobFinished &finished) -> Applied
+{
+    const JobApplied refused{id, finished.job, false, {}};
+    const auto it = m_jobs.find(finished.job);
+    if (it == m_jobs.end() || it->second.phase == JobPhase::Finished || it->second.job.zone != finished.zone) {
+        return refused;
+    }
+    if (finished.term < shardTerm({finished.zone, finished.shard})) {
+        return refused;
+    }
+    auto &state = it->second;
+    state.phase = JobPhase::Finished;
+    state.members.clear();
+    state.outcome = finished.outcome;
+    state.reason = finished.reason;
+    state.detail = finished.detail;
+    m_finishedJobs.push_back(finished.job);
+    forgetOldJobs();
+    return JobApplied{id, finished.job, true, {}};
+}
+
+auto Replica::applyBody(const RecordId &id, const CancelRequested &cancel) -> Applied
+{
+    const auto it = m_jobs.find(cancel.job);
+    const auto accepted = it != m_jobs.end() && it->second.phase != JobPhase::Finished;
+    if (accepted) {
+        it->second.cancelRequested = true;
+    }
+    return JobApplied{id, cancel.job, accepted, {}};
+}
+
+auto Replica::applyBody(const RecordId &id, const JobMoved &moved) -> Applied
+{
+    const auto it = m_jobs.find(moved.job);
+    const auto accepted = it != m_jobs.end() && it->second.phase == JobPhase::Accepted && it->second.job.zone == moved.from
+        && it->second.job.spec.zone.empty();
+    if (accepted) {
+        it->second.job.zone = moved.to;
+    }
+    return JobApplied{id, moved.job, accepted, {}};
+}
+
+auto Replica::applyBody(const RecordId &id, const OrderClaimed &claimed) -> Applied
+{
+    const OrderKey key{claimed.organisation, claimed.key};
+    auto &state = m_orders[key];
+    const auto isNew = state.claim == RecordId{};
+    const auto didNotRun = state.finished && state.execution == Execution::NotRun;
+    if (!isNew && !didNotRun) {
+        return OrderApplied{id, key, false};
+    }
+    if (didNotRun) {
+        std::erase(m_finishedOrders, key);
+    }
+    state = OrderState{key, claimed.fingerprint, claimed.claimant, id, false, false, Execution::Unknown, 0, {}, {}};
+    return OrderApplied{id, key, true};
+}
+
+auto Replica::applyBody(const RecordId &id, const OrderFinished &finished) -> Applied
+{
+    const OrderKey key{finished.organisation, finished.key};
+    const auto it = m_orders.find(key);
+    if (it == m_orders.end() || it->second.confirmed) {
+        return OrderApplied{id, key, false};
+    }
+    auto &state = it->second;
+    const auto isClaimant = state.claim.incarnation == id.incarnation;
+    // Another instance may only say that the outcome is unknown; the claimant's own word replaces that.
+    if (!isClaimant && (finished.execution != Execution::Unknown || state.finished)) {
+        return OrderApplied{id, key, false};
+    }
+    if (!state.finished) {
+        m_finishedOrders.push_back(key);
+    }
+    state.finished = true;
+    state.confirmed = isClaimant;
+    state.execution = finished.execution;
+    state.httpStatus = finished.httpStatus;
+    state.contentType = finished.contentType;
+    state.body = finished.body;
+    forgetOldOrders();
+    return OrderApplied{id, key, true};
+}
+
+auto Replica::applyBody(const RecordId &, const HolderChanged &changed) -> Applied
+{
+    const ShardKey key{changed.zone, changed.shard};
+    const auto accepted = changed.term > shardTerm(key);
+    if (accepted) {
+        auto &state = m_shards[key];
+        state.key = key;
+        state.term = changed.term;
+        state.holder = changed.instance;
+    }
+    return ShardApplied{key, accepted};
+}
+
+auto Replica::applyBody(const RecordId &, const WitnessesChanged &changed) -> Applied
+{
+    const ShardKey key{changed.zone, changed.shard};
+    const auto *current = shard(key);
+    const auto version = current ? current->witnessVersion : 0;
+    auto workers = changed.workers;
+    std::sort(workers.begin(), workers.end());
+    workers.erase(std::unique(workers.begin(), workers.end()), workers.end());
+    const auto isSmallStep = version == 0 || differenceSize(current->witnesses, workers) == 1;
+    if (changed.version != version + 1 || workers.empty() || !isSmallStep) {
+        return ShardApplied{key, false};
+    }
+    auto &state = m_shards[key];
+    state.key = key;
+    state.witnessVersion = changed.version;
+    state.previousWitnesses = std::exchange(state.witnesses, std::move(workers));
+    return ShardApplied{key, true};
+}
+
+auto Replica::applyBody(const RecordId &, const SnapshotRecord &snapshot) -> Applied
+{
+    if (snapshot.index == 0) {
+        m_partialSnapshot = snapshot.asOf;
+        m_partialSnapshotParts = 0;
+    }
+    if (snapshot.asOf != m_partialSnapshot || snapshot.index != m_partialSnapshotParts) {
+        return {};
+    }
+    ++m_partialSnapshotParts;
+    if (m_partialSnapshotParts == snapshot.count) {
+        m_lastSnapshot = std::max(m_lastSnapshot.value_or(0), snapshot.asOf);
+    }
+    return {};
+}
+
+auto Replica::forgetOldJobs() -> void
+{
+    while (m_finishedJobs.size() > m_limits.finishedJobs) {
+        const auto it = m_jobs.find(m_finishedJobs.front());
+        m_jobNames.erase({it->second.job.spec.organisation, it->second.job.spec.name});
+        m_jobs.erase(it);
+        m_finishedJobs.pop_front();
+    }
+}
+
+auto Replica::forgetOldOrders() -> void
+{
+    while (m_finishedOrders.size() > m_limits.finishedOrders) {
+        m_orders.erase(m_finishedOrders.front());
+        m_finishedOrders.pop_front();
+    }
+}
+
+} // namespace Acaciarail::State
--- a/packages/worker/include/acaciarail/worker/messages.h
+++ b/packages/worker/include/acaciarail/worker/messages.h
@@ -47,6 +47,8 @@
 {
     Term term;
     Duration lease{};
+    /// Version of the witness set that the candidate counts on. A worker refuses a version lower than the highest it was told.
+    std::uint64_t witnessVersion = 0;
 };
 
 /// Renews the holder lease and the leases of all tasks.
@@ -56,6 +58,7 @@
     std::uint64_t round = 0;
     Duration lease{};
     Duration taskLease{};
+    std::uint64_t witnessVersion = 0;
 };
 
 /// Holds capacity for the tasks of one gang member. Repeating it extends the reservation.
@@ -197,8 +200,8 @@
 ACACIARAIL_WIRE_ENUM(Acaciarail::Worker::AttemptState, Acaciarail::Worker::AttemptState::Ended);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Worker::AttemptId, v.job, v.attempt);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Worker::AttemptReport, v.id, v.term, v.job, v.members, v.state, v.age, v.end);
-ACACIARAIL_WIRE_STRUCT(Acaciarail::Worker::Attach, v.term, v.lease);
-ACACIARAIL_WIRE_STRUCT(Acaciarail::Worker::Renew, v.term, v.round, v.lease, v.taskLease);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Worker::Attach, v.term, v.lease, v.witnessVersion);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Worker::Renew, v.term, v.round, v.lease, v.taskLease, v.witnessVersion);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Worker::Reserve, v.term, v.id, v.job, v.tasks, v.members, v.ttl);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Worker::Start, v.term, v.id, v.confirmWithin);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Worker::Confirm, v.term, v.id);
