--- a/packages/state/include/acaciarail/state.h
+++ b/packages/state/include/acaciarail/state.h
@@ -5,3 +5,4 @@
 #include <acaciarail/state/outbox.h>
 #include <acaciarail/state/record.h>
 #include <acaciarail/state/replica.h>
+#include <acaciarail/state/snapshot_scanner.h>
--- a/packages/state/include/acaciarail/state/holder_lease.h
+++ b/packages/state/include/acaciarail/state/holder_lease.h
@@ -123,6 +123,9 @@
 
     [[nodiscard]] auto witnessVersion() const noexcept -> std::uint64_t;
 
+    /// Whether a majority of the witnesses knows the current version, so that the set may change again. \pre none.
+    [[nodiscard]] auto isWitnessVersionKnown() const noexcept -> bool;
+
 private:
     enum class Role : std::uint8_t {
         Idle,
--- a/packages/state/include/acaciarail/state/record.h
+++ b/packages/state/include/acaciarail/state/record.h
@@ -61,6 +61,16 @@
     std::vector<GangMember> members;
 };
 
+/// Written by the holder when an assigned attempt was never started, so that even a non-idempotent job may be assigned again.
+struct AttemptAbandoned
+{
+    JobId job;
+    std::uint32_t attempt = 0;
+    ZoneName zone;
+    std::uint32_t shard = 0;
+    Term term;
+};
+
 struct JobFinished
 {
     JobId job;
@@ -133,7 +143,7 @@
 };
 
 using RecordBody = std::variant<ConfigChange, JobAccepted, JobAssigned, JobFinished, CancelRequested, JobMoved, OrderClaimed, OrderFinished,
-                                HolderChanged, SnapshotRecord, WitnessesChanged>;
+                                HolderChanged, SnapshotRecord, WitnessesChanged, AttemptAbandoned>;
 
 struct Record
 {
@@ -158,6 +168,7 @@
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::JobAccepted, v.job);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::JobAssigned, v.job, v.attempt, v.zone, v.shard, v.term, v.members);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::JobFinished, v.job, v.zone, v.shard, v.term, v.outcome, v.reason, v.detail);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::State::AttemptAbandoned, v.job, v.attempt, v.zone, v.shard, v.term);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::CancelRequested, v.job, v.caller);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::JobMoved, v.job, v.from, v.to);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::OrderClaimed, v.organisation, v.key, v.fingerprint, v.claimant);
--- a/packages/state/include/acaciarail/state/replica.h
+++ b/packages/state/include/acaciarail/state/replica.h
@@ -40,6 +40,8 @@
     bool cancelRequested = false;
     /// Latest assigned attempt; 0 when it was never assigned.
     std::uint32_t attempt = 0;
+    /// Whether an attempt was assigned that may have started.
+    bool mayHaveStarted = false;
     Term term;
     std::vector<GangMember> members;
     JobOutcome outcome = JobOutcome::Failed;
@@ -153,6 +155,9 @@
     /// Offset of the next entry to apply. \pre none.
     [[nodiscard]] auto nextOffset() const noexcept -> LogOffset;
 
+    /// Whether the record, or a later one of its writer, was applied. \pre none.
+    [[nodiscard]] auto isApplied(const RecordId &id) const -> bool;
+
     /// Number of accepted configuration changes. \pre none.
     [[nodiscard]] auto configVersion() const noexcept -> std::uint64_t;
 
@@ -195,6 +200,7 @@
     auto applyBody(const RecordId &id, const ConfigChange &change) -> Applied;
     auto applyBody(const RecordId &id, const JobAccepted &accepted) -> Applied;
     auto applyBody(const RecordId &id, const JobAssigned &assigned) -> Applied;
+    auto applyBody(const RecordId &id, const AttemptAbandoned &abandoned) -> Applied;
     auto applyBody(const RecordId &id, const JobFinished &finished) -> Applied;
     auto applyBody(const RecordId &id, const CancelRequested &cancel) -> Applied;
     auto applyBody(const RecordId &id, const JobMoved &moved) -> Applied;
--- a/packages/state/src/holder_lease.cpp
+++ b/packages/state/src/holder_lease.cpp
@@ -144,6 +144,11 @@
     return m_witnesses.version;
 }
 
+auto HolderLease::isWitnessVersionKnown() const noexcept -> bool
+{
+    return m_versionIsKnown;
+}
+
 auto HolderLease::voters() const -> std::set<WorkerName>
 {
     std::set<WorkerName> all(m_witnesses.workers.begin(), m_witnesses.workers.end());
--- a/packages/state/src/replica.cpp
+++ b/packages/state/src/replica.cpp
@@ -44,6 +44,12 @@
     return m_nextOffset;
 }
 
+auto Replica::isApplied(const RecordId &id) const -> bool
+{
+    const auto it = m_incarnations.find(id.incarnation);
+    return it != m_incarnations.end() && it->second.lastSequence >= id.sequence;
+}
+
 auto Replica::configVersion() const noexcept -> std::uint64_t
 {
     return m_configVersion;
@@ -151,17 +157,31 @@
     }
     auto &state = it->second;
     const auto isAdoption = assigned.attempt == state.attempt && assigned.term > state.term;
-    const auto isNext = assigned.attempt > state.attempt && (state.attempt == 0 || state.job.spec.idempotent);
+    const auto isNext = assigned.attempt > state.attempt && (!state.mayHaveStarted || state.job.spec.idempotent);
     if (assigned.term < shardTerm({assigned.zone, assigned.shard}) || (!isAdoption && !isNext)) {
         return refused;
     }
     state.phase = JobPhase::Assigned;
     state.attempt = assigned.attempt;
+    state.mayHaveStarted = true;
     state.term = assigned.term;
     state.members = assigned.members;
     return JobApplied{id, assigned.job, true, {}};
 }
 
+auto Replica::applyBody(const RecordId &id, const AttemptAbandoned &abandoned) -> Applied
+{
+    const auto it = m_jobs.find(abandoned.job);
+    const auto accepted = it != m_jobs.end() && it->second.phase == JobPhase::Assigned && it->second.attempt == abandoned.attempt
+        && it->second.term == abandoned.term && abandoned.term >= shardTerm({abandoned.zone, abandoned.shard});
+    if (accepted) {
+        it->second.phase = JobPhase::Accepted;
+        it->second.mayHaveStarted = false;
+        it->second.members.clear();
+    }
+    return JobApplied{id, abandoned.job, accepted, {}};
+}
+
 auto Replica::applyBody(const RecordId &id, const JobFinished &finished) -> Applied
 {
     const JobApplied refused{id, finished.job, false, {}};
