--- /dev/null
+++ b/packages/runtime/include/acaciarail/runtime.h
@@ -0,0 +1,8 @@
+#pragma once
+
+#include <acaciarail/runtime/event_loop.h>
+#include <acaciarail/runtime/frame_connection.h>
+#include <acaciarail/runtime/mailbox.h>
+#include <acaciarail/runtime/signal_watcher.h>
+#include <acaciarail/runtime/socket_address.h>
+#include <acaciarail/runtime/timer.h>
