Add runtime, platform clients, worker and peer links, and the platform and worker stand-ins

Cause: the packages had headers only. Change: sources, the pure worker and platform models, in-process servers around them, and the two stand-in processes.

--- /dev/null
+++ b/packages/platform/src/http_client.cpp
@@ -0,0 +1,183 @@
+#include "http_client.h"
+
+#include <acaciarail/core/error.h>
+#include <acaciarail/runtime/timer.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <limits>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace Acaciarail::Platform::Detail {
+
+namespace {
+
+constexpr std::size_t maxIdleConnections = 4;
+constexpr std::size_t maxHeaderBytes = 16384;
+/// evhttp's own timeout in seconds; the timer of each request, which has a finer resolution, ends it earlier.
+constexpr int fallbackTimeoutSeconds = 3600;
+
+/// One connection and the request in progress on it.
+struct Connection
+{
+    Connection(Runtime::EventLoop &loop, const PlatformSettings &settings)
+        : timer(loop, [this] { abandon(); })
+    {
+        http = evhttp_connection_base_new(loop.base(), nullptr, settings.address.host.c_str(), settings.address.port);
+        evhttp_connection_set_timeout(http, fallbackTimeoutSeconds);
+        evhttp_connection_set_max_body_size(http, static_cast<ev_ssize_t>(settings.maxAnswerBytes));
+        evhttp_connection_set_max_headers_size(http, maxHeaderBytes);
+        // evhttp writes the request only after the connection is established, so an untouched output buffer proves that
+        // nothing was sent.
+        const auto written = [](evbuffer *, const evbuffer_cb_info *info, void *arg) {
+            auto *self = static_cast<Connection *>(arg);
+            self->maybeSent = self->maybeSent || info->n_added > 0;
+        };
+        evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(http)), written, this);
+    }
+    ~Connection()
+    {
+        if (http != nullptr) {
+            evhttp_connection_free(http);
+        }
+    }
+    Connection(const Connection &) = delete;
+    auto operator=(const Connection &) -> Connection & = delete;
+
+    auto complete(evhttp_request *request) -> void
+    {
+        const auto status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
+        if (status == 0) {
+            finish({failure, maybeSent, 0, {}});
+            return;
+        }
+        auto *input = evhttp_request_get_input_buffer(request);
+        std::string body(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, body.data(), body.size());
+        finish({{}, true, status, std::move(body)});
+    }
+
+    /// Frees the connection before the result is reported, because a request that was reported as not sent must not be sent later.
+    auto abandon() -> void
+    {
+        evhttp_connection_free(std::exchange(http, nullptr));
+        finish({timerError, maybeSent, 0, {}});
+    }
+
+    auto finish(HttpResult result) -> void
+    {
+        timer.cancel();
+        if (done) {
+            std::exchange(done, nullptr)(std::move(result));
+        }
+    }
+
+    evhttp_connection *http = nullptr;
+    Runtime::Timer timer;
+    bool maybeSent = false;
+    std::error_code failure;
+    std::error_code timerError;
+    std::function<void(HttpResult)> done;
+};
+
+} // namespace
+
+struct HttpClient::State
+{
+    State(Runtime::EventLoop &l, PlatformSettings s)
+        : loop(l)
+        , settings(std::move(s))
+    {
+    }
+
+    auto acquire() -> std::shared_ptr<Connection>
+    {
+        if (idle.empty()) {
+            return std::make_shared<Connection>(loop, settings);
+        }
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        return connection;
+    }
+
+    auto release(const std::shared_ptr<Connection> &connection, bool reusable) -> void
+    {
+        busy.erase(connection.get());
+        if (reusable && idle.size() < maxIdleConnections) {
+            idle.push_back(connection);
+        }
+    }
+
+    Runtime::EventLoop &loop;
+    PlatformSettings settings;
+    std::map<Connection *, std::shared_ptr<Connection>> busy;
+    std::vector<std::shared_ptr<Connection>> idle;
+};
+
+HttpClient::HttpClient(Runtime::EventLoop &loop, PlatformSettings settings)
+    : m_state(std::make_shared<State>(loop, std::move(settings)))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    // The client may be destroyed by a hook that evhttp called, in which case its connections must outlive the call.
+    m_state->loop.post([busy = std::move(m_state->busy), idle = std::move(m_state->idle)] {});
+}
+
+auto HttpClient::start(HttpRequest request, std::function<void(HttpResult)> done) -> void
+{
+    const auto connection = m_state->acquire();
+    m_state->busy.emplace(connection.get(), connection);
+    connection->maybeSent = false;
+    connection->failure = Error::ConnectionLost;
+    connection->timerError = Error::Timeout;
+    const std::weak_ptr<State> weak = m_state;
+    connection->done = [weak, raw = connection.get(), hook = std::move(done)](HttpResult result) {
+        const auto state = weak.lock();
+        if (!state) {
+            return;
+        }
+        const auto found = state->busy.find(raw);
+        if (found == state->busy.end()) {
+            return;
+        }
+        // evhttp still uses the connection when its callback returns, so it is released from the loop.
+        state->loop.post([weak, kept = found->second, reusable = !result.error] {
+            if (const auto s = weak.lock()) {
+                s->release(kept, reusable);
+            }
+        });
+        hook(std::move(result));
+    };
+
+    const auto completed = [](evhttp_request *r, void *arg) { static_cast<Connection *>(arg)->complete(r); };
+    const auto failed = [](evhttp_request_error error, void *arg) {
+        static_cast<Connection *>(arg)->failure = error == EVREQ_HTTP_DATA_TOO_LONG ? Error::TooLarge : Error::ConnectionLost;
+    };
+    auto *r = evhttp_request_new(completed, connection.get());
+    evhttp_request_set_error_cb(r, failed);
+    auto *headers = evhttp_request_get_output_headers(r);
+    evhttp_add_header(headers, "Host", m_state->settings.address.str().c_str());
+    if (!m_state->settings.zone.empty()) {
+        evhttp_add_header(headers, "Acaciarail-Zone", m_state->settings.zone.str().c_str());
+    }
+    if (request.body) {
+        evhttp_add_header(headers, "Content-Type", "application/msgpack");
+        evbuffer_add(evhttp_request_get_output_buffer(r), request.body->data(), request.body->size());
+    }
+    connection->timer.start(request.timeout);
+    // A failure that evhttp detects at once is reported by the timer instead of from inside this call.
+    if (evhttp_make_request(connection->http, r, request.body ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, request.target.c_str()) != 0) {
+        connection->timerError = Error::ConnectionLost;
+        connection->timer.start({});
+    }
+}
+
+} // namespace Acaciarail::Platform::Detail
--- /dev/null
+++ b/packages/platform/src/instance_list_client.cpp
@@ -0,0 +1,232 @@
+#include "http_client.h"
+
+#include <acaciarail/platform/instance_list_client.h>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace Acaciarail::Platform {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr std::size_t maxTextBytes = 256;
+
+/// Reads the fields of one entry and keeps the first fault.
+class EntryReader
+{
+public:
+    EntryReader(const nlohmann::json &entry, std::size_t index)
+        : m_entry(entry)
+        , m_where("instance list entry " + std::to_string(index))
+    {
+    }
+
+    auto text(const char *field) -> std::string
+    {
+        const auto it = m_entry.find(field);
+        if (it == m_entry.end() || !it->is_string()) {
+            fault(field, "text", it == m_entry.end() ? "nothing" : it->type_name());
+            return {};
+        }
+        const auto &value = it->get_ref<const std::string &>();
+        if (value.empty() || value.size() > maxTextBytes) {
+            fault(field, "text of 1 to 256 bytes", std::to_string(value.size()) + " bytes");
+            return {};
+        }
+        return value;
+    }
+
+    auto number(const char *field, std::uint32_t least = 0) -> std::uint32_t
+    {
+        const auto it = m_entry.find(field);
+        if (it == m_entry.end() || !it->is_number_unsigned()) {
+            fault(field, "a whole number", it == m_entry.end() ? "nothing" : it->type_name());
+            return 0;
+        }
+        const auto value = it->get<std::uint64_t>();
+        if (value < least || value > std::numeric_limits<std::uint32_t>::max()) {
+            fault(field, "a number from " + std::to_string(least) + " to 4294967295", std::to_string(value));
+            return 0;
+        }
+        return static_cast<std::uint32_t>(value);
+    }
+
+    auto address() -> std::string
+    {
+        auto value = text("address");
+        const auto parsed = Runtime::parseSocketAddress(value);
+        if (!parsed || parsed->port == 0) {
+            fault("address", "HOST:PORT with a numeric host", value);
+        }
+        return value;
+    }
+
+    auto leaving() -> bool
+    {
+        const auto value = text("state");
+        if (value != "live" && value != "leaving") {
+            fault("state", "live or leaving", value);
+        }
+        return value == "leaving";
+    }
+
+    auto fault(const std::string &field, const std::string &expected, const std::string &found) -> void
+    {
+        if (!m_failure) {
+            m_failure =
+                Failure{Error::MalformedInput, Execution::NotRun, m_where + ": " + field + ": expected " + expected + ", found " + found};
+        }
+    }
+
+    [[nodiscard]] auto failure() const -> const std::optional<Failure> &
+    {
+        return m_failure;
+    }
+
+private:
+    const nlohmann::json &m_entry;
+    std::string m_where;
+    std::optional<Failure> m_failure;
+};
+
+auto readInstance(EntryReader &in) -> InstanceInfo
+{
+    InstanceInfo out;
+    out.name = InstanceName(in.text("name"));
+    out.region = RegionName(in.text("region"));
+    out.zone = ZoneName(in.text("zone"));
+    out.leaving = in.leaving();
+    out.address = in.address();
+    return out;
+}
+
+auto readWorker(EntryReader &in) -> ListedWorker
+{
+    ListedWorker out;
+    out.info.name = WorkerName(in.text("name"));
+    out.info.region = RegionName(in.text("region"));
+    out.info.zone = ZoneName(in.text("zone"));
+    out.info.rack = RackName(in.text("rack"));
+    out.info.rackPosition = in.number("rack_position");
+    out.info.capacity = {in.number("accelerators"), in.number("cores"), in.number("memory_mib")};
+    out.info.address = in.address();
+    out.leaving = in.leaving();
+    return out;
+}
+
+auto readEndpoint(EntryReader &in) -> EndpointInfo
+{
+    EndpointInfo out;
+    out.name = EndpointName(in.text("name"));
+    out.service = ServiceName(in.text("service"));
+    out.region = RegionName(in.text("region"));
+    out.zone = ZoneName(in.text("zone"));
+    out.slots = in.number("slots", 1);
+    out.connections = in.number("connections", 1);
+    out.leaving = in.leaving();
+    out.address = in.address();
+    return out;
+}
+
+/// Appends \a value unless its entry had a fault.
+template<typename T>
+auto keep(std::vector<T> &list, T value, const EntryReader &in, std::vector<Failure> &faults) -> void
+{
+    if (in.failure()) {
+        faults.push_back(*in.failure());
+        return;
+    }
+    list.push_back(std::move(value));
+}
+
+auto readEntry(const nlohmann::json &entry, std::size_t index, InstanceList &list, std::set<std::string> &names) -> void
+{
+    EntryReader in(entry, index);
+    if (!entry.is_object()) {
+        in.fault("entry", "an object", entry.type_name());
+        list.faults.push_back(*in.failure());
+        return;
+    }
+    const auto kind = in.text("kind");
+    const auto name = in.text("name");
+    if (!name.empty() && !names.insert(name).second) {
+        in.fault("name", "a name that is not used before", name);
+    }
+    if (kind == "entry") {
+        keep(list.instances, readInstance(in), in, list.faults);
+    } else if (kind == "worker") {
+        keep(list.workers, readWorker(in), in, list.faults);
+    } else if (kind == "endpoint") {
+        keep(list.endpoints, readEndpoint(in), in, list.faults);
+    } else if (in.failure()) {
+        list.faults.push_back(*in.failure());
+    }
+}
+
+auto failedList(Error error, std::string detail) -> InstanceListResult
+{
+    return {std::nullopt, {error, Execution::Unknown, std::move(detail)}};
+}
+
+auto interpret(const Detail::HttpResult &http) -> InstanceListResult
+{
+    if (http.error) {
+        return failedList(static_cast<Error>(http.error.value()), "instance list: expected an answer, found " + http.error.message());
+    }
+    if (http.status != statusOk) {
+        return failedList(Error::EndpointFailed, "instance list: expected status 200, found " + std::to_string(http.status));
+    }
+    return parseInstanceList(http.body);
+}
+
+} // namespace
+
+auto parseInstanceList(std::string_view json) -> InstanceListResult
+{
+    const auto root = nlohmann::json::parse(json, nullptr, false);
+    if (!root.is_array()) {
+        return failedList(Error::MalformedInput,
+                          std::string("instance list: expected a JSON array, found ")
+                              + (root.is_discarded() ? "text that is not JSON" : root.type_name()));
+    }
+    InstanceList list;
+    std::set<std::string> names;
+    std::size_t index = 0;
+    for (const auto &entry : root) {
+        readEntry(entry, index, list, names);
+        ++index;
+    }
+    return {std::move(list), {}};
+}
+
+struct InstanceListClient::State
+{
+    State(Runtime::EventLoop &loop, PlatformSettings s)
+        : timeout(s.requestTimeout)
+        , http(loop, std::move(s))
+    {
+    }
+    Duration timeout;
+    Detail::HttpClient http;
+};
+
+InstanceListClient::InstanceListClient(Runtime::EventLoop &loop, PlatformSettings settings)
+    : m_state(std::make_unique<State>(loop, std::move(settings)))
+{
+}
+
+InstanceListClient::~InstanceListClient() = default;
+
+auto InstanceListClient::fetch(std::function<void(InstanceListResult)> done) -> void
+{
+    m_state->http.start({"/v1/instances", std::nullopt, m_state->timeout},
+                        [hook = std::move(done)](const Detail::HttpResult &http) { hook(interpret(http)); });
+}
+
+} // namespace Acaciarail::Platform
--- a/tests/standins/worker_model.h
+++ b/tests/standins/worker_model.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 /// Stand-ins for the external systems, used by tests and benchmarks only.
@@ -87,6 +88,9 @@
     /// \pre none.
     [[nodiscard]] auto info() const noexcept -> const WorkerInfo &;
 
+    /// Sets the address in WorkerInfo, once it is known. \pre none.
+    auto setAddress(std::string address) -> void;
+
     /// Returns how often tasks of \a id were started; more than 1 is a violation. \pre none.
     [[nodiscard]] auto startsOf(const Worker::AttemptId &id) const -> std::uint32_t;
 
--- /dev/null
+++ b/tests/standins/worker_server.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "worker_model.h"
+
+#include <acaciarail/runtime/event_loop.h>
+#include <acaciarail/runtime/frame_connection.h>
+#include <acaciarail/runtime/timer.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <system_error>
+
+namespace Acaciarail::Standins {
+
+/// A worker model behind a listening socket. Messages of the worker's own go to the connection of the holder, which is the one that
+/// last had an Attach granted or a Renew accepted. Not thread-safe; used on the loop's thread.
+class WorkerServer
+{
+public:
+    /// \pre \a loop outlives the server.
+    WorkerServer(Runtime::EventLoop &loop, WorkerModelSettings settings, WorkerModel::Plan plan,
+                 const Runtime::SocketAddress &address = {});
+
+    /// Starts to listen. Returns the operating system's error when the address cannot be used. \pre not listening.
+    [[nodiscard]] auto listen() -> std::error_code;
+
+    /// Returns the address in use. \pre listen() succeeded.
+    [[nodiscard]] auto address() const -> Runtime::SocketAddress;
+
+    /// While silent, requests are read and dropped, and nothing is sent. \pre none.
+    auto setSilent(bool silent) -> void;
+
+    /// Closes all connections. \pre none.
+    auto dropConnections() -> void;
+
+    /// \pre none.
+    [[nodiscard]] auto model() -> WorkerModel &;
+    [[nodiscard]] auto connectionCount() const noexcept -> std::size_t;
+    /// Returns the number of connections accepted so far. \pre none.
+    [[nodiscard]] auto acceptedCount() const noexcept -> std::uint64_t;
+
+private:
+    auto accept(std::unique_ptr<Runtime::FrameConnection> connection) -> void;
+    auto received(std::uint64_t id, std::string_view content) -> void;
+    auto send(std::uint64_t id, const Worker::Reply &reply) -> void;
+    auto advance() -> void;
+
+    Runtime::EventLoop &m_loop;
+    WorkerModel m_model;
+    bool m_silent = false;
+    std::uint64_t m_accepted = 0;
+    std::uint64_t m_holder = 0;
+    std::map<std::uint64_t, std::unique_ptr<Runtime::FrameConnection>> m_connections;
+    Runtime::FrameServer m_server;
+    Runtime::Timer m_timer;
+};
+
+} // namespace Acaciarail::Standins
