--- /dev/null
+++ b/packages/endpoint/include/acaciarail/endpoint.h
@@ -0,0 +1,3 @@
+#pragma once
+
+#include <acaciarail/endpoint/endpoint_client.h>
