--- a/packages/caller/include/acaciarail/caller/job_json.h
+++ b/packages/caller/include/acaciarail/caller/job_json.h
@@ -14,7 +14,7 @@
 namespace Acaciarail::Caller {
 
 /// Longest run time that a job may declare.
-inline constexpr Duration maxDeclaredRunTime = std::chrono::hours(24 * 30);
+inline constexpr Duration maxDeclaredRunTime = std::chrono::hours(24 * 90);
 
 /// Where a job is in its life.
 enum class JobPhase : std::uint8_t {
--- /dev/null
+++ b/packages/caller/src/caller_server.cpp
@@ -0,0 +1,271 @@
+#include <acaciarail/caller/caller_server.h>
+
+#include "connection.h"
+
+#include <acaciarail/core/logging.h>
+
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace Acaciarail::Caller {
+
+namespace Detail {
+
+namespace {
+
+constexpr int listenBacklog = 512;
+/// Pause after a failed accept, for example without free descriptors, as the listener would fail again at once.
+constexpr Duration acceptPause = std::chrono::milliseconds(100);
+
+auto systemError() noexcept -> std::error_code
+{
+    return {errno, std::system_category()};
+}
+
+auto localPort(evutil_socket_t fd) noexcept -> std::uint16_t
+{
+    sockaddr_storage address{};
+    socklen_t size = sizeof(address);
+    if (getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size) != 0) {
+        return 0;
+    }
+    return ntohs(address.ss_family == AF_INET6 ? reinterpret_cast<const sockaddr_in6 *>(&address)->sin6_port
+                                               : reinterpret_cast<const sockaddr_in *>(&address)->sin_port);
+}
+
+auto bindSocket(const std::string &address, std::uint16_t port, evutil_socket_t &fd) -> std::error_code
+{
+    sockaddr_storage storage{};
+    int size = sizeof(storage);
+    auto *sa = reinterpret_cast<sockaddr *>(&storage);
+    if (evutil_parse_sockaddr_port(address.c_str(), sa, &size) != 0) {
+        return std::make_error_code(std::errc::invalid_argument);
+    }
+    if (storage.ss_family == AF_INET6) {
+        reinterpret_cast<sockaddr_in6 *>(&storage)->sin6_port = htons(port);
+    } else {
+        reinterpret_cast<sockaddr_in *>(&storage)->sin_port = htons(port);
+    }
+    fd = socket(storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return systemError();
+    }
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(fd, sa, static_cast<socklen_t>(size)) != 0) {
+        const auto ec = systemError();
+        ::close(fd);
+        return ec;
+    }
+    return {};
+}
+
+} // namespace
+
+ServerState::ServerState(event_base *eventBase, CallerServerSettings serverSettings, CallerServerHooks serverHooks)
+    : base(eventBase)
+    , settings(std::move(serverSettings))
+    , hooks(std::move(serverHooks))
+    , m_htp(evhtp_new(eventBase, this))
+    , m_acceptTimer(eventBase,
+                    [this] {
+                        if (m_htp && m_htp->server != nullptr) {
+                            evconnlistener_enable(m_htp->server);
+                        }
+                    })
+    , m_cleanTimer(eventBase, [this] {
+        const auto self = shared_from_this();
+        m_removed.clear();
+        reportIfStopped();
+    })
+{
+    evhtp_set_gencb(m_htp.get(), &acceptRequest, this);
+    evhtp_set_pre_accept_cb(m_htp.get(), &ServerState::onPreAccept, this);
+    evhtp_set_post_accept_cb(m_htp.get(), &ServerState::onPostAccept, this);
+    // Connection answers Expect itself, after it has checked the size.
+    evhtp_disable_flag(m_htp.get(), EVHTP_FLAG_ENABLE_100_CONT);
+}
+
+ServerState::~ServerState()
+{
+    shutDown();
+}
+
+auto ServerState::start() -> std::error_code
+{
+    evutil_socket_t fd = -1;
+    if (const auto ec = bindSocket(settings.address, settings.port, fd)) {
+        return ec;
+    }
+    if (evhtp_accept_socket(m_htp.get(), fd, listenBacklog) != 0) {
+        const auto ec = systemError();
+        ::close(fd);
+        return ec ? ec : std::make_error_code(std::errc::io_error);
+    }
+    evconnlistener_set_error_cb(m_htp->server, &ServerState::onAcceptError);
+    port = localPort(fd);
+    return {};
+}
+
+auto ServerState::stop() -> void
+{
+    if (std::exchange(m_stopping, true)) {
+        return;
+    }
+    m_acceptTimer.cancel();
+    evhtp_unbind_socket(m_htp.get());
+    const auto open = connections;
+    for (const auto &it : open) {
+        it.second->prepareStop();
+    }
+    m_cleanTimer.start(Duration::zero());
+}
+
+auto ServerState::shutDown() -> void
+{
+    if (!std::exchange(m_active, false)) {
+        return;
+    }
+    const auto open = std::exchange(connections, {});
+    for (const auto &it : open) {
+        it.second->close();
+    }
+    m_acceptTimer.cancel();
+    m_cleanTimer.cancel();
+    if (m_htp->server != nullptr) {
+        evhtp_unbind_socket(m_htp.get());
+    }
+}
+
+auto ServerState::remove(Connection *connection) -> void
+{
+    const auto it = connections.find(connection);
+    if (it == connections.end()) {
+        return;
+    }
+    m_removed.push_back(std::move(it->second));
+    connections.erase(it);
+    if (m_active) {
+        m_cleanTimer.start(Duration::zero());
+    }
+}
+
+auto ServerState::requestOpened() -> void
+{
+    ++inProgress;
+}
+
+auto ServerState::requestClosed() -> void
+{
+    --inProgress;
+}
+
+auto ServerState::reportIfStopped() -> void
+{
+    if (m_active && m_stopping && connections.empty() && !std::exchange(m_stopReported, true) && hooks.onStopped) {
+        hooks.onStopped();
+    }
+}
+
+auto ServerState::onPreAccept(evhtp_connection_t *, void *arg) -> evhtp_res
+{
+    // Connections beyond the limit are answered with a refusal, but only as many again as the limit.
+    auto &self = *static_cast<ServerState *>(arg);
+    if (self.connections.size() >= 2 * self.settings.maxConnections) {
+        ++self.stats.refusedConnections;
+        return EVHTP_RES_ERROR;
+    }
+    return EVHTP_RES_OK;
+}
+
+auto ServerState::onPostAccept(evhtp_connection_t *connection, void *arg) -> evhtp_res
+{
+    auto &self = *static_cast<ServerState *>(arg);
+    auto accepted = std::make_shared<Connection>(self, connection);
+    const bool full = self.connections.size() >= self.settings.maxConnections;
+    self.connections.emplace(accepted.get(), accepted);
+    ++self.stats.accepted;
+    accepted->attach();
+    if (full) {
+        ++self.stats.refusedConnections;
+        accepted->refuse(503,
+                         {Error::Overloaded, Execution::NotRun,
+                          "connections: expected at most " + std::to_string(self.settings.maxConnections) + ", found more"});
+    }
+    return EVHTP_RES_OK;
+}
+
+auto ServerState::onAcceptError(evconnlistener *listener, void *arg) -> void
+{
+    // libevhtp passes its own context, which holds a pointer to this object.
+    auto &self = *static_cast<ServerState *>(static_cast<evhtp_t *>(arg)->arg);
+    logEvent(LogLevel::Warning, "accept-failed", {{"error", std::system_category().message(EVUTIL_SOCKET_ERROR())}});
+    evconnlistener_disable(listener);
+    self.m_acceptTimer.start(acceptPause);
+}
+
+} // namespace Detail
+
+ReplyHandle::ReplyHandle(std::shared_ptr<Detail::ReplyState> state) noexcept
+    : m_state(std::move(state))
+{
+}
+
+auto ReplyHandle::send(HttpResponse response) const -> bool
+{
+    return m_state && m_state->send(std::move(response));
+}
+
+auto ReplyHandle::isOpen() const noexcept -> bool
+{
+    return m_state && m_state->isOpen();
+}
+
+CallerServer::CallerServer(event_base *base, CallerServerSettings settings, CallerServerHooks hooks)
+    : m_state(std::make_shared<Detail::ServerState>(base, std::move(settings), std::move(hooks)))
+{
+}
+
+CallerServer::~CallerServer()
+{
+    m_state->shutDown();
+}
+
+auto CallerServer::start() -> std::error_code
+{
+    return m_state->start();
+}
+
+auto CallerServer::port() const noexcept -> std::uint16_t
+{
+    return m_state->port;
+}
+
+auto CallerServer::stop() -> void
+{
+    m_state->stop();
+}
+
+auto CallerServer::requestsInProgress() const noexcept -> std::size_t
+{
+    return m_state->inProgress;
+}
+
+auto CallerServer::connections() const noexcept -> std::size_t
+{
+    return m_state->connections.size();
+}
+
+auto CallerServer::stats() const noexcept -> const CallerServerStats &
+{
+    return m_state->stats;
+}
+
+} // namespace Acaciarail::Caller
--- /dev/null
+++ b/packages/caller/src/connection.cpp
@@ -0,0 +1,477 @@
+#include "connection.h"
+
+#include <acaciarail/caller/problem.h>
+#include <acaciarail/core/logging.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <utility>
+
+namespace Acaciarail::Caller::Detail {
+
+namespace {
+
+/// Bytes of later requests that are held while one is handled; beyond it the connection is not read.
+constexpr std::size_t maxPipelinedBytes = std::size_t{64} * 1024;
+/// Requests up to this size are accepted when the buffers are full, so that large ones cannot keep small ones out.
+constexpr std::size_t alwaysBufferedBytes = std::size_t{16} * 1024;
+
+auto isConnectionHeader(std::string_view name) noexcept -> bool
+{
+    const HttpHeaders own{{"Connection", {}}, {"Content-Length", {}}, {"Transfer-Encoding", {}}, {"Keep-Alive", {}}};
+    return findHeader(own, name).has_value();
+}
+
+/// A header from an endpoint must not be able to end its line and forge another.
+auto isSafeHeader(const HttpHeader &header) noexcept -> bool
+{
+    const auto isNameChar = [](char c) { return c > ' ' && c < 0x7f && c != ':'; };
+    const auto isUnsafe = [](char c) { return c == '\r' || c == '\n' || c == '\0'; };
+    return !header.name.empty() && std::all_of(header.name.begin(), header.name.end(), isNameChar)
+        && std::none_of(header.value.begin(), header.value.end(), isUnsafe);
+}
+
+auto hasBody(std::uint16_t status) noexcept -> bool
+{
+    constexpr std::uint16_t noContent = 204;
+    constexpr std::uint16_t notModified = 304;
+    return status != noContent && status != notModified;
+}
+
+auto describePeer(const sockaddr *address) -> std::string
+{
+    std::array<char, INET6_ADDRSTRLEN> buf{};
+    if (address != nullptr && address->sa_family == AF_INET) {
+        const auto *in = reinterpret_cast<const sockaddr_in *>(address);
+        inet_ntop(AF_INET, &in->sin_addr, buf.data(), buf.size());
+        return std::string(buf.data()) + ":" + std::to_string(ntohs(in->sin_port));
+    }
+    if (address != nullptr && address->sa_family == AF_INET6) {
+        const auto *in = reinterpret_cast<const sockaddr_in6 *>(address);
+        inet_ntop(AF_INET6, &in->sin6_addr, buf.data(), buf.size());
+        return "[" + std::string(buf.data()) + "]:" + std::to_string(ntohs(in->sin6_port));
+    }
+    return "unknown";
+}
+
+auto readHeaders(const evhtp_headers_t &in) -> HttpHeaders
+{
+    HttpHeaders out;
+    for (const auto *it = in.tqh_first; it != nullptr; it = it->next.tqe_next) {
+        out.push_back({std::string(it->key, it->klen), std::string(it->val, it->vlen)});
+    }
+    return out;
+}
+
+/// Splits the request line, which the framer has checked.
+auto readRequestLine(std::string_view head, HttpRequest &out) -> std::string_view
+{
+    const auto line = head.substr(0, head.find('\r'));
+    const auto methodEnd = line.find(' ');
+    const auto targetEnd = line.rfind(' ');
+    const auto target = line.substr(methodEnd + 1, targetEnd - methodEnd - 1);
+    const auto pathEnd = target.find('?');
+    out.method = parseHttpMethod(line.substr(0, methodEnd)).value_or(HttpMethod::Get);
+    out.path = target.substr(0, pathEnd);
+    out.query = pathEnd == std::string_view::npos ? std::string_view() : target.substr(pathEnd + 1);
+    return line.substr(targetEnd + 1);
+}
+
+auto asksToClose(const HttpHeaders &headers) -> bool
+{
+    const auto value = findHeader(headers, "Connection");
+    if (!value) {
+        return false;
+    }
+    std::string lower(*value);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lower.find("close") != std::string::npos;
+}
+
+auto rawResponse(const HttpResponse &response) -> std::string
+{
+    auto out = "HTTP/1.1 " + std::to_string(response.status) + " Refused\r\n";
+    for (const auto &it : response.headers) {
+        out += it.name + ": " + it.value + "\r\n";
+    }
+    return out + "Content-Length: " + std::to_string(response.body.size()) + "\r\nConnection: close\r\n\r\n" + response.body;
+}
+
+} // namespace
+
+auto acceptRequest(evhtp_request_t *request, void *) -> void
+{
+    void *arg = nullptr;
+    bufferevent_getcb(evhtp_connection_get_bev(request->conn), nullptr, nullptr, nullptr, &arg);
+    static_cast<Connection *>(arg)->m_request = request;
+}
+
+Connection::Connection(ServerState &server, evhtp_connection_t *connection)
+    : m_server(server.weak_from_this())
+    , m_connection(connection)
+    , m_bev(evhtp_connection_get_bev(connection))
+    , m_peer(describePeer(connection->saddr))
+    , m_framer(server.settings.limits)
+    , m_timer(server.base, [this] { onTimer(); })
+{
+}
+
+auto Connection::attach() -> void
+{
+    const auto server = m_server.lock();
+    bufferevent_getcb(m_bev, &m_evhtpRead, &m_evhtpWrite, nullptr, &m_evhtpArg);
+    bufferevent_setcb(m_bev, &Connection::onRead, &Connection::onWrite, &Connection::onEvent, this);
+    const auto writeTimeout = toTimeval(server->settings.writeTimeout);
+    bufferevent_set_timeouts(m_bev, nullptr, &writeTimeout);
+    // libevhtp takes hooks of all types as one function type; the way over void (*)() is the cast that compilers accept for this.
+    const auto onEnd = reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(&Connection::onConnectionEnd));
+    evhtp_connection_set_hook(m_connection, evhtp_hook_on_connection_fini, onEnd, this);
+    const int on = 1;
+    setsockopt(m_connection->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    m_timer.start(server->settings.idleTimeout);
+    m_timedState = FramingState::Empty;
+}
+
+auto Connection::onRead(bufferevent *, void *arg) -> void
+{
+    const auto self = static_cast<Connection *>(arg)->shared_from_this();
+    self->takeInput();
+    self->process();
+}
+
+auto Connection::onWrite(bufferevent *, void *arg) -> void
+{
+    const auto self = static_cast<Connection *>(arg)->shared_from_this();
+    if (evbuffer_get_length(bufferevent_get_output(self->m_bev)) == 0) {
+        self->answerWritten();
+    }
+}
+
+auto Connection::onEvent(bufferevent *, short what, void *arg) -> void
+{
+    const auto self = static_cast<Connection *>(arg)->shared_from_this();
+    constexpr short connectionEnds = BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT;
+    if ((what & connectionEnds) != 0) {
+        self->close();
+    }
+}
+
+auto Connection::onConnectionEnd(evhtp_connection_t *, void *arg) -> evhtp_res
+{
+    static_cast<Connection *>(arg)->ended();
+    return EVHTP_RES_OK;
+}
+
+auto Connection::hold(std::string bytes) -> void
+{
+    if (const auto server = m_server.lock()) {
+        server->bookBytes(m_pending.size(), bytes.size());
+    }
+    m_pending = std::move(bytes);
+}
+
+auto Connection::dropInput() -> void
+{
+    auto *input = bufferevent_get_input(m_bev);
+    evbuffer_drain(input, evbuffer_get_length(input));
+}
+
+auto Connection::takeInput() -> void
+{
+    if (m_mode == Mode::Closed) {
+        return;
+    }
+    if (m_mode == Mode::Lingering) {
+        dropInput();
+        return;
+    }
+    auto *input = bufferevent_get_input(m_bev);
+    const auto before = m_pending.size();
+    const auto n = evbuffer_get_length(input);
+    m_pending.resize(before + n);
+    evbuffer_remove(input, m_pending.data() + before, n);
+    const auto server = m_server.lock();
+    server->bookBytes(before, m_pending.size());
+    if (server->buffersFull() && m_mode == Mode::Receiving && m_pending.size() > alwaysBufferedBytes) {
+        refuse(503, {Error::Overloaded, Execution::NotRun, "buffers for incoming requests: expected free space, found none"});
+        return;
+    }
+    if (m_mode != Mode::Receiving && m_pending.size() > maxPipelinedBytes) {
+        bufferevent_disable(m_bev, EV_READ);
+    }
+}
+
+auto Connection::process() -> void
+{
+    if (m_mode != Mode::Receiving) {
+        return;
+    }
+    const auto framing = m_framer.examine(m_pending);
+    switch (framing.state) {
+    case FramingState::Empty:
+    case FramingState::Head:
+    case FramingState::Body:
+        awaitMore(framing);
+        break;
+    case FramingState::Complete:
+        dispatch(framing);
+        break;
+    case FramingState::Refused:
+        refuse(framing.status, framing.failure);
+        break;
+    }
+}
+
+auto Connection::awaitMore(const Framing &framing) -> void
+{
+    const auto server = m_server.lock();
+    if (framing.expectsContinue && framing.state == FramingState::Body && !std::exchange(m_sentContinue, true)) {
+        constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        evbuffer_add(bufferevent_get_output(m_bev), interim.data(), interim.size());
+    }
+    // Each state has one deadline for all of it, so that a caller cannot prolong it by sending single bytes.
+    if (framing.state == m_timedState) {
+        return;
+    }
+    m_timedState = framing.state;
+    if (framing.state == FramingState::Empty) {
+        m_timer.start(server->stopping() ? server->settings.stopGrace : server->settings.idleTimeout);
+    } else {
+        m_timer.start(framing.state == FramingState::Head ? server->settings.headTimeout : server->settings.bodyTimeout);
+    }
+}
+
+auto Connection::dispatch(const Framing &framing) -> void
+{
+    const auto server = m_server.lock();
+    m_timer.cancel();
+    m_timedState = FramingState::Complete;
+
+    HttpRequest request;
+    const auto version = readRequestLine(std::string_view(m_pending).substr(0, framing.headSize), request);
+    const bool isHttp10 = version == "HTTP/1.0";
+    evbuffer_prepend(bufferevent_get_input(m_bev), m_pending.data(), framing.size);
+    hold(m_pending.substr(framing.size));
+    m_evhtpRead(m_bev, m_evhtpArg);
+    if (m_mode == Mode::Closed) {
+        return;
+    }
+    if (m_request == nullptr) {
+        logEvent(LogLevel::Warning, "http-parser-disagrees", {{"peer", m_peer}});
+        refuse(400, {Error::MalformedInput, Execution::NotRun, "request: expected valid HTTP, found something else"});
+        return;
+    }
+    m_framer.reset();
+    m_sentContinue = false;
+
+    request.id = server->nextRequestId();
+    request.headers = readHeaders(*m_request->headers_in);
+    request.peer = m_peer;
+    request.body.resize(evbuffer_get_length(m_request->buffer_in));
+    evbuffer_copyout(m_request->buffer_in, request.body.data(), request.body.size());
+    evbuffer_drain(m_request->buffer_in, request.body.size());
+
+    m_mode = Mode::Handling;
+    m_isHead = request.method == HttpMethod::Head;
+    m_closeAfterAnswer = isHttp10 || asksToClose(request.headers);
+    m_openRequest = request.id;
+    ++server->stats.requests;
+    server->requestOpened();
+    ReplyHandle reply(std::make_shared<ReplyState>(weak_from_this(), request.id));
+    server->hooks.onRequest(std::move(request), std::move(reply));
+}
+
+auto Connection::isOpen(RequestId id) const noexcept -> bool
+{
+    return m_openRequest == id;
+}
+
+auto Connection::reply(RequestId id, HttpResponse response) -> bool
+{
+    const auto server = m_server.lock();
+    if (!server || !isOpen(id)) {
+        return false;
+    }
+    m_openRequest.reset();
+    m_mode = Mode::Answering;
+    m_closeAfterAnswer = m_closeAfterAnswer || server->stopping();
+    if (!hasBody(response.status)) {
+        response.body.clear();
+    }
+    for (const auto &it : response.headers) {
+        if (isConnectionHeader(it.name) || !isSafeHeader(it)) {
+            continue;
+        }
+        evhtp_headers_add_header(m_request->headers_out, evhtp_header_new(it.name.c_str(), it.value.c_str(), 1, 1));
+    }
+    if (m_isHead) {
+        const auto size = std::to_string(response.body.size());
+        evhtp_headers_add_header(m_request->headers_out, evhtp_header_new("Content-Length", size.c_str(), 1, 1));
+        response.body.clear();
+    }
+    evbuffer_add(m_request->buffer_out, response.body.data(), response.body.size());
+    evhtp_request_set_keepalive(m_request, m_closeAfterAnswer ? 0 : 1);
+    evhtp_send_reply(m_request, response.status);
+    ++server->stats.answered;
+    server->requestClosed();
+    return true;
+}
+
+auto Connection::answerWritten() -> void
+{
+    if (m_mode == Mode::Lingering) {
+        shutdown(m_connection->sock, SHUT_WR);
+        return;
+    }
+    if (m_mode != Mode::Answering) {
+        return;
+    }
+    if (m_closeAfterAnswer) {
+        startLingering();
+        shutdown(m_connection->sock, SHUT_WR);
+        return;
+    }
+    m_request = nullptr;
+    m_evhtpWrite(m_bev, m_evhtpArg);
+    if (m_mode == Mode::Closed) {
+        return;
+    }
+    m_mode = Mode::Receiving;
+    bufferevent_enable(m_bev, EV_READ);
+    process();
+}
+
+auto Connection::refuse(std::uint16_t status, const Failure &failure) -> void
+{
+    const auto server = m_server.lock();
+    if (server) {
+        ++server->stats.refused;
+    }
+    const auto text = rawResponse(renderProblemAs(status, failure));
+    startLingering();
+    evbuffer_add(bufferevent_get_output(m_bev), text.data(), text.size());
+}
+
+auto Connection::startLingering() -> void
+{
+    m_mode = Mode::Lingering;
+    hold({});
+    dropInput();
+    bufferevent_enable(m_bev, EV_READ);
+    if (const auto server = m_server.lock()) {
+        m_timer.start(server->settings.lingerTimeout);
+    }
+}
+
+auto Connection::hasUnreadInput() const -> bool
+{
+    int unread = 0;
+    ioctl(m_connection->sock, FIONREAD, &unread);
+    return unread > 0 || evbuffer_get_length(bufferevent_get_input(m_bev)) > 0 || !m_pending.empty();
+}
+
+auto Connection::prepareStop() -> void
+{
+    if (m_mode == Mode::Receiving && m_pending.empty()) {
+        m_timer.start(m_server.lock()->settings.stopGrace);
+    }
+}
+
+auto Connection::closeWhenIdle() -> void
+{
+    if (m_mode == Mode::Receiving && !hasUnreadInput()) {
+        close();
+    }
+}
+
+auto Connection::onTimer() -> void
+{
+    const auto self = shared_from_this();
+    const auto server = m_server.lock();
+    if (m_mode == Mode::Lingering) {
+        close();
+        return;
+    }
+    if (m_mode != Mode::Receiving || !server) {
+        return;
+    }
+    if (!m_pending.empty()) {
+        refuse(408,
+               {Error::Timeout, Execution::NotRun,
+                std::string(m_timedState == FramingState::Head ? "head" : "body") + ": expected all of it in time, found a part"});
+        return;
+    }
+    if (server->stopping()) {
+        closeWhenIdle();
+    } else if (!hasUnreadInput()) {
+        close();
+    }
+}
+
+auto Connection::close() -> void
+{
+    if (m_mode != Mode::Closed) {
+        // libevhtp calls onConnectionEnd().
+        evhtp_connection_free(m_connection);
+    }
+}
+
+auto Connection::ended() -> void
+{
+    const auto self = shared_from_this();
+    const auto server = m_server.lock();
+    m_mode = Mode::Closed;
+    m_timer.cancel();
+    m_request = nullptr;
+    const auto lost = std::exchange(m_openRequest, std::nullopt);
+    hold({});
+    if (!server) {
+        return;
+    }
+    server->remove(this);
+    if (!lost) {
+        return;
+    }
+    ++server->stats.disconnected;
+    server->requestClosed();
+    if (server->active() && server->hooks.onDisconnect) {
+        server->hooks.onDisconnect(*lost);
+    }
+}
+
+ReplyState::ReplyState(std::weak_ptr<Connection> connection, RequestId id)
+    : m_connection(std::move(connection))
+    , m_id(id)
+{
+}
+
+ReplyState::~ReplyState()
+{
+    if (isOpen()) {
+        send(renderProblemAs(500, {Error::OutcomeUnknown, Execution::Unknown, "answer: expected one, found none"}));
+    }
+}
+
+auto ReplyState::send(HttpResponse response) -> bool
+{
+    const auto connection = m_connection.lock();
+    return connection && connection->reply(m_id, std::move(response));
+}
+
+auto ReplyState::isOpen() const noexcept -> bool
+{
+    const auto connection = m_connection.lock();
+    return connection && connection->isOpen(m_id);
+}
+
+} // namespace Acaciarail::Caller::Detail
--- /dev/null
+++ b/packages/endpoint/src/endpoint_client.cpp
@@ -0,0 +1,332 @@
+#include <acaciarail/endpoint/endpoint_client.h>
+
+#include "pooled_connection.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace Acaciarail::Endpoint {
+
+using Detail::PooledConnection;
+using Detail::Timer;
+
+namespace {
+
+auto equalWithoutCase(std::string_view a, std::string_view b) noexcept -> bool
+{
+    const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; };
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [&lower](char x, char y) { return lower(x) == lower(y); });
+}
+
+} // namespace
+
+auto AttemptResponse::header(std::string_view name) const noexcept -> std::string_view
+{
+    const auto it = std::find_if(headers.begin(), headers.end(), [name](const auto &h) { return equalWithoutCase(h.name, name); });
+    return it == headers.end() ? std::string_view() : std::string_view(it->value);
+}
+
+struct EndpointClient::State
+{
+    /// All connections to one endpoint.
+    struct Pool
+    {
+        std::vector<std::unique_ptr<PooledConnection>> connections;
+    };
+
+    State(event_base *eventBase, EndpointClientSettings clientSettings, EndpointClientHooks clientHooks)
+        : base(eventBase)
+        , settings(clientSettings)
+        , hooks(std::move(clientHooks))
+        , deliveryTimer(eventBase, [this] { deliver(); })
+        , idleTimer(eventBase, [this] { closeIdle(); })
+    {
+    }
+
+    auto send(Attempt attempt) -> void;
+    auto refuse(const Attempt &attempt, Failure failure) -> void;
+    auto acquire(const std::string &address) -> PooledConnection *;
+    auto connect(const std::string &address, Pool &pool) -> PooledConnection *;
+    auto finished(const std::string &address, PooledConnection &connection, AttemptOutcome outcome) -> void;
+    auto remove(const std::string &address, PooledConnection &connection) -> void;
+    auto deliver() -> void;
+    auto closeIdle() -> void;
+    auto cancel(AttemptId id) -> bool;
+    auto forget(std::string_view address) -> void;
+
+    event_base *base;
+    EndpointClientSettings settings;
+    EndpointClientHooks hooks;
+    EndpointClientStats stats;
+    std::map<std::string, Pool, std::less<>> pools;
+    std::map<AttemptId, PooledConnection *> running;
+    /// Outcomes that the hook has not seen; they are delivered outside of the callbacks of evhttp.
+    std::deque<AttemptOutcome> ready;
+    /// Closed connections, destroyed outside of their own callbacks.
+    std::vector<std::unique_ptr<PooledConnection>> removed;
+    Timer deliveryTimer;
+    Timer idleTimer;
+    bool idleTimerRuns = false;
+    bool stopping = false;
+    bool stopReported = false;
+    /// Set while deliver() runs, and told when the client is destroyed by a hook.
+    bool *destroyed = nullptr;
+};
+
+auto EndpointClient::State::refuse(const Attempt &attempt, Failure failure) -> void
+{
+    ready.push_back({attempt.id, attempt.address, AttemptFailure{std::move(failure), false, false}, Duration::zero()});
+    deliveryTimer.start(Duration::zero());
+}
+
+auto EndpointClient::State::send(Attempt attempt) -> void
+{
+    ++stats.attempts;
+    if (stopping) {
+        refuse(attempt, {Error::Draining, Execution::NotRun, "client: expected it to run, found it stopping"});
+        return;
+    }
+    if (auto fault = Detail::checkAttempt(attempt)) {
+        refuse(attempt, *std::move(fault));
+        return;
+    }
+    if (running.contains(attempt.id)) {
+        refuse(attempt, {Error::DuplicateName, Execution::NotRun, "attempt: expected a new id, found one in progress"});
+        return;
+    }
+    auto *connection = acquire(attempt.address);
+    if (connection == nullptr) {
+        refuse(attempt,
+               {Error::Overloaded, Execution::NotRun,
+                "connections to " + attempt.address + ": expected at most " + std::to_string(settings.maxConnectionsPerEndpoint)
+                    + ", found all in use"});
+        return;
+    }
+    running.emplace(attempt.id, connection);
+    connection->send(std::move(attempt));
+}
+
+auto EndpointClient::State::acquire(const std::string &address) -> PooledConnection *
+{
+    auto &pool = pools[address];
+    // The latest used one comes first, so that surplus connections become idle and are closed.
+    PooledConnection *best = nullptr;
+    std::vector<PooledConnection *> dead;
+    for (const auto &it : pool.connections) {
+        if (it->busy()) {
+            continue;
+        }
+        if (!it->reusable() || !it->isQuiet()) {
+            dead.push_back(it.get());
+        } else if (best == nullptr || it->idleSince() > best->idleSince()) {
+            best = it.get();
+        }
+    }
+    for (auto *it : dead) {
+        remove(address, *it);
+    }
+    if (best != nullptr) {
+        ++stats.reusedConnections;
+        return best;
+    }
+    auto &current = pools[address];
+    return current.connections.size() < settings.maxConnectionsPerEndpoint ? connect(address, current) : nullptr;
+}
+
+auto EndpointClient::State::connect(const std::string &address, Pool &pool) -> PooledConnection *
+{
+    ++stats.connectionsOpened;
+    const auto done = [this, address](PooledConnection &connection, AttemptOutcome outcome) {
+        finished(address, connection, std::move(outcome));
+    };
+    const auto lost = [this, address](PooledConnection &connection) { remove(address, connection); };
+    const auto parts = Detail::parseAddress(address).value_or(Detail::HostAndPort{});
+    pool.connections.push_back(std::make_unique<PooledConnection>(base, settings, parts, done, lost));
+    return pool.connections.back().get();
+}
+
+auto EndpointClient::State::finished(const std::string &address, PooledConnection &connection, AttemptOutcome outcome) -> void
+{
+    running.erase(outcome.id);
+    if (!connection.reusable()) {
+        if (std::holds_alternative<AttemptFailure>(outcome.result)) {
+            ++stats.connectionsDropped;
+        }
+        remove(address, connection);
+    } else if (!std::exchange(idleTimerRuns, true)) {
+        idleTimer.start(settings.idleTimeout);
+    }
+    ready.push_back(std::move(outcome));
+    deliveryTimer.start(Duration::zero());
+}
+
+auto EndpointClient::State::remove(const std::string &address, PooledConnection &connection) -> void
+{
+    const auto pool = pools.find(address);
+    if (pool == pools.end()) {
+        return;
+    }
+    auto &connections = pool->second.connections;
+    const auto it = std::find_if(connections.begin(), connections.end(), [&connection](const auto &c) { return c.get() == &connection; });
+    if (it == connections.end()) {
+        return;
+    }
+    removed.push_back(std::move(*it));
+    connections.erase(it);
+    if (connections.empty()) {
+        pools.erase(pool);
+    }
+    deliveryTimer.start(Duration::zero());
+}
+
+auto EndpointClient::State::deliver() -> void
+{
+    removed.clear();
+    bool isDestroyed = false;
+    destroyed = &isDestroyed;
+    // Outcomes that a hook adds, for example by sending again after a refusal, wait for the next round.
+    for (auto n = ready.size(); n > 0 && !ready.empty(); --n) {
+        auto outcome = std::move(ready.front());
+        ready.pop_front();
+        hooks.onOutcome(std::move(outcome));
+        if (isDestroyed) {
+            return;
+        }
+    }
+    destroyed = nullptr;
+    if (!ready.empty()) {
+        deliveryTimer.start(Duration::zero());
+    }
+    if (stopping && running.empty() && ready.empty() && !std::exchange(stopReported, true)) {
+        pools.clear();
+        if (hooks.onStopped) {
+            hooks.onStopped();
+        }
+    }
+}
+
+auto EndpointClient::State::closeIdle() -> void
+{
+    idleTimerRuns = false;
+    const auto now = MonotonicClock::now();
+    std::vector<std::pair<std::string, PooledConnection *>> expired;
+    bool anyIdle = false;
+    for (const auto &[address, pool] : pools) {
+        for (const auto &it : pool.connections) {
+            if (it->busy()) {
+                continue;
+            }
+            anyIdle = true;
+            if (now - it->idleSince() >= settings.idleTimeout) {
+                expired.emplace_back(address, it.get());
+            }
+        }
+    }
+    for (const auto &[address, connection] : expired) {
+        remove(address, *connection);
+    }
+    if (anyIdle) {
+        idleTimerRuns = true;
+        idleTimer.start(settings.idleTimeout);
+    }
+}
+
+auto EndpointClient::State::cancel(AttemptId id) -> bool
+{
+    const auto outcome = std::find_if(ready.begin(), ready.end(), [id](const auto &it) { return it.id == id; });
+    if (outcome != ready.end()) {
+        const auto *failure = std::get_if<AttemptFailure>(&outcome->result);
+        const bool mayHaveBeenSent = failure == nullptr || failure->mayHaveBeenSent;
+        ready.erase(outcome);
+        return mayHaveBeenSent;
+    }
+    const auto it = running.find(id);
+    if (it == running.end()) {
+        return false;
+    }
+    auto &connection = *it->second;
+    running.erase(it);
+    const bool mayHaveBeenSent = connection.abandon();
+    ++stats.connectionsDropped;
+    for (const auto &[address, pool] : pools) {
+        const auto &all = pool.connections;
+        if (std::any_of(all.begin(), all.end(), [&connection](const auto &c) { return c.get() == &connection; })) {
+            remove(std::string(address), connection);
+            break;
+        }
+    }
+    return mayHaveBeenSent;
+}
+
+auto EndpointClient::State::forget(std::string_view address) -> void
+{
+    const auto pool = pools.find(address);
+    if (pool == pools.end()) {
+        return;
+    }
+    std::vector<PooledConnection *> unused;
+    for (const auto &it : pool->second.connections) {
+        it->retire();
+        if (!it->busy()) {
+            unused.push_back(it.get());
+        }
+    }
+    const auto name = pool->first;
+    for (auto *it : unused) {
+        remove(name, *it);
+    }
+}
+
+EndpointClient::EndpointClient(event_base *base, EndpointClientSettings settings, EndpointClientHooks hooks)
+    : m_state(std::make_unique<State>(base, settings, std::move(hooks)))
+{
+}
+
+EndpointClient::~EndpointClient()
+{
+    if (m_state->destroyed != nullptr) {
+        *m_state->destroyed = true;
+    }
+}
+
+auto EndpointClient::send(Attempt attempt) -> void
+{
+    m_state->send(std::move(attempt));
+}
+
+auto EndpointClient::cancel(AttemptId id) -> bool
+{
+    return m_state->cancel(id);
+}
+
+auto EndpointClient::forget(std::string_view address) -> void
+{
+    m_state->forget(address);
+}
+
+auto EndpointClient::stop() -> void
+{
+    m_state->stopping = true;
+    m_state->deliveryTimer.start(Duration::zero());
+}
+
+auto EndpointClient::attemptsInProgress() const noexcept -> std::size_t
+{
+    return m_state->running.size() + m_state->ready.size();
+}
+
+auto EndpointClient::connections(std::string_view address) const noexcept -> std::size_t
+{
+    const auto pool = m_state->pools.find(address);
+    return pool == m_state->pools.end() ? 0 : pool->second.connections.size();
+}
+
+auto EndpointClient::stats() const noexcept -> const EndpointClientStats &
+{
+    return m_state->stats;
+}
+
+} // namespace Acaciarail::Endpoint
