--- a/packages/caller/src/connection.cpp
+++ b/packages/caller/src/connection.cpp
@@ -64,11 +64,20 @@
     return "unknown";
 }
 
-auto readHeaders(const evhtp_headers_t &in) -> HttpHeaders
+/// Splits the header lines, which the framer has checked. libevhtp leaves out empty values and keeps white space at the end.
+auto readHeaders(std::string_view head) -> HttpHeaders
 {
     HttpHeaders out;
-    for (const auto *it = in.tqh_first; it != nullptr; it = it->next.tqe_next) {
-        out.push_back({std::string(it->key, it->klen), std::string(it->val, it->vlen)});
+    constexpr std::string_view lineEnd = "\r\n";
+    head.remove_prefix(head.find(lineEnd) + lineEnd.size());
+    for (auto end = head.find(lineEnd); end != 0; end = head.find(lineEnd)) {
+        const auto line = head.substr(0, end);
+        const auto colon = line.find(':');
+        auto value = line.substr(colon + 1);
+        value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+        value = value.substr(0, value.find_last_not_of(" \t") + 1);
+        out.push_back({std::string(line.substr(0, colon)), std::string(value)});
+        head.remove_prefix(end + lineEnd.size());
     }
     return out;
 }
@@ -258,8 +267,9 @@
     m_timedState = FramingState::Complete;
 
     HttpRequest request;
-    const auto version = readRequestLine(std::string_view(m_pending).substr(0, framing.headSize), request);
-    const bool isHttp10 = version == "HTTP/1.0";
+    const auto head = std::string_view(m_pending).substr(0, framing.headSize);
+    const bool isHttp10 = readRequestLine(head, request) == "HTTP/1.0";
+    request.headers = readHeaders(head);
     evbuffer_prepend(bufferevent_get_input(m_bev), m_pending.data(), framing.size);
     hold(m_pending.substr(framing.size));
     m_evhtpRead(m_bev, m_evhtpArg);
@@ -275,7 +285,6 @@
     m_sentContinue = false;
 
     request.id = server->nextRequestId();
-    request.headers = readHeaders(*m_request->headers_in);
     request.peer = m_peer;
     request.body.resize(evbuffer_get_length(m_request->buffer_in));
     evbuffer_copyout(m_request->buffer_in, request.body.data(), request.body.size());
@@ -283,7 +292,8 @@
 
     m_mode = Mode::Handling;
     m_isHead = request.method == HttpMethod::Head;
-    m_closeAfterAnswer = isHttp10 || asksToClose(request.headers);
+    m_askedToClose = asksToClose(request.headers);
+    m_closeAfterAnswer = isHttp10 || m_askedToClose;
     m_openRequest = request.id;
     ++server->stats.requests;
     server->requestOpened();
@@ -319,6 +329,10 @@
         evhtp_headers_add_header(m_request->headers_out, evhtp_header_new("Content-Length", size.c_str(), 1, 1));
         response.body.clear();
     }
+    // libevhtp adds this header itself when the caller asked for it.
+    if (m_closeAfterAnswer && !m_askedToClose) {
+        evhtp_headers_add_header(m_request->headers_out, evhtp_header_new("Connection", "close", 1, 1));
+    }
     evbuffer_add(m_request->buffer_out, response.body.data(), response.body.size());
     evhtp_request_set_keepalive(m_request, m_closeAfterAnswer ? 0 : 1);
     evhtp_send_reply(m_request, response.status);
--- a/packages/caller/src/connection.h
+++ b/packages/caller/src/connection.h
@@ -151,6 +151,7 @@
     RequestFramer m_framer;
     FramingState m_timedState = FramingState::Complete;
     bool m_sentContinue = false;
+    bool m_askedToClose = false;
     bool m_closeAfterAnswer = false;
     bool m_isHead = false;
     evhtp_request_t *m_request = nullptr;
--- /dev/null
+++ b/tests/caller/raw_client.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+/// Event loop of a test.
+class Loop
+{
+public:
+    Loop()
+        : m_base(event_base_new())
+    {
+    }
+    Loop(const Loop &) = delete;
+    auto operator=(const Loop &) -> Loop & = delete;
+    ~Loop()
+    {
+        event_base_free(m_base);
+    }
+
+    [[nodiscard]] auto base() const noexcept -> event_base *
+    {
+        return m_base;
+    }
+
+    /// Runs the loop until \a condition holds. Returns false when the events stop or after a guard time, which no passing test reaches.
+    [[nodiscard]] auto runUntil(const std::function<bool()> &condition) -> bool
+    {
+        constexpr timeval guard{60, 0};
+        bool expired = false;
+        event *timer = event_new(
+            m_base, -1, 0, [](evutil_socket_t, short, void *arg) { *static_cast<bool *>(arg) = true; }, &expired);
+        event_add(timer, &guard);
+        while (!condition() && !expired) {
+            event_base_loop(m_base, EVLOOP_ONCE);
+        }
+        event_free(timer);
+        return !expired;
+    }
+
+private:
+    event_base *m_base;
+};
+
+/// Client that sends arbitrary bytes and keeps what comes back.
+class RawClient
+{
+public:
+    RawClient(Loop &loop, std::uint16_t port)
+        : m_bev(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bufferevent_setcb(m_bev, &RawClient::onRead, nullptr, &RawClient::onEvent, this);
+        bufferevent_enable(m_bev, EV_READ | EV_WRITE);
+        bufferevent_socket_connect(m_bev, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    }
+    RawClient(const RawClient &) = delete;
+    auto operator=(const RawClient &) -> RawClient & = delete;
+    ~RawClient()
+    {
+        bufferevent_free(m_bev);
+    }
+
+    auto send(std::string_view bytes) -> void
+    {
+        bufferevent_write(m_bev, bytes.data(), bytes.size());
+    }
+    auto stopReading() -> void
+    {
+        bufferevent_disable(m_bev, EV_READ);
+    }
+    [[nodiscard]] auto received() const noexcept -> const std::string &
+    {
+        return m_received;
+    }
+    [[nodiscard]] auto closed() const noexcept -> bool
+    {
+        return m_closed;
+    }
+
+    /// Returns the number of complete responses received, which all must have a Content-Length.
+    [[nodiscard]] auto responses() const -> std::size_t
+    {
+        std::size_t n = 0;
+        std::string_view rest = m_received;
+        while (!next(rest).empty()) {
+            ++n;
+        }
+        return n;
+    }
+
+    /// Returns the response with index \a i, or nothing.
+    [[nodiscard]] auto response(std::size_t i) const -> std::string
+    {
+        std::string_view rest = m_received;
+        std::string_view out = next(rest);
+        for (; i > 0 && !out.empty(); --i) {
+            out = next(rest);
+        }
+        return std::string(out);
+    }
+
+    /// Returns the status of the first response, or 0.
+    [[nodiscard]] auto status() const -> int
+    {
+        const auto first = response(0);
+        return first.empty() ? 0 : std::stoi(first.substr(first.find(' ') + 1));
+    }
+
+private:
+    static auto next(std::string_view &rest) -> std::string_view
+    {
+        const auto headEnd = rest.find("\r\n\r\n");
+        if (headEnd == std::string_view::npos) {
+            return {};
+        }
+        const auto head = rest.substr(0, headEnd + 4);
+        std::size_t length = 0;
+        constexpr std::string_view name = "Content-Length: ";
+        if (const auto at = head.find(name); at != std::string_view::npos) {
+            length = std::stoul(std::string(head.substr(at + name.size())));
+        }
+        if (rest.size() < head.size() + length) {
+            return {};
+        }
+        const auto out = rest.substr(0, head.size() + length);
+        rest.remove_prefix(out.size());
+        return out;
+    }
+
+    static auto onRead(bufferevent *bev, void *arg) -> void
+    {
+        auto &self = *static_cast<RawClient *>(arg);
+        auto *input = bufferevent_get_input(bev);
+        std::string bytes(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, bytes.data(), bytes.size());
+        self.m_received += bytes;
+    }
+
+    static auto onEvent(bufferevent *, short what, void *arg) -> void
+    {
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+            static_cast<RawClient *>(arg)->m_closed = true;
+        }
+    }
+
+    bufferevent *m_bev;
+    std::string m_received;
+    bool m_closed = false;
+};
