--- a/packages/operator/include/acaciarail/operator/document.h
+++ b/packages/operator/include/acaciarail/operator/document.h
@@ -16,7 +16,7 @@
 /// Ending of the names of configuration documents.
 inline constexpr std::string_view documentSuffix = ".acaciarail.toml";
 
-/// Largest document in bytes, so that a change of several documents still fits into one log record.
+/// Largest document in bytes, so that a change of several documents still fits into one log record of 1 MiB.
 inline constexpr std::size_t maxDocumentBytes = std::size_t{256} * 1024;
 
 /// Largest sum of the shares of all organisations, so that a share of 1 remains a usable part of the fleet.
@@ -38,11 +38,18 @@
     std::uint32_t column = 0;
 };
 
+/// Places of an organisation and of its callers, in the order of OrganisationPolicy::callers.
+struct OrganisationPlaces
+{
+    Place organisation;
+    std::vector<Place> callers;
+};
+
 /// Content of one document. The vectors of places run parallel to the vectors of rules.
 struct Document
 {
     std::vector<OrganisationPolicy> organisations;
-    std::vector<Place> organisationPlaces;
+    std::vector<OrganisationPlaces> organisationPlaces;
     std::vector<ServicePolicy> services;
     std::vector<Place> servicePlaces;
     std::optional<ClassLimits> classLimits;
