--- a/packages/operator/include/acaciarail/operator/audit.h
+++ b/packages/operator/include/acaciarail/operator/audit.h
@@ -122,15 +122,15 @@
 enum class AuditFaultKind : std::uint8_t {
     /// Accepted longer ago than the given age, and no outcome.
     NoOutcome,
+    /// Two outcomes that differ, or two records of the outcome of a request. A job's outcome may be recorded again unchanged,
+    /// because two holders in succession can both learn of it.
     SeveralOutcomes,
     /// A non-idempotent job or request was run more than once.
     RepeatedRun,
-    /// The outcome of a claimed request was recorded by an instance other than its claimant.
+    /// An instance other than the claimant recorded that a request ran or did not run, which only the claimant can know.
     ForeignOutcome,
     /// An outcome or assignment without an acceptance, in a log that is complete from its start.
     NotAccepted,
-    /// An attempt was assigned after the outcome.
-    RunAfterOutcome,
 };
 
 /// Returns the kebab-case name of \a kind. \pre none. Thread-safe.
--- a/packages/operator/include/acaciarail/operator/document.h
+++ b/packages/operator/include/acaciarail/operator/document.h
@@ -16,8 +16,9 @@
 /// Ending of the names of configuration documents.
 inline constexpr std::string_view documentSuffix = ".acaciarail.toml";
 
-/// Largest document in bytes, so that a change of several documents still fits into one log record of 1 MiB.
-inline constexpr std::size_t maxDocumentBytes = std::size_t{256} * 1024;
+/// Largest document in bytes. A change of several documents fits into one log record of 1 MiB, and reading the largest one
+/// keeps the event loop busy for about 0.1 s.
+inline constexpr std::size_t maxDocumentBytes = std::size_t{128} * 1024;
 
 /// Largest sum of the shares of all organisations, so that a share of 1 remains a usable part of the fleet.
 inline constexpr std::uint64_t maxShareSum = 100'000;
--- a/packages/operator/src/fault_sink.cpp
+++ b/packages/operator/src/fault_sink.cpp
@@ -23,11 +23,16 @@
 auto FaultSink::add(Place place, std::string expected, std::string found) -> void
 {
     ++m_count;
-    if (m_faults.size() < maxFaultsPerFile) {
+    if (!isFull()) {
         m_faults.push_back({m_file, place.line, place.column, std::move(expected), std::move(found)});
     }
 }
 
+auto FaultSink::isFull() const noexcept -> bool
+{
+    return m_faults.size() >= maxFaultsPerFile;
+}
+
 auto FaultSink::take() -> std::vector<Fault>
 {
     auto faults = std::exchange(m_faults, {});
--- a/packages/operator/src/fault_sink.h
+++ b/packages/operator/src/fault_sink.h
@@ -27,6 +27,9 @@
         return m_count;
     }
 
+    /// True when further faults are only counted, so that their places need not be computed.
+    [[nodiscard]] auto isFull() const noexcept -> bool;
+
     /// Returns the faults in the order of their places and leaves the sink empty.
     [[nodiscard]] auto take() -> std::vector<Fault>;
 
--- a/packages/operator/src/table_reader.cpp
+++ b/packages/operator/src/table_reader.cpp
@@ -126,6 +126,9 @@
 
 auto TableReader::placeOfKey(const std::string &key, const TomlValue &value) const -> Place
 {
+    if (m_sink->isFull()) {
+        return {};
+    }
     auto place = placeOfValue(value, m_firstLine);
     const auto at = value.location().line_str().find(key);
     if (at != std::string::npos && at < place.column) {
@@ -134,15 +137,20 @@
     return place;
 }
 
+auto TableReader::faultPlace(const TomlValue &value) const -> Place
+{
+    // The parser finds a place by counting the lines before it.
+    return m_sink->isFull() ? Place{} : placeOfValue(value, m_firstLine);
+}
+
 auto TableReader::wrongType(std::string_view key, std::string_view expected, const TomlValue &value) -> void
 {
-    m_sink->add(placeOfValue(value, m_firstLine), std::string(expected) + " for " + quotedText(key) + " in " + m_context,
-                describeValue(value));
+    m_sink->add(faultPlace(value), std::string(expected) + " for " + quotedText(key) + " in " + m_context, describeValue(value));
 }
 
 auto TableReader::outOfRange(std::string_view key, const std::string &expected, const TomlValue &value) -> void
 {
-    m_sink->add(placeOfValue(value, m_firstLine), expected + " for " + quotedText(key) + " in " + m_context, printable(sourceText(value)));
+    m_sink->add(faultPlace(value), expected + " for " + quotedText(key) + " in " + m_context, printable(sourceText(value)));
 }
 
 auto TableReader::text(std::string_view key, Presence presence, TextCheck check) -> std::optional<std::string>
@@ -157,7 +165,7 @@
     }
     const auto &found = value->as_string().str;
     if (const auto expected = check(found)) {
-        m_sink->add(placeOfValue(*value, m_firstLine), *expected + " for " + quotedText(key) + " in " + m_context, quotedText(found));
+        m_sink->add(faultPlace(*value), *expected + " for " + quotedText(key) + " in " + m_context, quotedText(found));
         return std::nullopt;
     }
     return found;
--- a/packages/operator/src/table_reader.h
+++ b/packages/operator/src/table_reader.h
@@ -90,6 +90,7 @@
 private:
     [[nodiscard]] auto find(std::string_view key, Presence presence) -> const TomlValue *;
     [[nodiscard]] auto placeOfKey(const std::string &key, const TomlValue &value) const -> Place;
+    [[nodiscard]] auto faultPlace(const TomlValue &value) const -> Place;
     auto wrongType(std::string_view key, std::string_view expected, const TomlValue &value) -> void;
     auto outOfRange(std::string_view key, const std::string &expected, const TomlValue &value) -> void;
 
--- a/packages/operator/src/toml_text.cpp
+++ b/packages/operator/src/toml_text.cpp
@@ -16,6 +16,8 @@
 /// The parser recurses for each level of nesting and for each part of a dotted key.
 constexpr std::uint32_t maxNesting = 8;
 constexpr std::uint32_t maxDotsPerLine = 64;
+/// The parser copies the whole line into a message for each value that it tries, even when the value turns out to be valid.
+constexpr std::size_t maxLineBytes = 2048;
 
 auto isWordCharacter(char c) noexcept -> bool
 {
@@ -110,6 +112,9 @@
         m_dots = 0;
         const auto end = m_text.find('\n', m_at);
         const auto line = m_text.substr(m_at, end == std::string_view::npos ? end : end - m_at);
+        if (line.size() > maxLineBytes) {
+            fault("at most " + std::to_string(maxLineBytes) + " bytes on one line", std::to_string(line.size()));
+        }
         if (m_inside != Inside::Plain) {
             return;
         }
@@ -340,6 +345,7 @@
     SyntaxMessage{"invalid line format", "the end of the line after the value"},
     SyntaxMessage{"newline required after", "the end of the line after the table header"},
     SyntaxMessage{"invalid key", "a key, or a table header in matching brackets"},
+    SyntaxMessage{"unknown value", "a string in quotes, a number, `true`, `false`, an array or a table"},
     SyntaxMessage{"already exists", "each key and table only once"},
     SyntaxMessage{"cannot be defined", "a key that is not defined as another kind of value before"},
     SyntaxMessage{"insert_", "a key that is not defined as another kind of value before"},
