Add the instance package and the daemon acaciaraild

Cause: the packages exist, but nothing combines them into an entry instance. Change: Instance (pure) routes requests, claims non-idempotent ones in the log, accepts jobs, holds shards and follows the log or a peer; acaciaraild binds it to the sockets.

--- /dev/null
+++ b/apps/acaciaraild/audit_source.cpp
@@ -0,0 +1,168 @@
+#include "audit_source.h"
+
+#include <acaciarail/operator/document.h>
+
+#include <type_traits>
+
+namespace Acaciarail::Daemon {
+
+namespace {
+
+using namespace State;
+namespace Op = Operator;
+
+auto wasAccepted(const Applied &applied) -> bool
+{
+    return std::visit(
+        [](const auto &it) {
+            if constexpr (requires { it.accepted; }) {
+                return it.accepted;
+            }
+            return false;
+        },
+        applied);
+}
+
+auto auditBody(const JobAccepted &body, const Record &, const Replica &) -> std::optional<Op::AuditBody>
+{
+    const auto &spec = body.job.spec;
+    return Op::AuditJobAccepted{body.job.id, spec.name, spec.organisation, spec.caller, body.job.zone, spec.idempotent};
+}
+
+auto auditBody(const JobAssigned &body, const Record &, const Replica &before) -> std::optional<Op::AuditBody>
+{
+    const auto *state = before.job(body.job);
+    Op::AuditJobAssigned out{body.job, body.attempt, body.term, {}, state && !state->mayHaveStarted};
+    for (const auto &it : body.members) {
+        out.workers.push_back(it.worker);
+    }
+    return out;
+}
+
+auto auditBody(const JobFinished &body, const Record &, const Replica &) -> std::optional<Op::AuditBody>
+{
+    return Op::AuditJobFinished{body.job, body.outcome, body.reason};
+}
+
+auto auditBody(const CancelRequested &body, const Record &, const Replica &) -> std::optional<Op::AuditBody>
+{
+    return Op::AuditJobCancelled{body.job, body.caller};
+}
+
+auto auditBody(const OrderClaimed &body, const Record &record, const Replica &) -> std::optional<Op::AuditBody>
+{
+    return Op::AuditOrderClaimed{body.organisation, body.key, {}, std::to_string(body.fingerprint), body.claimant, record.id.incarnation};
+}
+
+auto auditBody(const OrderFinished &body, const Record &record, const Replica &before) -> std::optional<Op::AuditBody>
+{
+    const auto *state = before.order({body.organisation, body.key});
+    const auto claimant = state && state->claim.incarnation == record.id.incarnation ? state->claimant : InstanceName();
+    return Op::AuditOrderFinished{body.organisation, body.key, body.execution, body.httpStatus, claimant, record.id.incarnation};
+}
+
+auto auditBody(const ConfigChange &body, const Record &, const Replica &before) -> std::optional<Op::AuditBody>
+{
+    Op::AuditConfigChanged out{{}, before.configVersion() + 1, {}};
+    for (const auto &it : body.documents) {
+        out.operatorName = CallerName(it.origin.operatorName);
+        out.documents.push_back({it.name, it.baseVersion + 1, it.origin.file, it.origin.revision, Op::ruleNames(it.name, it.text)});
+    }
+    return out;
+}
+
+template<typename T>
+auto auditBody(const T &, const Record &, const Replica &) -> std::optional<Op::AuditBody>
+{
+    return std::nullopt;
+}
+
+} // namespace
+
+auto AuditSource::read(Platform::LogClient &client, std::function<void(AuditEvents)> done) -> void
+{
+    std::make_shared<AuditSource>(client, std::move(done))->readNext();
+}
+
+AuditSource::AuditSource(Platform::LogClient &client, std::function<void(AuditEvents)> done)
+    : m_client(client)
+    , m_done(std::move(done))
+{
+    m_events.complete = true;
+}
+
+auto AuditSource::readNext() -> void
+{
+    Platform::ReadRequest request;
+    request.from = m_replica.nextOffset();
+    request.wait = Duration::zero();
+    m_client.read(request, [self = shared_from_this()](const Platform::ReadResult &result) { self->handle(result); });
+}
+
+auto AuditSource::handle(const Platform::ReadResult &result) -> void
+{
+    if (result.status == Platform::ReadStatus::Failed) {
+        finish(Failure{Error::LogUnavailable, Execution::NotRun, "the platform's log could not be read: " + result.detail});
+        return;
+    }
+    if (result.status == Platform::ReadStatus::NotRetained) {
+        m_events.complete = false;
+        m_events.events.clear();
+        m_scanner.emplace(result.earliest);
+        scanNext();
+        return;
+    }
+    for (const auto &entry : result.entries) {
+        Record record;
+        const auto isReadable = !decodeRecord(entry.bytes, record);
+        auto body = isReadable ? std::visit([&record, this](const auto &it) { return auditBody(it, record, m_replica); }, record.body)
+                               : std::nullopt;
+        const auto applied = m_replica.apply(entry);
+        if (body && wasAccepted(applied)) {
+            const auto id = std::to_string(record.id.incarnation) + "/" + std::to_string(record.id.sequence);
+            m_events.events.push_back({entry.offset, id, Operator::AuditTime(record.writtenAt), std::move(*body)});
+        }
+    }
+    if (result.entries.empty() || m_replica.nextOffset() >= result.next) {
+        finish(std::nullopt);
+    } else {
+        readNext();
+    }
+}
+
+auto AuditSource::scanNext() -> void
+{
+    Platform::ReadRequest request;
+    request.from = m_scanner->nextOffset();
+    request.wait = Duration::zero();
+    m_client.read(request, [self = shared_from_this()](const Platform::ReadResult &result) { self->handleScan(result); });
+}
+
+auto AuditSource::handleScan(const Platform::ReadResult &result) -> void
+{
+    if (result.status != Platform::ReadStatus::Ok) {
+        finish(Failure{Error::LogUnavailable, Execution::NotRun, "the platform's log could not be read: " + result.detail});
+        return;
+    }
+    for (const auto &it : result.entries) {
+        m_scanner->read(it);
+    }
+    if (!result.entries.empty() && m_scanner->nextOffset() < result.next) {
+        scanNext();
+        return;
+    }
+    const auto found = m_scanner->found();
+    if (!found || m_replica.restore(found->asOf, found->parts)) {
+        finish(Failure{Error::LogUnavailable, Execution::NotRun, "the log has neither its first record nor a complete snapshot"});
+        return;
+    }
+    readNext();
+}
+
+auto AuditSource::finish(std::optional<Failure> failure) -> void
+{
+    m_events.failure = std::move(failure);
+    m_done(std::move(m_events));
+}
+
+} // namespace Acaciarail::Daemon
--- /dev/null
+++ b/apps/acaciaraild/audit_source.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <acaciarail/operator/audit.h>
+#include <acaciarail/platform/log_client.h>
+#include <acaciarail/state/replica.h>
+#include <acaciarail/state/snapshot_scanner.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Acaciarail::Daemon {
+
+/// Events that the log still has, in log order.
+struct AuditEvents
+{
+    /// Whether the events start at the first record ever written.
+    bool complete = false;
+    std::vector<Operator::AuditEvent> events;
+    /// Set when the log could not be read to its end.
+    std::optional<Failure> failure;
+};
+
+/// Reads the whole log once and turns the records that took effect into audit events.
+/// Not thread-safe; used on the loop's thread.
+class AuditSource : public std::enable_shared_from_this<AuditSource>
+{
+public:
+    /// Starts to read; \a done is called once, never from inside this call. \pre \a client outlives the reading.
+    static auto read(Platform::LogClient &client, std::function<void(AuditEvents)> done) -> void;
+
+    /// \pre none. Use read().
+    AuditSource(Platform::LogClient &client, std::function<void(AuditEvents)> done);
+
+private:
+    auto readNext() -> void;
+    auto handle(const Platform::ReadResult &result) -> void;
+    auto scanNext() -> void;
+    auto handleScan(const Platform::ReadResult &result) -> void;
+    auto finish(std::optional<Failure> failure) -> void;
+
+    Platform::LogClient &m_client;
+    std::function<void(AuditEvents)> m_done;
+    State::Replica m_replica;
+    std::optional<State::SnapshotScanner> m_scanner;
+    AuditEvents m_events;
+};
+
+} // namespace Acaciarail::Daemon
--- /dev/null
+++ b/apps/acaciaraild/daemon.cpp
@@ -0,0 +1,294 @@
+#include "daemon.h"
+
+#include <acaciarail/caller/problem.h>
+#include <acaciarail/operator/sha256.h>
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+
+namespace Acaciarail::Daemon {
+
+namespace {
+
+constexpr Duration drainCheckInterval = 20ms;
+/// Shortest time between two ticks, so that a deadline in the past cannot keep the loop busy.
+constexpr Duration minTickInterval = 1ms;
+
+auto platformSettings(const Operator::InstanceSettings &settings, Duration timeout) -> Platform::PlatformSettings
+{
+    Platform::PlatformSettings out;
+    out.address = Runtime::parseSocketAddress(settings.platformAddress).value_or(Runtime::SocketAddress{});
+    out.zone = settings.zone;
+    out.requestTimeout = timeout;
+    return out;
+}
+
+} // namespace
+
+Daemon::Daemon(Operator::InstanceSettings settings, std::uint64_t seed)
+    : m_settings(std::move(settings))
+    , m_seed(seed)
+    , m_incarnation(seed | 1U)
+    , m_traces(m_settings.limits.maxTraceSpans)
+    , m_ids(seed)
+    , m_tickTimer(m_loop, [this] { tick(); })
+    , m_listTimer(m_loop, [this] { fetchList(); })
+    , m_drainTimer(m_loop, [this] { finishDrain(); })
+    , m_graceTimer(m_loop, [this] { m_loop.stop(); })
+{
+    m_appendClient = std::make_unique<Platform::LogClient>(m_loop, platformSettings(m_settings, m_settings.timeouts.logAppendTimeout));
+    m_readClient = std::make_unique<Platform::LogClient>(m_loop, platformSettings(m_settings, m_settings.timeouts.logAppendTimeout));
+    m_auditClient = std::make_unique<Platform::LogClient>(m_loop, platformSettings(m_settings, m_settings.timeouts.logAppendTimeout));
+    m_listClient =
+        std::make_unique<Platform::InstanceListClient>(m_loop, platformSettings(m_settings, m_settings.timeouts.logAppendTimeout));
+    createLinks();
+    createInstance();
+    createServer();
+}
+
+Daemon::~Daemon() = default;
+
+auto Daemon::createLinks() -> void
+{
+    Endpoint::EndpointClientSettings endpoints;
+    endpoints.maxConnectionsPerEndpoint = m_settings.limits.maxEndpointConnections;
+    endpoints.connectTimeout = m_settings.timeouts.connectTimeout;
+    Endpoint::EndpointClientHooks endpointHooks;
+    endpointHooks.onOutcome = [this](const Endpoint::AttemptOutcome &outcome) {
+        m_services->attemptEnded(outcome);
+        scheduleTick();
+    };
+    m_endpointClient = std::make_unique<Endpoint::EndpointClient>(m_loop.base(), endpoints, std::move(endpointHooks));
+
+    Worker::WorkerLinksHooks workerHooks;
+    workerHooks.received = [this](const WorkerName &worker, const Worker::Reply &reply) {
+        m_instance->workerReply(worker, reply, m_loop.now());
+        scheduleTick();
+    };
+    workerHooks.up = [](const WorkerName &) {};
+    workerHooks.down = [this](const WorkerName &worker, const Runtime::CloseInfo &) {
+        m_instance->workerDisconnected(worker, m_loop.now());
+    };
+    m_workerLinks = std::make_unique<Worker::WorkerLinks>(m_loop, Worker::WorkerLinksSettings{}, std::move(workerHooks), m_seed);
+
+    Peer::PeerLinksSettings peers;
+    peers.self = m_settings.name;
+    peers.incarnation = m_incarnation;
+    peers.server.address = Runtime::parseSocketAddress(m_settings.peerListenAddress).value_or(Runtime::SocketAddress{});
+    Peer::PeerLinksHooks peerHooks;
+    peerHooks.received = [this](const InstanceName &from, const Peer::Message &message) {
+        m_instance->peerMessage(from, message, m_loop.now());
+        scheduleTick();
+    };
+    peerHooks.up = [](const InstanceName &) {};
+    peerHooks.down = [](const InstanceName &, const Runtime::CloseInfo &) {};
+    m_peerLinks = std::make_unique<Peer::PeerLinks>(m_loop, peers, std::move(peerHooks), m_seed + 1);
+}
+
+auto Daemon::createInstance() -> void
+{
+    const GatewayContext context{m_loop, m_metrics, m_traces, m_ids, [this](std::string_view token) { return authenticate(token); }};
+    const ServiceGatewaySettings services{m_incarnation, m_settings.timeouts.defaultDeadline, m_settings.timeouts.maxDeadline,
+                                          m_settings.timeouts.progressTimeout};
+    m_services = std::make_unique<ServiceGateway>(services, context, *m_endpointClient);
+    m_control = std::make_unique<ControlGateway>(context, ControlHooks{[this] { drain(); }, [this] { return m_workers; }}, *m_auditClient);
+
+    Instance::InstanceSettings settings;
+    settings.self = {m_settings.name, m_settings.region, m_settings.zone, false, m_settings.advertisedAddress};
+    settings.incarnation = m_incarnation;
+    settings.seed = m_seed;
+    settings.membership.heartbeatInterval = m_settings.timeouts.heartbeatInterval;
+    settings.router.zone = m_settings.zone;
+    settings.router.region = m_settings.region;
+    m_instance = std::make_unique<Instance::Instance>(settings, instanceHooks());
+    m_services->setInstance(*m_instance);
+    m_control->setInstance(*m_instance);
+    m_follower = std::make_unique<LogFollower>(m_loop, *m_readClient, *m_instance);
+}
+
+auto Daemon::instanceHooks() -> Instance::InstanceHooks
+{
+    Instance::InstanceHooks hooks;
+    hooks.appendLog = [this](const std::vector<std::string> &records) { append(records); };
+    hooks.sendToWorker = [this](const WorkerName &worker, const Worker::Request &request) {
+        // A message that cannot be sent is repeated by the instance.
+        (void)m_workerLinks->send(worker, request);
+    };
+    hooks.sendToPeer = [this](const InstanceName &peer, const Peer::Message &message) { (void)m_peerLinks->send(peer, message); };
+    hooks.sendAttempt = [this](const Scheduling::SendAttempt &command) { m_services->sendAttempt(command); };
+    hooks.cancelAttempt = [this](const Scheduling::CancelAttempt &command) { m_services->cancelAttempt(command); };
+    hooks.refuseRequest = [this](RequestId id, const Failure &failure) { m_services->refuse(id, failure); };
+    hooks.deliverResponse = [this](RequestId id, std::uint32_t attempt) { return m_services->deliver(id, attempt); };
+    hooks.replayResponse = [this](RequestId id, const Instance::StoredResponse &response) { m_services->replay(id, response); };
+    hooks.answerOperation = [this](Instance::OperationId id, const Instance::OperationResult &result) { m_control->answer(id, result); };
+    hooks.readConfiguration = [this](const auto &documents) { return readConfiguration(documents); };
+    hooks.wallClock = [] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    };
+    return hooks;
+}
+
+auto Daemon::createServer() -> void
+{
+    const auto address = Runtime::parseSocketAddress(m_settings.callerListenAddress).value_or(Runtime::SocketAddress{});
+    Caller::CallerServerSettings settings;
+    settings.address = address.host;
+    settings.port = address.port;
+    settings.maxConnections = m_settings.limits.maxCallerConnections;
+    settings.limits.maxBody = m_settings.limits.maxBodyBytes;
+    settings.limits.maxHead = m_settings.limits.maxHeaderBytes;
+    settings.idleTimeout = m_settings.timeouts.callerIdleTimeout;
+    Caller::CallerServerHooks hooks;
+    hooks.onRequest = [this](Caller::HttpRequest request, Caller::ReplyHandle reply) {
+        if (request.path.starts_with("/services/")) {
+            m_services->handle(std::move(request), std::move(reply));
+        } else {
+            m_control->handle(request, std::move(reply));
+        }
+        scheduleTick();
+    };
+    hooks.onDisconnect = [this](RequestId id) { m_services->disconnected(id); };
+    hooks.onStopped = [this] { m_isServerStopped = true; };
+    m_server = std::make_unique<Caller::CallerServer>(m_loop.base(), settings, std::move(hooks));
+}
+
+auto Daemon::start() -> std::error_code
+{
+    if (const auto ec = m_server->start()) {
+        return ec;
+    }
+    if (const auto ec = m_peerLinks->listen()) {
+        return ec;
+    }
+    for (const auto signal : {SIGTERM, SIGINT}) {
+        m_signals.push_back(std::make_unique<Runtime::SignalWatcher>(m_loop, signal, [this] { drain(); }));
+    }
+    logEvent(LogLevel::Info, "started",
+             {{"instance", m_settings.name.str()},
+              {"zone", m_settings.zone.str()},
+              {"caller_port", m_server->port()},
+              {"peer_port", m_peerLinks->address().port}});
+    m_follower->start();
+    fetchList();
+    tick();
+    return {};
+}
+
+auto Daemon::run() -> void
+{
+    m_loop.run();
+}
+
+auto Daemon::portsText() const -> std::string
+{
+    return "caller_port=" + std::to_string(m_server->port()) + " peer_port=" + std::to_string(m_peerLinks->address().port);
+}
+
+auto Daemon::append(const std::vector<std::string> &records) -> void
+{
+    m_appendClient->append(records, [this](const Platform::AppendResult &result) {
+        switch (result.status) {
+        case Platform::AppendStatus::Appended:
+            m_instance->logAppended(m_loop.now());
+            break;
+        case Platform::AppendStatus::NotAppended:
+            m_instance->logAppendFailed(State::AppendFailure::NotAppended, m_loop.now());
+            break;
+        case Platform::AppendStatus::OutcomeUnknown:
+            m_instance->logAppendFailed(State::AppendFailure::Unknown, m_loop.now());
+            break;
+        }
+        scheduleTick();
+    });
+}
+
+auto Daemon::readConfiguration(const std::map<std::string, State::Document> &documents) -> Instance::Configuration
+{
+    Operator::DocumentTexts texts;
+    for (const auto &[name, it] : documents) {
+        texts[name] = it.text;
+    }
+    auto build = Operator::DeploymentConfig::build(texts, Operator::ConfigScope::Complete, &m_config);
+    m_config = std::move(build.config);
+    return {m_config.jobPolicy(), m_config.requestPolicy(), m_config.shardsOf(m_settings.zone)};
+}
+
+auto Daemon::authenticate(std::string_view token) const -> std::optional<Operator::TokenOwner>
+{
+    if (token.empty()) {
+        return std::nullopt;
+    }
+    const auto hash = Operator::sha256Hex(token);
+    if (m_config.empty() && !m_settings.bootstrapOperatorTokenSha256.empty() && hash == m_settings.bootstrapOperatorTokenSha256) {
+        return Operator::TokenOwner{{}, CallerName("bootstrap-operator"), true};
+    }
+    return m_config.tokenOwner(hash);
+}
+
+auto Daemon::fetchList() -> void
+{
+    m_listClient->fetch([this](const Platform::InstanceListResult &result) {
+        if (result.list) {
+            takeList(*result.list);
+        }
+        m_listTimer.start(m_settings.timeouts.instanceListInterval);
+    });
+}
+
+auto Daemon::takeList(const Platform::InstanceList &list) -> void
+{
+    Instance::PlatformList out;
+    out.endpoints = list.endpoints;
+    out.instances = list.instances;
+    m_workers.clear();
+    for (const auto &it : list.workers) {
+        out.workers.push_back({it.info, it.leaving});
+        m_workers.push_back(it.info);
+        if (it.info.zone == m_settings.zone) {
+            (void)m_workerLinks->setWorker(it.info.name, it.info.address);
+        }
+    }
+    for (const auto &it : list.instances) {
+        if (it.name != m_settings.name) {
+            (void)m_peerLinks->setPeer(it.name, it.address);
+        }
+    }
+    m_instance->setPlatformList(out, m_loop.now());
+    scheduleTick();
+}
+
+auto Daemon::tick() -> void
+{
+    m_instance->tick(m_loop.now());
+    scheduleTick();
+}
+
+auto Daemon::scheduleTick() -> void
+{
+    const auto now = m_loop.now();
+    m_tickTimer.start(std::max(m_instance->nextDeadline(now) - now, minTickInterval));
+}
+
+auto Daemon::drain() -> void
+{
+    if (m_isDraining) {
+        return;
+    }
+    m_isDraining = true;
+    logEvent(LogLevel::Info, "drain-started", {{"requests", m_server->requestsInProgress()}});
+    m_instance->drain(m_loop.now());
+    m_server->stop();
+    m_drainTimer.startRepeating(drainCheckInterval);
+    m_graceTimer.start(m_settings.timeouts.shutdownGrace);
+}
+
+auto Daemon::finishDrain() -> void
+{
+    if (m_isServerStopped && m_instance->isDrained(m_loop.now())) {
+        logEvent(LogLevel::Info, "drained", {{"instance", m_settings.name.str()}});
+        m_loop.stop();
+    }
+}
+
+} // namespace Acaciarail::Daemon
--- /dev/null
+++ b/apps/acaciaraild/log_follower.cpp
@@ -0,0 +1,93 @@
+#include "log_follower.h"
+
+#include <acaciarail/core/logging.h>
+
+namespace Acaciarail::Daemon {
+
+namespace {
+
+/// A log that goes down is noticed within this time plus the answer's way.
+constexpr Duration readWait = 500ms;
+constexpr Duration retryDelay = 200ms;
+
+} // namespace
+
+LogFollower::LogFollower(Runtime::EventLoop &loop, Platform::LogClient &client, Instance::Instance &instance)
+    : m_loop(loop)
+    , m_client(client)
+    , m_instance(instance)
+    , m_retryTimer(loop, [this] { read(); })
+{
+}
+
+auto LogFollower::start() -> void
+{
+    read();
+}
+
+auto LogFollower::read() -> void
+{
+    Platform::ReadRequest request;
+    request.from = m_instance.nextOffset();
+    request.wait = readWait;
+    m_client.read(request, [this](const Platform::ReadResult &result) { handleRead(result); });
+}
+
+auto LogFollower::handleRead(const Platform::ReadResult &result) -> void
+{
+    switch (result.status) {
+    case Platform::ReadStatus::Ok:
+        m_instance.logRead(result.entries, result.next, m_loop.now());
+        read();
+        return;
+    case Platform::ReadStatus::NotRetained:
+        logEvent(LogLevel::Warning, "log-scan", {{"offset", m_instance.nextOffset()}, {"earliest", result.earliest}});
+        m_scanner.emplace(result.earliest);
+        scan();
+        return;
+    case Platform::ReadStatus::Failed:
+        break;
+    }
+    m_instance.logReadFailed(m_loop.now());
+    m_retryTimer.start(retryDelay);
+}
+
+auto LogFollower::scan() -> void
+{
+    Platform::ReadRequest request;
+    request.from = m_scanner->nextOffset();
+    request.wait = Duration::zero();
+    m_client.read(request, [this](const Platform::ReadResult &result) { handleScan(result); });
+}
+
+auto LogFollower::handleScan(const Platform::ReadResult &result) -> void
+{
+    if (result.status != Platform::ReadStatus::Ok) {
+        m_scanner.reset();
+        m_instance.logReadFailed(m_loop.now());
+        m_retryTimer.start(retryDelay);
+        return;
+    }
+    for (const auto &it : result.entries) {
+        m_scanner->read(it);
+    }
+    if (result.entries.empty() || m_scanner->nextOffset() >= result.next) {
+        finishScan();
+    } else {
+        scan();
+    }
+}
+
+auto LogFollower::finishScan() -> void
+{
+    const auto found = m_scanner->found();
+    m_scanner.reset();
+    const auto isRestored = found && !m_instance.restoreSnapshot(found->asOf, found->parts, m_loop.now());
+    if (!isRestored) {
+        logEvent(LogLevel::Error, "no-snapshot", {{"offset", m_instance.nextOffset()}});
+        m_instance.logReadFailed(m_loop.now());
+    }
+    m_retryTimer.start(isRestored ? Duration::zero() : retryDelay);
+}
+
+} // namespace Acaciarail::Daemon
--- /dev/null
+++ b/apps/acaciaraild/log_follower.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <acaciarail/instance/instance.h>
+#include <acaciarail/platform/log_client.h>
+#include <acaciarail/runtime/event_loop.h>
+#include <acaciarail/runtime/timer.h>
+#include <acaciarail/state/snapshot_scanner.h>
+
+#include <optional>
+
+namespace Acaciarail::Daemon {
+
+/// Reads the platform's log and hands the entries to the instance. When the log no longer has what the instance needs,
+/// it looks for the newest snapshot in the log. Not thread-safe; used on the loop's thread.
+class LogFollower
+{
+public:
+    /// \pre all arguments outlive the follower.
+    LogFollower(Runtime::EventLoop &loop, Platform::LogClient &client, Instance::Instance &instance);
+
+    /// Starts to read, and goes on until the follower is destroyed. \pre called once.
+    auto start() -> void;
+
+private:
+    auto read() -> void;
+    auto handleRead(const Platform::ReadResult &result) -> void;
+    auto scan() -> void;
+    auto handleScan(const Platform::ReadResult &result) -> void;
+    auto finishScan() -> void;
+
+    Runtime::EventLoop &m_loop;
+    Platform::LogClient &m_client;
+    Instance::Instance &m_instance;
+    Runtime::Timer m_retryTimer;
+    std::optional<State::SnapshotScanner> m_scanner;
+};
+
+} // namespace Acaciarail::Daemon
--- /dev/null
+++ b/packages/instance/src/order_book.cpp
@@ -0,0 +1,207 @@
+#include <acaciarail/instance/order_book.h>
+
+#include <algorithm>
+
+namespace Acaciarail::Instance {
+
+OrderBook::OrderBook(InstanceName self, std::uint64_t incarnation, const State::Replica &replica, OrderHooks hooks)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_replica(replica)
+    , m_hooks(std::move(hooks))
+{
+}
+
+auto OrderBook::submit(const OrderRequest &order, TimePoint now) -> void
+{
+    const auto *state = m_replica.order(order.key);
+    if (state && answerFromState(order, *state, now)) {
+        return;
+    }
+    if (!m_hooks.isLogAvailable(now)) {
+        m_hooks.refuse(order.request.id,
+                       {Error::LogUnavailable, Execution::NotRun, "the platform's log is not available; the request was not sent"});
+        return;
+    }
+    const auto claim = m_hooks.append(State::OrderClaimed{order.key.organisation, order.key.key, order.fingerprint, m_self});
+    m_claims[claim] = order.request.id;
+    m_open[order.request.id] = {order, claim, false};
+}
+
+auto OrderBook::answerFromState(const OrderRequest &order, const State::OrderState &state, TimePoint now) -> bool
+{
+    const auto didNotRun = state.finished && state.execution == Execution::NotRun;
+    if (didNotRun) {
+        return false;
+    }
+    if (state.fingerprint != order.fingerprint) {
+        m_hooks.refuse(order.request.id, {Error::KeyReused, Execution::NotRun, "the idempotency key was used for another request"});
+        return true;
+    }
+    if (const auto failure = describe(state, now)) {
+        m_hooks.refuse(order.request.id, *failure);
+    } else {
+        m_hooks.replay(order.request.id, {state.httpStatus, state.contentType, state.body});
+    }
+    return true;
+}
+
+auto OrderBook::describe(const State::OrderState &state, TimePoint now) const -> std::optional<Failure>
+{
+    if (!state.finished && !isClaimantGone(state, now)) {
+        return Failure{Error::InProgress, Execution::Unknown,
+                       "a request with this idempotency key is in progress at " + state.claimant.str()};
+    }
+    if (!state.finished || state.execution == Execution::Unknown) {
+        return Failure{Error::OutcomeUnknown, Execution::Unknown, "the request may have run; its answer was lost and it is not sent again"};
+    }
+    if (state.execution == Execution::NotRun) {
+        return Failure{Error::NoEndpoint, Execution::NotRun, "the request was not sent; the key may be used again"};
+    }
+    return std::nullopt;
+}
+
+auto OrderBook::orderChanged(const State::OrderApplied &applied, TimePoint now) -> void
+{
+    m_closing.erase(applied.key);
+    const auto it = m_claims.find(applied.record);
+    if (it != m_claims.end()) {
+        resolve(it->second, now);
+    }
+}
+
+auto OrderBook::replicaRestored(TimePoint now) -> void
+{
+    std::vector<RequestId> waiting;
+    for (const auto &[id, it] : m_open) {
+        if (!it.isRouted) {
+            waiting.push_back(id);
+        }
+    }
+    for (const auto id : waiting) {
+        if (m_replica.isApplied(m_open.at(id).claim)) {
+            resolve(id, now);
+        }
+    }
+}
+
+auto OrderBook::resolve(RequestId id, TimePoint now) -> void
+{
+    const auto it = m_open.find(id);
+    if (it == m_open.end()) {
+        return;
+    }
+    m_claims.erase(it->second.claim);
+    const auto *state = m_replica.order(it->second.order.key);
+    if (!state || state->claim != it->second.claim || state->finished) {
+        const auto order = it->second.order;
+        m_open.erase(it);
+        if (!state || !answerFromState(order, *state, now)) {
+            m_hooks.refuse(id, {Error::InProgress, Execution::NotRun, "another request with this idempotency key was first"});
+        }
+        return;
+    }
+    if (now >= it->second.order.request.deadline) {
+        const auto open = it->second;
+        m_open.erase(it);
+        finish(open, Execution::NotRun, {});
+        m_hooks.refuse(id, {Error::DeadlinePassed, Execution::NotRun, "the deadline passed before the request was sent"});
+        return;
+    }
+    it->second.isRouted = true;
+    if (const auto failure = m_hooks.route(it->second.order.request, now)) {
+        const auto open = it->second;
+        m_open.erase(it);
+        finish(open, Execution::NotRun, {});
+        m_hooks.refuse(id, *failure);
+    }
+}
+
+auto OrderBook::completed(RequestId id, const StoredResponse &response) -> void
+{
+    const auto it = m_open.find(id);
+    if (it == m_open.end()) {
+        return;
+    }
+    finish(it->second, Execution::Ran, response);
+    m_open.erase(it);
+}
+
+auto OrderBook::refused(RequestId id, const Failure &failure) -> void
+{
+    const auto it = m_open.find(id);
+    if (it == m_open.end()) {
+        return;
+    }
+    finish(it->second, failure.execution, {});
+    m_open.erase(it);
+}
+
+auto OrderBook::finish(const Open &open, Execution execution, const StoredResponse &response) -> void
+{
+    const auto &key = open.order.key;
+    const auto isStored = response.body.size() <= maxStoredBodyBytes;
+    m_hooks.append(State::OrderFinished{key.organisation, key.key, execution, response.httpStatus, response.contentType,
+                                        isStored ? response.body : std::string{}});
+}
+
+auto OrderBook::tick(TimePoint now) -> void
+{
+    std::vector<RequestId> late;
+    for (const auto &[id, it] : m_open) {
+        if (!it.isRouted && now >= it.order.request.deadline) {
+            late.push_back(id);
+        }
+    }
+    for (const auto id : late) {
+        const auto open = m_open.at(id);
+        m_open.erase(id);
+        m_claims.erase(open.claim);
+        if (!m_hooks.withdraw(open.claim)) {
+            // Follows the claim in the log; it has no effect when the claim was not the first.
+            finish(open, Execution::NotRun, {});
+        }
+        m_hooks.refuse(id,
+                       {Error::LogUnavailable, Execution::NotRun,
+                        "the claim was not confirmed by the log before the deadline; the request was not sent"});
+    }
+}
+
+auto OrderBook::closeOrphans(std::size_t limit, TimePoint now) -> void
+{
+    for (const auto &[key, it] : m_replica.orders()) {
+        if (limit == 0) {
+            return;
+        }
+        if (!it.finished && isClaimantGone(it, now) && !m_closing.contains(key)) {
+            m_closing[key] = m_hooks.append(State::OrderFinished{key.organisation, key.key, Execution::Unknown, 0, {}, {}});
+            --limit;
+        }
+    }
+}
+
+auto OrderBook::nextDeadline() const -> std::optional<TimePoint>
+{
+    std::optional<TimePoint> deadline;
+    for (const auto &[id, it] : m_open) {
+        if (!it.isRouted) {
+            deadline = std::min(deadline.value_or(TimePoint::max()), it.order.request.deadline);
+        }
+    }
+    return deadline;
+}
+
+auto OrderBook::openCount() const noexcept -> std::size_t
+{
+    return m_open.size();
+}
+
+auto OrderBook::isClaimantGone(const State::OrderState &state, TimePoint now) const -> bool
+{
+    if (state.claimant == m_self) {
+        return state.claim.incarnation != m_incarnation;
+    }
+    return m_hooks.isGone(state.claimant, state.claim.incarnation, now);
+}
+
+} // namespace Acaciarail::Instance
