--- a/packages/scheduling/include/acaciarail/scheduling/fleet.h
+++ b/packages/scheduling/include/acaciarail/scheduling/fleet.h
@@ -5,6 +5,7 @@
 #include <acaciarail/core/shape.h>
 
 #include <array>
+#include <bit>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -72,19 +73,39 @@
     static constexpr std::size_t acceleratorClasses = 17;
     static constexpr std::size_t coreClasses = 16;
 
+    /// \pre the worker is not in the index.
     auto insert(WorkerIndex i, const ResourceTotals &room, bool idle) -> void;
+    /// \pre the worker was inserted with the same arguments.
     auto erase(WorkerIndex i, const ResourceTotals &room, bool idle) noexcept -> void;
 
     /// Calls \a visit(worker) in order of increasing room, idle workers after all others, until it returns false.
     /// Only workers whose class can hold \a need are visited; the caller checks the exact room. \pre none.
     template<typename Visit>
-    auto visit(const Resources &need, const Visit &visit) const -> void;
+    auto visit(const Resources &need, const Visit &visit) const -> void
+    {
+        const auto leastClass = coreClass(need.cores);
+        for (std::size_t row = 0; row < m_masks.size(); ++row) {
+            if (row % acceleratorClasses < acceleratorClass(need.accelerators)) {
+                continue;
+            }
+            for (auto mask = m_masks[row] >> leastClass << leastClass; mask != 0; mask &= mask - 1) {
+                const auto &members = m_buckets[row * coreClasses + static_cast<std::size_t>(std::countr_zero(mask))];
+                for (auto it = members.next(0); it; it = members.next(*it + 1)) {
+                    if (!visit(*it)) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
 
 private:
-    [[nodiscard]] static auto bucketOf(const ResourceTotals &room, bool idle) noexcept -> std::size_t;
+    [[nodiscard]] static auto rowOf(const ResourceTotals &room, bool idle) noexcept -> std::size_t;
     [[nodiscard]] static auto coreClass(std::int64_t cores) noexcept -> std::size_t;
     [[nodiscard]] static auto acceleratorClass(std::int64_t accelerators) noexcept -> std::size_t;
 
+    /// One row for each accelerator class, first of workers in use, then of idle ones; a bit for each core class with members.
+    std::array<std::uint32_t, 2 * acceleratorClasses> m_masks{};
     std::array<WorkerSet, 2 * acceleratorClasses * coreClasses> m_buckets;
 };
 
@@ -98,6 +119,8 @@
     bool leaving = false;
     /// May get new work: present, not leaving, and not barred by its health.
     bool open = false;
+    /// Guarantees may stay located here: present, not leaving and not quarantined. A worker that is only barred keeps them.
+    bool keepsPromises = false;
     ResourceTotals capacity;
     ResourceTotals used;
     /// Held for waiting gangs with a reservation.
@@ -111,8 +134,8 @@
     RackName name;
     std::uint32_t position = 0;
     std::vector<WorkerIndex> workers;
-    /// Sum of the workers' room, for each kind of room; an upper bound for what a gang finds.
-    std::array<ResourceTotals, roomCount> room;
+    /// Sums of the workers' room, for each kind of room; an upper bound for what a gang finds.
+    std::array<ResourceTotals, roomCount> room{};
 };
 
 /// The workers of a shard with their racks, sums and search indexes. All methods: not thread-safe.
@@ -128,7 +151,7 @@
     /// \pre \a i is valid for all of the following.
     auto setLeaving(WorkerIndex i, bool leaving) -> void;
     auto setAbsent(WorkerIndex i) -> void;
-    auto setBarred(WorkerIndex i, bool barred) -> void;
+    auto setBarred(WorkerIndex i, bool barred, bool quarantined) -> void;
     auto addUsed(WorkerIndex i, const ResourceTotals &amount) -> void;
     auto removeUsed(WorkerIndex i, const ResourceTotals &amount) -> void;
     auto addHeld(WorkerIndex i, const ResourceTotals &amount) -> void;
@@ -142,27 +165,33 @@
     /// Racks in the order of their positions.
     [[nodiscard]] auto racksByPosition() const noexcept -> std::span<const RackIndex>;
     [[nodiscard]] auto index(Room room) const noexcept -> const RoomIndex &;
-    /// Returns the room of a worker; zero for the kinds that need an open worker when it is not open.
-    [[nodiscard]] auto room(WorkerIndex i, Room room) const noexcept -> ResourceTotals;
+    /// Returns the room of a worker; zero when it is not open.
+    [[nodiscard]] auto room(WorkerIndex i, Room room) const noexcept -> const ResourceTotals &;
     /// Sum of the capacities of present workers.
     [[nodiscard]] auto capacity() const noexcept -> const ResourceTotals &;
     /// Changes whenever room may have grown anywhere.
     [[nodiscard]] auto growthCount() const noexcept -> std::uint64_t;
 
 private:
+    struct Indexed
+    {
+        std::array<ResourceTotals, roomCount> room;
+        std::array<bool, roomCount> idle{};
+        bool present = false;
+    };
+
     template<typename Change>
     auto update(WorkerIndex i, const Change &change) -> void;
     auto unindex(WorkerIndex i) -> void;
     auto reindex(WorkerIndex i) -> void;
     auto rackOf(const WorkerInfo &info) -> RackIndex;
-    auto moveToRack(WorkerIndex i, RackIndex rack) -> void;
 
     std::vector<FleetWorker> m_workers;
+    std::vector<Indexed> m_indexed;
+    std::vector<bool> m_barred;
+    std::vector<bool> m_quarantined;
     std::vector<FleetRack> m_racks;
     std::vector<RackIndex> m_racksByPosition;
-    std::vector<std::array<ResourceTotals, roomCount>> m_rooms;
-    std::vector<bool> m_barred;
-    std::vector<bool> m_idle;
     std::unordered_map<WorkerName, WorkerIndex> m_byName;
     std::unordered_map<RackName, RackIndex> m_rackByName;
     std::array<RoomIndex, roomCount> m_indexes;
--- a/packages/scheduling/include/acaciarail/scheduling/guarantee.h
+++ b/packages/scheduling/include/acaciarail/scheduling/guarantee.h
@@ -51,7 +51,12 @@
     /// Places in use, in the order of \c places.
     std::vector<std::uint32_t> usedPlaces;
 
+    /// Not the number of a guarantee any more.
+    bool removed = false;
+
+    /// \pre none. Thread-safe.
     [[nodiscard]] auto isLocated() const noexcept -> bool;
+    /// \pre none. Thread-safe.
     [[nodiscard]] auto isUnused() const noexcept -> bool;
 };
 
@@ -70,19 +75,23 @@
 class GuaranteeBook
 {
 public:
-    /// Replaces the guarantees; slots in use are kept as far as the new guarantees contain the same shape.
-    /// Returns the uses that are no longer guaranteed. \pre none.
-    auto setGuarantees(Fleet &fleet, std::span<const OrganisationPolicy> organisations, const ZoneName &zone) -> void;
+    /// Replaces the guarantees; relocate() then locates the new ones. A slot with the same organisation, team and shape keeps its
+    /// place and use.
+    /// Returns the slots that were in use and are no longer guaranteed; their numbers may be given out again. \pre none.
+    [[nodiscard]] auto setGuarantees(Fleet &fleet, std::span<const OrganisationPolicy> organisations, const ZoneName &zone)
+        -> std::vector<SlotIndex>;
 
     /// Locates the slots that lost their workers, and as many of those not met as possible. \pre none.
     auto relocate(Fleet &fleet) -> void;
 
     /// Marks places as used. \pre they are located there and unused.
     auto use(const SlotUse &use) -> void;
-    /// Marks places as unused. \pre they are used; a slot that was removed is ignored.
+    /// Marks places as unused. \pre they are used.
     auto release(const SlotUse &use) -> void;
     /// Moves an unused slot to \a places. \pre the slot is unused and the places are unpromised.
     auto move(Fleet &fleet, SlotIndex slot, const Placement &places) -> void;
+    /// Exchanges the locations of two unused slots of the same shape. \pre both are unused and have equal shapes.
+    auto exchange(SlotIndex a, SlotIndex b) -> void;
 
     [[nodiscard]] auto slots() const noexcept -> std::span<const GuaranteeSlot>;
     /// Slots of an organisation.
@@ -91,11 +100,17 @@
     [[nodiscard]] auto hasShortfall() const noexcept -> bool;
 
 private:
-    auto locate(Fleet &fleet, SlotIndex slot) -> bool;
+    [[nodiscard]] auto locate(Fleet &fleet, SlotIndex slot, bool tightest) -> bool;
     auto vacate(Fleet &fleet, SlotIndex slot) -> void;
-    auto locateInTurn(Fleet &fleet, std::vector<SlotIndex> missing) -> void;
+    [[nodiscard]] auto missing() const -> std::vector<SlotIndex>;
+    [[nodiscard]] auto locateAll(Fleet &fleet, std::vector<SlotIndex> order, bool tightest) -> bool;
+    auto locateInTurn(Fleet &fleet) -> void;
+    auto vacateUnused(Fleet &fleet) -> void;
+    auto addSlot(const OrganisationName &organisation, const Guarantee &guarantee) -> void;
+    auto remove(Fleet &fleet, SlotIndex slot) -> void;
 
     std::vector<GuaranteeSlot> m_slots;
+    std::vector<SlotIndex> m_vacant;
     std::map<OrganisationName, std::vector<SlotIndex>> m_byOrganisation;
     std::uint32_t m_unmet = 0;
 };
--- a/packages/scheduling/include/acaciarail/scheduling/worker_health.h
+++ b/packages/scheduling/include/acaciarail/scheduling/worker_health.h
@@ -28,7 +28,7 @@
     /// Some attempts failed lately; gets work, but no more jobs than it takes to decide.
     Suspect,
     Quarantined,
-    /// Gets one idempotent job at a time, then two, then four, until it is healthy.
+    /// Gets one idempotent job at a time, then two, four and eight, until it is healthy.
     Probation,
 };
 
@@ -47,8 +47,9 @@
     /// An attempt succeeded on \a worker, or ran long enough to prove it.
     auto succeeded(const WorkerName &worker, TimePoint now) -> void;
 
-    /// \a job itself turned out to be faulty; workers are no longer blamed for its failures.
-    auto jobBlamed(const JobId &job) -> void;
+    /// \a job itself is faulty, or likely to be; workers are no longer blamed for its failures.
+    /// Returns the workers whose state may have changed, in order of name.
+    auto jobBlamed(const JobId &job) -> std::vector<WorkerName>;
 
     /// Forgets a worker that left for good.
     auto forget(const WorkerName &worker) -> void;
--- a/packages/scheduling/include/acaciarail/scheduling/zone_scheduler.h
+++ b/packages/scheduling/include/acaciarail/scheduling/zone_scheduler.h
@@ -36,7 +36,10 @@
     std::uint32_t maxQueuedJobs = 100'000;
     /// Restart cost of a checkpointed attempt, used to compare victims.
     Duration restartCost = std::chrono::seconds(30);
-    WorkerHealthSettings health;
+    /// Number of the first attempt of a job without history. A holder derives it from its term, so that an attempt number is
+    /// never used twice for a job that was queued again after a takeover.
+    std::uint32_t firstAttempt = 1;
+    WorkerHealthSettings health{};
 };
 
 /// What a job waits for or does.
--- /dev/null
+++ b/packages/scheduling/src/placement.cpp
@@ -0,0 +1,236 @@
+#include <acaciarail/scheduling/placement.h>
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace Acaciarail::Scheduling {
+
+namespace {
+
+/// Room of each worker as a search sees it.
+template<typename RoomOf>
+struct Search
+{
+    const Fleet &fleet;
+    const Shape &shape;
+    const RoomOf &roomOf;
+
+    [[nodiscard]] auto fits(WorkerIndex i) const -> std::uint32_t
+    {
+        return tasksThatFit(roomOf(i), shape.perTask, shape.tasks);
+    }
+
+    /// Returns the sum over a rack.
+    [[nodiscard]] auto fitsInRack(RackIndex rack) const -> std::uint64_t
+    {
+        std::uint64_t n = 0;
+        for (const auto it : fleet.racks()[rack].workers) {
+            n += fits(it);
+        }
+        return n;
+    }
+
+    /// Takes tasks from the workers in the order given. Workers with the least room come first, so that the others stay whole.
+    [[nodiscard]] auto take(std::vector<WorkerIndex> workers) const -> Placement
+    {
+        const auto tighter = [this](WorkerIndex a, WorkerIndex b) {
+            const auto &x = roomOf(a);
+            const auto &y = roomOf(b);
+            return std::tuple(x.accelerators, x.cores, a) < std::tuple(y.accelerators, y.cores, b);
+        };
+        std::sort(workers.begin(), workers.end(), tighter);
+        Placement placement;
+        auto rest = shape.tasks;
+        for (const auto it : workers) {
+            const auto n = std::min(fits(it), rest);
+            if (n > 0) {
+                placement.push_back({it, n});
+                rest -= n;
+            }
+        }
+        return placement;
+    }
+
+    [[nodiscard]] auto oneRack() const -> std::optional<Placement>
+    {
+        std::optional<RackIndex> best;
+        auto bestFits = std::numeric_limits<std::uint64_t>::max();
+        for (RackIndex rack = 0; rack < fleet.racks().size(); ++rack) {
+            const auto n = fitsInRack(rack);
+            if (n >= shape.tasks && n < bestFits) {
+                best = rack;
+                bestFits = n;
+            }
+        }
+        if (!best) {
+            return std::nullopt;
+        }
+        return take(fleet.racks()[*best].workers);
+    }
+
+    /// Finds the shortest run of neighbouring racks, and among those the tightest.
+    [[nodiscard]] auto neighbouringRacks() const -> std::optional<Placement>
+    {
+        const auto order = fleet.racksByPosition();
+        std::vector<std::uint64_t> fitsOf;
+        for (const auto rack : order) {
+            fitsOf.push_back(fitsInRack(rack));
+        }
+        std::size_t first = 0;
+        std::uint64_t n = 0;
+        std::optional<std::pair<std::size_t, std::size_t>> best;
+        auto bestKey = std::pair(std::numeric_limits<std::size_t>::max(), std::uint64_t{0});
+        for (std::size_t last = 0; last < order.size(); ++last) {
+            if (fitsOf[last] == 0 || (last > 0 && fleet.racks()[order[last]].position - fleet.racks()[order[last - 1]].position > 1)) {
+                first = fitsOf[last] == 0 ? last + 1 : last;
+                n = 0;
+            }
+            n += fitsOf[last];
+            while (first < last && n - fitsOf[first] >= shape.tasks) {
+                n -= fitsOf[first++];
+            }
+            const auto key = std::pair(last - first, n);
+            if (n >= shape.tasks && key < bestKey) {
+                best = std::pair(first, last);
+                bestKey = key;
+            }
+        }
+        if (!best) {
+            return std::nullopt;
+        }
+        // The run is minimal, so filling it from one end leaves no rack in between unused.
+        Placement placement;
+        auto rest = shape;
+        for (auto i = best->first; i <= best->second; ++i) {
+            const Search<RoomOf> inRack{fleet, rest, roomOf};
+            for (const auto &it : inRack.take(fleet.racks()[order[i]].workers)) {
+                placement.push_back(it);
+                rest.tasks -= it.tasks;
+            }
+        }
+        return placement;
+    }
+};
+
+auto wholeGang(const Shape &shape) noexcept -> Resources
+{
+    const auto grown = times(shape.perTask, shape.tasks);
+    const auto narrow = [](std::int64_t n) {
+        return static_cast<std::uint32_t>(std::min<std::int64_t>(n, std::numeric_limits<std::uint32_t>::max()));
+    };
+    return {narrow(grown.accelerators), narrow(grown.cores), narrow(grown.memoryMiB)};
+}
+
+auto onOneWorker(const Fleet &fleet, const Shape &shape, Room room, const WorkerFilter &filter) -> std::optional<Placement>
+{
+    const auto need = shape.tasks == 1 ? shape.perTask : wholeGang(shape);
+    std::optional<Placement> found;
+    fleet.index(room).visit(need, [&](WorkerIndex i) {
+        if (tasksThatFit(fleet.room(i, room), need, 1) == 0 || (filter && !filter(i))) {
+            return true;
+        }
+        found = Placement{{i, shape.tasks}};
+        return false;
+    });
+    return found;
+}
+
+auto onAnyWorkers(const Fleet &fleet, const Shape &shape, Room room, const WorkerFilter &filter) -> std::optional<Placement>
+{
+    Placement placement;
+    auto rest = shape.tasks;
+    fleet.index(room).visit(shape.perTask, [&](WorkerIndex i) {
+        const auto n = tasksThatFit(fleet.room(i, room), shape.perTask, rest);
+        if (n > 0 && (!filter || filter(i))) {
+            placement.push_back({i, n});
+            rest -= n;
+        }
+        return rest > 0;
+    });
+    return rest == 0 ? std::optional(std::move(placement)) : std::nullopt;
+}
+
+/// A gang within one rack also satisfies the wider levels.
+template<typename RoomOf>
+auto adjacentPlacement(const Fleet &fleet, const Shape &shape, const RoomOf &roomOf) -> std::optional<Placement>
+{
+    const Search<RoomOf> search{fleet, shape, roomOf};
+    if (auto found = search.oneRack()) {
+        return found;
+    }
+    return shape.adjacency == Adjacency::NeighbouringRacks ? search.neighbouringRacks() : std::nullopt;
+}
+
+} // namespace
+
+auto findPlacement(const Fleet &fleet, const Shape &shape, Room room, const WorkerFilter &filter) -> std::optional<Placement>
+{
+    if (shape.tasks == 1 || shape.adjacency == Adjacency::Worker) {
+        return onOneWorker(fleet, shape, room, filter);
+    }
+    if (shape.adjacency == Adjacency::Any) {
+        return onAnyWorkers(fleet, shape, room, filter);
+    }
+    static constexpr ResourceTotals noRoom{};
+    const auto roomOf = [&](WorkerIndex i) -> const ResourceTotals & { return filter && !filter(i) ? noRoom : fleet.room(i, room); };
+    return adjacentPlacement(fleet, shape, roomOf);
+}
+
+auto findPlacementIn(const Fleet &fleet, const Shape &shape, const RoomFunction &room) -> std::optional<Placement>
+{
+    if (shape.adjacency == Adjacency::Rack || shape.adjacency == Adjacency::NeighbouringRacks) {
+        return adjacentPlacement(fleet, shape, room);
+    }
+    std::vector<WorkerIndex> workers(fleet.workers().size());
+    std::iota(workers.begin(), workers.end(), WorkerIndex{0});
+    const Search<RoomFunction> search{fleet, shape, room};
+    if (shape.tasks == 1 || shape.adjacency == Adjacency::Worker) {
+        std::erase_if(workers, [&](WorkerIndex i) { return search.fits(i) < shape.tasks; });
+        if (workers.empty()) {
+            return std::nullopt;
+        }
+    }
+    auto placement = search.take(std::move(workers));
+    const auto add = [](std::uint64_t n, const PlacedTasks &it) { return n + it.tasks; };
+    const auto placed = std::accumulate(placement.begin(), placement.end(), std::uint64_t{0}, add);
+    return placed == shape.tasks ? std::optional(std::move(placement)) : std::nullopt;
+}
+
+auto fitsEmptyFleet(const Fleet &fleet, const Shape &shape) -> bool
+{
+    const auto room = [&fleet](WorkerIndex i) {
+        const auto &capacity = fleet.worker(i).info.capacity;
+        return times(capacity, 1);
+    };
+    return findPlacementIn(fleet, shape, room).has_value();
+}
+
+auto isAdjacent(const Fleet &fleet, const Placement &placement, Adjacency adjacency) -> bool
+{
+    if (placement.size() <= 1 || adjacency == Adjacency::Any) {
+        return true;
+    }
+    if (adjacency == Adjacency::Worker) {
+        return false;
+    }
+    std::vector<RackIndex> racks;
+    for (const auto &it : placement) {
+        racks.push_back(fleet.worker(it.worker).rack);
+    }
+    std::sort(racks.begin(), racks.end());
+    racks.erase(std::unique(racks.begin(), racks.end()), racks.end());
+    if (adjacency == Adjacency::Rack) {
+        return racks.size() == 1;
+    }
+    std::vector<std::uint32_t> positions;
+    positions.reserve(racks.size());
+    for (const auto rack : racks) {
+        positions.push_back(fleet.racks()[rack].position);
+    }
+    std::sort(positions.begin(), positions.end());
+    const auto gap = [](std::uint32_t a, std::uint32_t b) { return b - a > 1; };
+    return std::adjacent_find(positions.begin(), positions.end(), gap) == positions.end();
+}
+
+} // namespace Acaciarail::Scheduling
--- /dev/null
+++ b/packages/scheduling/src/zone_capacity.cpp
@@ -0,0 +1,530 @@
+#include "zone_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Acaciarail::Scheduling::Detail {
+
+namespace {
+
+/// Cores that weigh as much as one accelerator when lost work is compared.
+constexpr double coresPerAccelerator = 8.0;
+/// A non-idempotent job cannot be run again, so it is stopped only when nothing else will do.
+constexpr double nonIdempotentPenalty = 1e6;
+/// Workers compared when urgent work takes capacity from less urgent work.
+constexpr std::size_t preemptionCandidates = 8;
+
+auto isPositive(const ResourceTotals &r) noexcept -> bool
+{
+    return r.accelerators > 0 || r.cores > 0 || r.memoryMiB > 0;
+}
+
+auto covers(const ResourceTotals &room, const ResourceTotals &need) noexcept -> bool
+{
+    return room.accelerators >= need.accelerators && room.cores >= need.cores && room.memoryMiB >= need.memoryMiB;
+}
+
+auto seconds(Duration d) noexcept -> double
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+} // namespace
+
+auto ZoneState::plan(JobIndex j, Placement places, std::vector<SlotUse> uses, TimePoint now) -> void
+{
+    dequeue(j);
+    auto &job = m_jobs[j];
+    job.retryAt.reset();
+    job.attempt = {};
+    job.attempt.phase = Phase::Planned;
+    job.attempt.members = std::move(places);
+    job.attempt.uses = std::move(uses);
+    const auto typical = m_estimator.typical(m_organisations[job.organisation].name, job.kind, job.declared);
+    job.attempt.estimate = std::max(typical - job.progress, Duration(1));
+    for (const auto &use : job.attempt.uses) {
+        m_guarantees.use(use);
+    }
+    ++m_running;
+    charge(j, 1);
+    if (isFreeNow(job.attempt.members, {})) {
+        start(j, now);
+    } else {
+        m_planned.insert(j);
+    }
+}
+
+auto ZoneState::start(JobIndex j, TimePoint now) -> void
+{
+    auto &job = m_jobs[j];
+    for (const auto &it : job.attempt.members) {
+        m_loads[it.worker].planned -= amountOn(job, it);
+    }
+    m_planned.erase(j);
+    job.attempt.phase = Phase::Starting;
+    job.attempt.number = ++job.attempts;
+    job.attempt.startedAt = now;
+    m_commands.emplace_back(StartGang{job.id, job.attempt.number, membersOf(job)});
+}
+
+auto ZoneState::startPlanned(TimePoint now) -> void
+{
+    const auto planned = m_planned;
+    for (const auto j : planned) {
+        const auto &job = m_jobs[j];
+        const auto canStart = [&](const PlacedTasks &it) {
+            const auto &worker = m_fleet.worker(it.worker);
+            auto room = worker.capacity;
+            room -= worker.used;
+            room += m_loads[it.worker].planned;
+            return covers(room, amountOn(job, it));
+        };
+        if (std::all_of(job.attempt.members.begin(), job.attempt.members.end(), canStart)) {
+            start(j, now);
+        }
+    }
+}
+
+auto ZoneState::charge(JobIndex j, int sign) -> void
+{
+    auto &job = m_jobs[j];
+    auto &attempt = job.attempt;
+    const auto isEnding = attempt.phase == Phase::Checkpointing || attempt.phase == Phase::Stopping;
+    const auto add = [sign](ResourceTotals &sum, const ResourceTotals &amount) { sign > 0 ? sum += amount : sum -= amount; };
+    for (const auto &it : attempt.members) {
+        const auto amount = amountOn(job, it);
+        auto &load = m_loads[it.worker];
+        if (sign > 0) {
+            m_fleet.addUsed(it.worker, amount);
+            load.jobs.push_back(j);
+        } else {
+            m_fleet.removeUsed(it.worker, amount);
+            load.jobs.erase(std::find(load.jobs.begin(), load.jobs.end(), j));
+        }
+        load.unprovenJobs += static_cast<std::uint32_t>(attempt.proven ? 0 : sign);
+        if (attempt.phase == Phase::Planned) {
+            add(load.planned, amount);
+        }
+        if (isEnding) {
+            add(load.ending, amount);
+        } else if (isBorrowed(job)) {
+            add(load.reclaimable[static_cast<std::size_t>(job.priority)], amount);
+        }
+    }
+    const auto whole = times(job.shape.perTask, job.shape.tasks);
+    add(m_organisations[job.organisation].used, whole);
+    add(m_usedByClass[static_cast<std::size_t>(job.priority)], whole);
+    m_organisations[job.organisation].teams[job.team].acceleratorsInUse += sign * whole.accelerators;
+    if (m_limitedWorkers.empty()) {
+        return;
+    }
+    for (const auto &it : attempt.members) {
+        if (m_limitedWorkers.contains(m_fleet.worker(it.worker).info.name)) {
+            updateBar(it.worker);
+        }
+    }
+}
+
+auto ZoneState::release(JobIndex j) -> void
+{
+    charge(j, -1);
+    for (const auto &use : m_jobs[j].attempt.uses) {
+        m_guarantees.release(use);
+        const auto mustMove = [this](const PlacedTasks &it) { return !m_fleet.worker(it.worker).keepsPromises; };
+        m_relocate = m_relocate || m_guarantees.hasShortfall() || std::any_of(use.places.begin(), use.places.end(), mustMove);
+    }
+    m_planned.erase(j);
+}
+
+auto ZoneState::markEnding(JobIndex j) -> void
+{
+    auto &job = m_jobs[j];
+    for (const auto &it : job.attempt.members) {
+        auto &load = m_loads[it.worker];
+        const auto amount = amountOn(job, it);
+        load.ending += amount;
+        if (isBorrowed(job)) {
+            load.reclaimable[static_cast<std::size_t>(job.priority)] -= amount;
+        }
+    }
+}
+
+auto ZoneState::stop(JobIndex j, StopReason reason, TimePoint now) -> void
+{
+    auto &job = m_jobs[j];
+    if (job.attempt.phase == Phase::Planned) {
+        unplan(j);
+        return;
+    }
+    if (job.attempt.phase != Phase::Running || !job.checkpointable) {
+        stopNow(j, reason);
+        return;
+    }
+    markEnding(j);
+    job.attempt.phase = Phase::Checkpointing;
+    job.attempt.stopReason = reason;
+    m_commands.emplace_back(CheckpointGang{job.id, job.attempt.number, m_settings.checkpointGrace});
+    addTimer(now + m_settings.checkpointGrace, TimerKind::GraceEnd, j);
+}
+
+auto ZoneState::stopNow(JobIndex j, StopReason reason) -> void
+{
+    auto &job = m_jobs[j];
+    if (job.attempt.phase == Phase::Stopping || job.attempt.phase == Phase::None) {
+        return;
+    }
+    if (job.attempt.phase != Phase::Checkpointing) {
+        markEnding(j);
+    }
+    job.attempt.phase = Phase::Stopping;
+    job.attempt.stopReason = reason;
+    m_commands.emplace_back(StopGang{job.id, job.attempt.number, reason});
+}
+
+auto ZoneState::unplan(JobIndex j) -> void
+{
+    release(j);
+    m_jobs[j].attempt = {};
+    --m_running;
+    m_unblock = true;
+    enqueue(j);
+}
+
+auto ZoneState::isStoppable(const JobRecord &job) const noexcept -> bool
+{
+    const auto phase = job.attempt.phase;
+    return isBorrowed(job) && (phase == Phase::Planned || phase == Phase::Starting || phase == Phase::Running);
+}
+
+auto ZoneState::isFreeNow(const Placement &places, const Resources &perTask) const -> bool
+{
+    return std::all_of(places.begin(), places.end(), [&](const PlacedTasks &it) {
+        const auto &worker = m_fleet.worker(it.worker);
+        auto room = worker.capacity;
+        room -= worker.used;
+        return covers(room, times(perTask, it.tasks));
+    });
+}
+
+auto ZoneState::lostWork(const JobRecord &job, TimePoint now) const -> double
+{
+    const auto weight = static_cast<double>(job.shape.accelerators())
+        + static_cast<double>(std::uint64_t{job.shape.tasks} * job.shape.perTask.cores) / coresPerAccelerator;
+    auto lost = seconds(m_settings.restartCost);
+    const auto isRunning = job.attempt.phase == Phase::Running;
+    if (isRunning && !job.checkpointable) {
+        lost += seconds(now - job.attempt.startedAt);
+    }
+    const auto penalty = job.idempotent ? 1.0 : nonIdempotentPenalty;
+    // Less urgent work goes first when the lost work is equal.
+    const auto tie = 1.0 - static_cast<double>(job.priority) * 1e-6;
+    return std::max(weight, 1e-3) * lost * penalty * tie;
+}
+
+auto ZoneState::costOf(const std::vector<JobIndex> &victims, TimePoint now) const -> double
+{
+    double sum = 0;
+    for (const auto j : victims) {
+        sum += lostWork(m_jobs[j], now);
+    }
+    return sum;
+}
+
+auto ZoneState::shortageOn(WorkerIndex w, const ResourceTotals &need) const -> ResourceTotals
+{
+    const auto &worker = m_fleet.worker(w);
+    auto shortage = need;
+    shortage -= worker.capacity;
+    shortage += worker.used;
+    shortage -= m_loads[w].ending;
+    return shortage;
+}
+
+auto ZoneState::victimsOn(WorkerIndex w, ResourceTotals shortage, const std::set<JobIndex> &chosen, TimePoint now,
+                          const MayStop &mayStop) const -> std::optional<std::vector<JobIndex>>
+{
+    struct Candidate
+    {
+        JobIndex job;
+        ResourceTotals amount;
+        double cost;
+        double rate;
+    };
+    std::vector<Candidate> candidates;
+    for (const auto j : m_loads[w].jobs) {
+        const auto &job = m_jobs[j];
+        if (!isStoppable(job) || chosen.contains(j) || !mayStop(job)) {
+            continue;
+        }
+        for (const auto &it : job.attempt.members) {
+            if (it.worker == w) {
+                const auto amount = amountOn(job, it);
+                const auto part = [](std::int64_t given, std::int64_t wanted) {
+                    return wanted <= 0 ? 0.0 : static_cast<double>(std::min(given, wanted)) / static_cast<double>(wanted);
+                };
+                const auto gain = part(amount.accelerators, shortage.accelerators) + part(amount.cores, shortage.cores)
+                    + part(amount.memoryMiB, shortage.memoryMiB);
+                const auto cost = lostWork(job, now);
+                if (gain > 0) {
+                    candidates.push_back({j, amount, cost, cost / gain});
+                }
+            }
+        }
+    }
+    const auto cheaper = [this](const Candidate &a, const Candidate &b) {
+        return std::pair(a.rate, m_jobs[a.job].sequence) < std::pair(b.rate, m_jobs[b.job].sequence);
+    };
+    std::sort(candidates.begin(), candidates.end(), cheaper);
+    const Candidate *single = nullptr;
+    for (const auto &it : candidates) {
+        if (covers(it.amount, shortage) && (single == nullptr || it.cost < single->cost)) {
+            single = &it;
+        }
+    }
+    std::vector<JobIndex> victims;
+    double cost = 0;
+    for (const auto &it : candidates) {
+        if (!isPositive(shortage)) {
+            break;
+        }
+        const auto helps = (it.amount.accelerators > 0 && shortage.accelerators > 0) || (it.amount.cores > 0 && shortage.cores > 0)
+            || (it.amount.memoryMiB > 0 && shortage.memoryMiB > 0);
+        if (helps) {
+            victims.push_back(it.job);
+            cost += it.cost;
+            shortage -= it.amount;
+        }
+    }
+    if (isPositive(shortage)) {
+        return std::nullopt;
+    }
+    if (single != nullptr && single->cost <= cost) {
+        return std::vector<JobIndex>{single->job};
+    }
+    return victims;
+}
+
+auto ZoneState::isCoveredWithout(const std::map<WorkerIndex, ResourceTotals> &shortage, const std::vector<JobIndex> &victims,
+                                 JobIndex without) const -> bool
+{
+    std::map<WorkerIndex, ResourceTotals> rest;
+    for (const auto &it : m_jobs[without].attempt.members) {
+        const auto found = shortage.find(it.worker);
+        if (found != shortage.end()) {
+            rest.insert(*found);
+        }
+    }
+    for (const auto j : victims) {
+        if (j == without) {
+            continue;
+        }
+        for (const auto &it : m_jobs[j].attempt.members) {
+            const auto found = rest.find(it.worker);
+            if (found != rest.end()) {
+                found->second -= amountOn(m_jobs[j], it);
+            }
+        }
+    }
+    return std::none_of(rest.begin(), rest.end(), [](const auto &it) { return isPositive(it.second); });
+}
+
+auto ZoneState::chooseVictims(const Placement &places, const Resources &perTask, TimePoint now, const MayStop &mayStop) const
+    -> std::optional<std::vector<JobIndex>>
+{
+    std::map<WorkerIndex, ResourceTotals> shortage;
+    for (const auto &it : places) {
+        const auto amount = shortageOn(it.worker, times(perTask, it.tasks));
+        if (isPositive(amount)) {
+            shortage.emplace(it.worker, amount);
+        }
+    }
+    auto rest = shortage;
+    std::set<JobIndex> chosen;
+    for (const auto &entry : shortage) {
+        const auto w = entry.first;
+        if (!isPositive(rest[w])) {
+            continue;
+        }
+        const auto found = victimsOn(w, rest[w], chosen, now, mayStop);
+        if (!found) {
+            return std::nullopt;
+        }
+        for (const auto j : *found) {
+            chosen.insert(j);
+            for (const auto &it : m_jobs[j].attempt.members) {
+                const auto other = rest.find(it.worker);
+                if (other != rest.end()) {
+                    other->second -= amountOn(m_jobs[j], it);
+                }
+            }
+        }
+    }
+    // Victims chosen for one worker may make an earlier choice superfluous; the most costly are spared first.
+    std::vector<JobIndex> victims(chosen.begin(), chosen.end());
+    auto byCost = victims;
+    std::sort(byCost.begin(), byCost.end(), [&](JobIndex a, JobIndex b) { return lostWork(m_jobs[a], now) > lostWork(m_jobs[b], now); });
+    if (victims.size() > 1) {
+        for (const auto j : byCost) {
+            if (isCoveredWithout(shortage, victims, j)) {
+                std::erase(victims, j);
+            }
+        }
+    }
+    return victims;
+}
+
+auto ZoneState::canAvoidFailed(const JobRecord &job) const -> bool
+{
+    const auto room = [&](WorkerIndex i) {
+        const auto failed = std::find(job.failedOn.begin(), job.failedOn.end(), i) != job.failedOn.end();
+        return failed || !m_fleet.worker(i).open ? ResourceTotals{} : m_fleet.worker(i).capacity;
+    };
+    return findPlacementIn(m_fleet, job.shape, room).has_value();
+}
+
+auto ZoneState::filterFor(const JobRecord &job) const -> WorkerFilter
+{
+    const auto avoids = !job.failedOn.empty() && canAvoidFailed(job);
+    if (!avoids && m_limitedWorkers.empty()) {
+        return {};
+    }
+    const auto isOnOneWorker = job.shape.tasks == 1 || job.shape.adjacency == Adjacency::Worker;
+    return [this, &job, avoids, isOnOneWorker](WorkerIndex i) {
+        if (avoids && std::find(job.failedOn.begin(), job.failedOn.end(), i) != job.failedOn.end()) {
+            return false;
+        }
+        const auto state = m_limitedWorkers.empty() ? HealthState::Healthy : m_health.state(m_fleet.worker(i).info.name);
+        return state == HealthState::Healthy || (job.idempotent && (state == HealthState::Suspect || isOnOneWorker));
+    };
+}
+
+auto ZoneState::mayUse(const JobRecord &job, const Placement &places) const -> bool
+{
+    const auto filter = filterFor(job);
+    return std::all_of(places.begin(), places.end(),
+                       [&](const PlacedTasks &it) { return m_fleet.worker(it.worker).open && (!filter || filter(it.worker)); });
+}
+
+auto ZoneState::tryBorrow(JobIndex j, TimePoint now) -> bool
+{
+    const auto &job = m_jobs[j];
+    const auto filter = filterFor(job);
+    auto places = findPlacement(m_fleet, job.shape, Room::FreeUnpromised, filter);
+    if (!places) {
+        places = findPlacement(m_fleet, job.shape, Room::Free, filter);
+    }
+    if (!places) {
+        return false;
+    }
+    plan(j, std::move(*places), {}, now);
+    return true;
+}
+
+auto ZoneState::tryBackfill(JobIndex j, TimePoint now) -> bool
+{
+    const auto &job = m_jobs[j];
+    const auto isOnOneWorker = job.shape.tasks == 1 || job.shape.adjacency == Adjacency::Worker;
+    if (m_reservations.empty() || !job.idempotent || !isOnOneWorker) {
+        return false;
+    }
+    const auto cautious = m_estimator.cautious(m_organisations[job.organisation].name, job.kind, job.declared);
+    const auto end = now + std::max(cautious - job.progress, Duration(1));
+    const auto need = times(job.shape.perTask, job.shape.tasks);
+    std::optional<WorkerIndex> best;
+    ResourceTotals bestRoom;
+    for (const auto &reservation : m_reservations) {
+        for (const auto &it : reservation.places) {
+            const auto &worker = m_fleet.worker(it.worker);
+            auto room = worker.capacity;
+            room -= worker.used;
+            if (m_loads[it.worker].heldUntil < end || !worker.open || !covers(room, need)) {
+                continue;
+            }
+            const auto isTighter = std::pair(room.accelerators, room.cores) < std::pair(bestRoom.accelerators, bestRoom.cores);
+            if (!best || isTighter) {
+                best = it.worker;
+                bestRoom = room;
+            }
+        }
+    }
+    if (!best || !mayUse(job, {{*best, job.shape.tasks}})) {
+        return false;
+    }
+    plan(j, {{*best, job.shape.tasks}}, {}, now);
+    m_jobs[j].attempt.backfilled = true;
+    return true;
+}
+
+auto ZoneState::tryPreempt(JobIndex j, TimePoint now) -> bool
+{
+    const auto &job = m_jobs[j];
+    if (job.priority != Priority::Urgent || m_failedPreemptions.covers(job.shape) || isOverClassLimit(job)) {
+        return false;
+    }
+    const auto filter = filterFor(job);
+    const auto room = [&](WorkerIndex w) {
+        const auto &worker = m_fleet.worker(w);
+        if (!worker.open || (filter && !filter(w))) {
+            return ResourceTotals{};
+        }
+        const auto &load = m_loads[w];
+        auto sum = worker.capacity;
+        sum -= worker.used;
+        sum -= worker.held;
+        sum += load.ending;
+        sum += load.reclaimable[static_cast<std::size_t>(Priority::Normal)];
+        sum += load.reclaimable[static_cast<std::size_t>(Priority::Background)];
+        return sum;
+    };
+    const auto mayStop = [](const JobRecord &it) { return it.priority != Priority::Urgent && it.idempotent; };
+    std::optional<Placement> best;
+    std::vector<JobIndex> bestVictims;
+    auto bestCost = 0.0;
+    std::set<WorkerIndex> tried;
+    const auto isOnOneWorker = job.shape.tasks == 1 || job.shape.adjacency == Adjacency::Worker;
+    for (std::size_t i = 0; i < (isOnOneWorker ? preemptionCandidates : 1); ++i) {
+        const auto untried = [&](WorkerIndex w) { return tried.contains(w) ? ResourceTotals{} : room(w); };
+        const auto places = findPlacementIn(m_fleet, job.shape, untried);
+        if (!places) {
+            break;
+        }
+        tried.insert(places->front().worker);
+        const auto victims = chooseVictims(*places, job.shape.perTask, now, mayStop);
+        if (victims && (!best || costOf(*victims, now) < bestCost)) {
+            best = places;
+            bestVictims = *victims;
+            bestCost = costOf(*victims, now);
+        }
+    }
+    if (!best) {
+        m_failedPreemptions.add(job.shape);
+        return false;
+    }
+    plan(j, std::move(*best), {}, now);
+    for (const auto victim : bestVictims) {
+        stop(victim, StopReason::Preempted, now);
+    }
+    return true;
+}
+
+auto ZoneState::isBorrowed(const JobRecord &job) const noexcept -> bool
+{
+    return job.attempt.uses.empty();
+}
+
+auto ZoneState::amountOn(const JobRecord &job, const PlacedTasks &it) const noexcept -> ResourceTotals
+{
+    return times(job.shape.perTask, it.tasks);
+}
+
+auto ZoneState::membersOf(const JobRecord &job) const -> std::vector<GangMember>
+{
+    std::vector<GangMember> members;
+    members.reserve(job.attempt.members.size());
+    for (const auto &it : job.attempt.members) {
+        members.push_back({m_fleet.worker(it.worker).info.name, it.tasks});
+    }
+    return members;
+}
+
+} // namespace Acaciarail::Scheduling::Detail
--- /dev/null
+++ b/packages/scheduling/src/zone_guarantees.cpp
@@ -0,0 +1,300 @@
+#include "zone_state.h"
+
+#include <algorithm>
+
+namespace Acaciarail::Scheduling::Detail {
+
+namespace {
+
+/// Locations compared when capacity must be reclaimed.
+constexpr std::size_t reclaimCandidates = 16;
+
+auto isOnOneWorker(const Shape &shape) noexcept -> bool
+{
+    return shape.tasks == 1 || shape.adjacency == Adjacency::Worker;
+}
+
+/// Tasks of the job that one place of the slot holds.
+auto tasksPerPlace(const Shape &job, const Shape &slot) noexcept -> std::uint32_t
+{
+    return tasksThatFit(times(slot.perTask, 1), job.perTask, job.tasks);
+}
+
+auto placesNeeded(std::uint32_t tasks, std::uint32_t perPlace) noexcept -> std::uint32_t
+{
+    return (tasks + perPlace - 1) / perPlace;
+}
+
+} // namespace
+
+auto ZoneState::hasUnusedSlot(const Organisation &organisation) const -> bool
+{
+    const auto slots = m_guarantees.slotsOf(organisation.name);
+    return std::any_of(slots.begin(), slots.end(), [this](SlotIndex i) {
+        const auto &slot = m_guarantees.slots()[i];
+        for (std::size_t k = 0; k < slot.places.size(); ++k) {
+            if (slot.usedPlaces[k] < slot.places[k].tasks) {
+                return true;
+            }
+        }
+        return false;
+    });
+}
+
+auto ZoneState::slotsFor(const JobRecord &job) const -> std::vector<SlotIndex>
+{
+    const auto &organisation = m_organisations[job.organisation];
+    const auto &team = organisation.teams[job.team].name;
+    std::vector<SlotIndex> result;
+    for (const auto i : m_guarantees.slotsOf(organisation.name)) {
+        const auto &slot = m_guarantees.slots()[i];
+        const auto isOpenToTeam = slot.team.empty() || slot.team == team;
+        if (slot.isLocated() && isOpenToTeam && tasksPerPlace(job.shape, slot.shape) > 0) {
+            result.push_back(i);
+        }
+    }
+    // Slots already in use and small slots come first, so that large shapes stay whole.
+    std::stable_sort(result.begin(), result.end(), [this](SlotIndex a, SlotIndex b) {
+        const auto &x = m_guarantees.slots()[a];
+        const auto &y = m_guarantees.slots()[b];
+        return std::pair(x.isUnused(), x.shape.accelerators()) < std::pair(y.isUnused(), y.shape.accelerators());
+    });
+    return result;
+}
+
+auto ZoneState::offerOf(const JobRecord &job, SlotIndex slot, SlotIndex location) const -> std::optional<Offer>
+{
+    const auto &shape = m_guarantees.slots()[slot].shape;
+    const auto &at = m_guarantees.slots()[location];
+    const auto perPlace = tasksPerPlace(job.shape, shape);
+    auto needed = placesNeeded(job.shape.tasks, perPlace);
+    const auto freePlaces = [&](std::size_t k) { return at.places[k].tasks - at.usedPlaces[k]; };
+    Offer offer;
+    SlotUse use{slot, {}};
+    auto rest = job.shape.tasks;
+    const auto take = [&](std::size_t k) {
+        const auto n = std::min(freePlaces(k), needed);
+        if (n == 0) {
+            return;
+        }
+        const auto tasks = std::min(n * perPlace, rest);
+        use.places.push_back({at.places[k].worker, n});
+        offer.members.push_back({at.places[k].worker, tasks});
+        needed -= n;
+        rest -= tasks;
+    };
+    if (isOnOneWorker(job.shape)) {
+        std::optional<std::size_t> best;
+        for (std::size_t k = 0; k < at.places.size(); ++k) {
+            if (freePlaces(k) >= needed && (!best || freePlaces(k) < freePlaces(*best))) {
+                best = k;
+            }
+        }
+        if (best) {
+            take(*best);
+        }
+    } else {
+        for (std::size_t k = 0; k < at.places.size(); ++k) {
+            take(k);
+        }
+    }
+    if (needed > 0 || !isAdjacent(m_fleet, use.places, job.shape.adjacency)) {
+        return std::nullopt;
+    }
+    offer.uses.push_back(std::move(use));
+    if (location != slot) {
+        offer.exchangeWith = location;
+    }
+    return offer;
+}
+
+auto ZoneState::offerOfSeveral(const JobRecord &job) const -> std::optional<Offer>
+{
+    if (job.shape.tasks == 1 || job.shape.adjacency != Adjacency::Any) {
+        return std::nullopt;
+    }
+    std::map<WorkerIndex, std::uint32_t> tasksOn;
+    Offer offer;
+    auto rest = job.shape.tasks;
+    for (const auto i : slotsFor(job)) {
+        const auto &slot = m_guarantees.slots()[i];
+        const auto perPlace = tasksPerPlace(job.shape, slot.shape);
+        SlotUse use{i, {}};
+        for (std::size_t k = 0; k < slot.places.size() && rest > 0; ++k) {
+            const auto n = std::min(slot.places[k].tasks - slot.usedPlaces[k], placesNeeded(rest, perPlace));
+            if (n > 0) {
+                const auto tasks = std::min(n * perPlace, rest);
+                use.places.push_back({slot.places[k].worker, n});
+                tasksOn[slot.places[k].worker] += tasks;
+                rest -= tasks;
+            }
+        }
+        if (!use.places.empty()) {
+            offer.uses.push_back(std::move(use));
+        }
+    }
+    if (rest > 0) {
+        return std::nullopt;
+    }
+    for (const auto &[worker, tasks] : tasksOn) {
+        offer.members.push_back({worker, tasks});
+    }
+    return offer;
+}
+
+auto ZoneState::moveToFree(const JobRecord &job, const std::vector<SlotIndex> &slots) -> std::optional<Offer>
+{
+    const auto filter = filterFor(job);
+    std::vector<Shape> tried;
+    for (const auto i : slots) {
+        const auto &slot = m_guarantees.slots()[i];
+        if (!slot.isUnused() || std::find(tried.begin(), tried.end(), slot.shape) != tried.end() || !offerOf(job, i, i)) {
+            continue;
+        }
+        tried.push_back(slot.shape);
+        if (const auto places = findPlacement(m_fleet, slot.shape, Room::FreeUnpromised, filter)) {
+            m_guarantees.move(m_fleet, i, *places);
+            if (auto offer = offerOf(job, i, i)) {
+                return offer;
+            }
+        }
+        for (SlotIndex other = 0; other < m_guarantees.slots().size(); ++other) {
+            const auto &at = m_guarantees.slots()[other];
+            if (other == i || at.removed || !at.isLocated() || at.shape != slot.shape || !at.isUnused()) {
+                continue;
+            }
+            auto offer = offerOf(job, i, other);
+            if (offer && isFreeNow(offer->members, job.shape.perTask) && mayUse(job, offer->members)) {
+                return offer;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+auto ZoneState::cheapestOffer(const JobRecord &job, const std::vector<SlotIndex> &slots, TimePoint now) const -> std::optional<Offer>
+{
+    std::optional<Offer> best;
+    std::size_t compared = 0;
+    const auto consider = [&](std::optional<Offer> offer) {
+        if (!offer || !mayUse(job, offer->members)) {
+            return;
+        }
+        ++compared;
+        auto victims = chooseVictims(offer->members, job.shape.perTask, now, [](const JobRecord &) { return true; });
+        if (!victims) {
+            return;
+        }
+        offer->cost = costOf(*victims, now);
+        offer->victims = std::move(*victims);
+        if (!best || offer->cost < best->cost) {
+            best = std::move(offer);
+        }
+    };
+    for (const auto i : slots) {
+        if (compared < reclaimCandidates) {
+            consider(offerOf(job, i, i));
+        }
+    }
+    for (const auto i : slots) {
+        const auto &slot = m_guarantees.slots()[i];
+        if (!slot.isUnused()) {
+            continue;
+        }
+        for (SlotIndex other = 0; other < m_guarantees.slots().size() && compared < reclaimCandidates; ++other) {
+            const auto &at = m_guarantees.slots()[other];
+            if (other != i && !at.removed && at.isLocated() && at.shape == slot.shape && at.isUnused()) {
+                consider(offerOf(job, i, other));
+            }
+        }
+    }
+    if (!best) {
+        consider(offerOfSeveral(job));
+    }
+    return best;
+}
+
+auto ZoneState::tryGuarantee(JobIndex j, TimePoint now) -> bool
+{
+    const auto &job = m_jobs[j];
+    const auto slots = slotsFor(job);
+    if (slots.empty()) {
+        return false;
+    }
+    for (const auto i : slots) {
+        const auto offer = offerOf(job, i, i);
+        if (offer && isFreeNow(offer->members, job.shape.perTask) && mayUse(job, offer->members)) {
+            accept(j, *offer, now);
+            return true;
+        }
+    }
+    if (const auto offer = moveToFree(job, slots)) {
+        accept(j, *offer, now);
+        return true;
+    }
+    if (const auto offer = cheapestOffer(job, slots, now)) {
+        accept(j, *offer, now);
+        return true;
+    }
+    return false;
+}
+
+auto ZoneState::accept(JobIndex j, const Offer &offer, TimePoint now) -> void
+{
+    if (offer.exchangeWith) {
+        m_guarantees.exchange(offer.uses.front().slot, *offer.exchangeWith);
+    }
+    plan(j, offer.members, offer.uses, now);
+    for (const auto victim : offer.victims) {
+        stop(victim, StopReason::Reclaimed, now);
+    }
+}
+
+auto ZoneState::useAtPlace(JobIndex j) -> void
+{
+    auto &job = m_jobs[j];
+    const auto &organisation = m_organisations[job.organisation];
+    const auto &team = organisation.teams[job.team].name;
+    const auto &members = job.attempt.members;
+    const auto isClosed = [this](const PlacedTasks &it) { return !m_fleet.worker(it.worker).keepsPromises; };
+    if (std::any_of(members.begin(), members.end(), isClosed)) {
+        return;
+    }
+    for (const auto i : m_guarantees.slotsOf(organisation.name)) {
+        const auto &slot = m_guarantees.slots()[i];
+        const auto perPlace = tasksPerPlace(job.shape, slot.shape);
+        if (perPlace == 0 || (!slot.team.empty() && slot.team != team)) {
+            continue;
+        }
+        Placement places;
+        std::uint32_t sum = 0;
+        for (const auto &it : members) {
+            places.push_back({it.worker, placesNeeded(it.tasks, perPlace)});
+            sum += places.back().tasks;
+        }
+        const auto isUnusedThere = [&slot](const PlacedTasks &wanted) {
+            for (std::size_t k = 0; k < slot.places.size(); ++k) {
+                if (slot.places[k].worker == wanted.worker) {
+                    return slot.places[k].tasks - slot.usedPlaces[k] >= wanted.tasks;
+                }
+            }
+            return false;
+        };
+        const auto isUnpromised = [&](const PlacedTasks &it) {
+            return tasksThatFit(m_fleet.room(it.worker, Room::Unpromised), slot.shape.perTask, it.tasks) == it.tasks;
+        };
+        const auto isThere = std::all_of(places.begin(), places.end(), isUnusedThere);
+        const auto canMove = !isThere && slot.isUnused() && sum == slot.shape.tasks && isAdjacent(m_fleet, places, slot.shape.adjacency)
+            && std::all_of(places.begin(), places.end(), isUnpromised);
+        if (canMove) {
+            m_guarantees.move(m_fleet, i, places);
+        }
+        if (isThere || canMove) {
+            job.attempt.uses.push_back({i, std::move(places)});
+            m_guarantees.use(job.attempt.uses.back());
+            return;
+        }
+    }
+}
+
+} // namespace Acaciarail::Scheduling::Detail
