--- /dev/null
+++ b/packages/scheduling/include/acaciarail/scheduling/admission.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <acaciarail/core/names.h>
+#include <acaciarail/core/policy.h>
+#include <acaciarail/core/shape.h>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace Acaciarail::Scheduling {
+
+/// Number of something for each priority, indexed by Priority.
+using PerClass = std::array<std::uint32_t, priorityCount>;
+
+/// Part of the capacity that each class may take while the classes marked in \a waiting wait. Each class takes its limit of what the
+/// more urgent ones leave, and the least urgent waiting class takes the rest, so that the parts add up to 1.
+/// \pre none. Thread-safe.
+[[nodiscard]] auto classParts(const ClassLimits &limits, const std::array<bool, priorityCount> &waiting) noexcept
+    -> std::array<double, priorityCount>;
+
+struct AdmissionSettings
+{
+    /// Requests that wait, over all callers of a service.
+    std::size_t maxQueued = 4096;
+    /// Requests of one caller that wait, when the queue is otherwise empty.
+    std::size_t maxQueuedPerCaller = 1024;
+};
+
+/// A request that waits for an endpoint.
+struct QueuedRequest
+{
+    RequestId id = 0;
+    OrganisationName organisation;
+    CallerName caller;
+    Priority priority = Priority::Normal;
+};
+
+/// Bounded queue of one service. It is fair among organisations by share, then among the callers of an organisation, by start-time
+/// fair queueing. Classes that have used up their part give way to waiting classes that have not.
+class Admission
+{
+public:
+    /// \pre none. Not thread-safe.
+    explicit Admission(AdmissionSettings settings = {});
+    Admission(const Admission &) = delete;
+    Admission(Admission &&) noexcept;
+    auto operator=(const Admission &) -> Admission & = delete;
+    auto operator=(Admission &&) noexcept -> Admission &;
+    ~Admission();
+
+    /// Sets shares and class limits. Organisations that are not named keep what is queued, with a share of 1.
+    /// \pre none. Not thread-safe.
+    auto setPolicy(const std::vector<OrganisationPolicy> &organisations, const ClassLimits &limits) -> void;
+
+    struct PushResult
+    {
+        bool accepted = false;
+        /// A request that lost its place to the new one: the newest of the caller with the most requests.
+        std::optional<RequestId> evicted;
+    };
+
+    /// Queues a request. \pre the id is not queued. Not thread-safe.
+    [[nodiscard]] auto push(const QueuedRequest &request) -> PushResult;
+
+    /// Takes the next request and charges its caller and organisation. \a inFlight is the number of attempts in progress of each
+    /// class. Empty when nothing is queued. \pre none. Not thread-safe.
+    [[nodiscard]] auto pop(const PerClass &inFlight) -> std::optional<RequestId>;
+
+    /// Returns the request that pop() would take. \pre none. Not thread-safe.
+    [[nodiscard]] auto peek(const PerClass &inFlight) const -> std::optional<RequestId>;
+
+    /// Removes a queued request without a charge; false when it is not queued. \pre none. Not thread-safe.
+    auto remove(RequestId id) -> bool;
+
+    /// Corrects the charge of a finished request: \a cost is its slot time relative to the mean one. \pre cost >= 0. Not thread-safe.
+    auto settle(const OrganisationName &organisation, const CallerName &caller, double cost) -> void;
+
+    /// Returns how many requests are expected to be served before a new one of this caller and class.
+    /// \pre none. Not thread-safe.
+    [[nodiscard]] auto expectedAhead(const OrganisationName &organisation, const CallerName &caller, Priority priority) const -> double;
+
+    [[nodiscard]] auto size() const noexcept -> std::size_t;
+    [[nodiscard]] auto queued(Priority priority) const noexcept -> std::size_t;
+    /// Callers whose state is kept, for the memory bound.
+    [[nodiscard]] auto knownCallers() const noexcept -> std::size_t;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace Acaciarail::Scheduling
