Add request routing: admission, endpoint limits, retry budget and router

Cause: entry instances share endpoints without communication and need one policy for fairness, refusal, retries and failing endpoints. Change: fair queueing by share and caller with class parts, adaptive limits, ejection with probes, a retry budget, locality with a byte budget, table tests and the benchmarks flood and retries.

--- a/packages/scheduling/include/acaciarail/scheduling/admission.h
+++ b/packages/scheduling/include/acaciarail/scheduling/admission.h
@@ -30,6 +30,8 @@
     std::size_t maxQueued = 4096;
     /// Requests of one caller that wait, when the queue is otherwise empty.
     std::size_t maxQueuedPerCaller = 1024;
+    /// Callers that are remembered while they are idle; above it, those that owe nothing are forgotten.
+    std::size_t maxIdleCallers = 4096;
 };
 
 /// A request that waits for an endpoint.
--- a/packages/scheduling/include/acaciarail/scheduling/endpoint_limits.h
+++ b/packages/scheduling/include/acaciarail/scheduling/endpoint_limits.h
@@ -67,7 +67,7 @@
     auto ended(TimePoint startedAt, const AttemptResult &result, TimePoint now, std::mt19937_64 &random) -> void;
 
     /// Counts an attempt that was given up without a result. \pre as for ended(). Not thread-safe.
-    auto abandoned(TimePoint startedAt) -> void;
+    auto abandoned(TimePoint startedAt, TimePoint now, std::mt19937_64 &random) -> void;
 
     /// Ejects the endpoint when several attempts had no answer for the progress timeout; true when it did so now.
     /// \pre none. Not thread-safe.
@@ -88,6 +88,9 @@
     [[nodiscard]] auto health() const noexcept -> EndpointHealth;
     [[nodiscard]] auto limit() const noexcept -> double;
     [[nodiscard]] auto inFlight() const noexcept -> std::uint32_t;
+    /// Smoothed fraction of attempts that failed.
+    [[nodiscard]] auto failureRate() const noexcept -> double;
+    [[nodiscard]] auto totalEjections() const noexcept -> std::uint64_t;
     /// Smoothed latency of answers; empty before the first one.
     [[nodiscard]] auto meanLatency() const noexcept -> std::optional<Duration>;
     [[nodiscard]] auto progressTimeout() const noexcept -> Duration;
@@ -98,7 +101,9 @@
     auto answered(Duration latency, TimePoint now) -> void;
     auto busy(TimePoint now) -> void;
     auto failed(TimePoint now, std::mt19937_64 &random) -> void;
-    auto succeeded() -> void;
+    auto succeeded(TimePoint now) -> void;
+    auto unanswered(TimePoint startedAt, TimePoint now, std::mt19937_64 &random) -> void;
+    auto forget(TimePoint startedAt) -> void;
     auto eject(TimePoint now, std::mt19937_64 &random) -> void;
     auto observeLatency(double latency, TimePoint now) -> void;
 
@@ -109,13 +114,19 @@
     EndpointHealth m_health = EndpointHealth::Healthy;
     /// Start times of the attempts in flight.
     std::multiset<TimePoint> m_started;
+    /// Whether the ejection is for a lack of answers.
+    bool m_silent = false;
     TimePoint m_notBefore{};
     TimePoint m_ejectedUntil{};
     TimePoint m_lastAnswer{};
     TimePoint m_lastLatencyReduction{};
+    TimePoint m_leastUpdated{};
     std::optional<TimePoint> m_leavingSince;
     std::uint32_t m_failuresInRow = 0;
+    /// Ejections since the endpoint last worked for a while; each one lasts twice as long as the one before.
     std::uint32_t m_ejections = 0;
+    std::uint32_t m_answersSinceEjection = 0;
+    std::uint64_t m_totalEjections = 0;
     std::uint32_t m_samples = 0;
     double m_failureRate = 0.0;
     /// Microseconds; 0 before the first answer.
--- /dev/null
+++ b/packages/scheduling/src/endpoint_pool.cpp
@@ -0,0 +1,234 @@
+#include "endpoint_pool.h"
+
+#include <algorithm>
+
+namespace Acaciarail::Scheduling::Detail {
+
+namespace {
+
+/// Weight of an endpoint's recent failures when two endpoints are compared.
+constexpr double failureWeight = 4.0;
+
+auto isUsable(const Endpoint &endpoint, TimePoint now) -> bool
+{
+    return !endpoint.unlistedSince && !endpoint.info.leaving && !endpoint.limit.saidLeaving(now);
+}
+
+auto isTried(const Endpoint &endpoint, std::span<const std::uint64_t> tried) -> bool
+{
+    return std::find(tried.begin(), tried.end(), endpoint.serial) != tried.end();
+}
+
+/// Lower is better: the expected latency, raised by load and recent failures.
+auto costOf(const Endpoint &endpoint, double latencyOfNew) -> double
+{
+    const auto &limit = endpoint.limit;
+    const auto mean = limit.meanLatency();
+    const auto latency = mean ? static_cast<double>(mean->count()) : latencyOfNew;
+    const auto load = 1.0 + limit.inFlight() / std::max(1.0, limit.limit());
+    return latency * load * (1.0 + failureWeight * limit.failureRate());
+}
+
+} // namespace
+
+EndpointPool::EndpointPool(const RequestRouterSettings &settings) noexcept
+    : m_settings(settings)
+{
+}
+
+auto EndpointPool::localityOf(const EndpointInfo &info) const -> Locality
+{
+    if (info.region != m_settings.region) {
+        return Locality::OtherRegion;
+    }
+    return info.zone == m_settings.zone ? Locality::OwnZone : Locality::OwnRegion;
+}
+
+auto EndpointPool::find(const EndpointName &name) -> std::vector<EndpointPtr>::iterator
+{
+    return std::find_if(m_endpoints.begin(), m_endpoints.end(), [&name](const auto &it) { return it->info.name == name; });
+}
+
+auto EndpointPool::seen(const EndpointInfo &info, std::uint64_t serial, TimePoint now) -> void
+{
+    forgetUnlisted(now);
+    const auto it = find(info.name);
+    if (it == m_endpoints.end()) {
+        m_endpoints.push_back(std::make_shared<Endpoint>(info, m_settings.limits, serial, localityOf(info)));
+        return;
+    }
+    auto &slot = *it;
+    if (slot->info.address != info.address) {
+        m_forgottenEjections += slot->limit.totalEjections();
+        slot = std::make_shared<Endpoint>(info, m_settings.limits, serial, localityOf(info));
+        return;
+    }
+    slot->info = info;
+    slot->locality = localityOf(info);
+    slot->limit.setSlots(std::max(1U, info.slots));
+    slot->unlistedSince.reset();
+}
+
+auto EndpointPool::gone(const EndpointName &name, TimePoint now) -> bool
+{
+    const auto it = find(name);
+    if (it == m_endpoints.end()) {
+        return false;
+    }
+    if (!(*it)->unlistedSince) {
+        (*it)->unlistedSince = now;
+    }
+    forgetUnlisted(now);
+    return true;
+}
+
+auto EndpointPool::forgetUnlisted(TimePoint now) -> void
+{
+    // An entry that flickers in a lagging list keeps its state.
+    std::erase_if(m_endpoints, [this, now](const auto &it) {
+        const auto &endpoint = *it;
+        const auto old = endpoint.unlistedSince && now - *endpoint.unlistedSince >= m_settings.limits.leavingMemory;
+        if (old) {
+            m_forgottenEjections += endpoint.limit.totalEjections();
+        }
+        return old;
+    });
+}
+
+auto EndpointPool::isPaused(const Endpoint &endpoint, TimePoint now) const -> bool
+{
+    if (endpoint.locality != Locality::OtherRegion) {
+        return false;
+    }
+    const auto it = m_pauses.find(endpoint.info.region);
+    return it != m_pauses.end() && now < it->second.until;
+}
+
+auto EndpointPool::allUsableTried(std::span<const std::uint64_t> tried, TimePoint now) const -> bool
+{
+    return std::none_of(m_endpoints.begin(), m_endpoints.end(), [tried, now](const auto &it) {
+        const auto &endpoint = *it;
+        return isUsable(endpoint, now) && endpoint.limit.health() != EndpointHealth::Ejected && !isTried(endpoint, tried);
+    });
+}
+
+auto EndpointPool::collect(const Selection &selection, Locality locality, TimePoint now) -> void
+{
+    m_candidates.clear();
+    for (const auto &it : m_endpoints) {
+        if (it->locality != locality || !isUsable(*it, now) || !it->limit.mayStart(now) || isPaused(*it, now)) {
+            continue;
+        }
+        if (isTried(*it, selection.tried)) {
+            continue;
+        }
+        if (it->limit.health() == EndpointHealth::Probing) {
+            if (selection.mayProbe) {
+                m_candidates.assign(1, it);
+                return;
+            }
+            continue;
+        }
+        m_candidates.push_back(it);
+    }
+}
+
+auto EndpointPool::pick(std::mt19937_64 &random) const -> EndpointPtr
+{
+    const auto n = m_candidates.size();
+    if (n == 1) {
+        return m_candidates.front();
+    }
+    // The better of two random ones: instances do not communicate, so that taking the best of all would make them all choose the same.
+    const auto a = std::uniform_int_distribution<std::size_t>(0, n - 1)(random);
+    const auto other = std::uniform_int_distribution<std::size_t>(0, n - 2)(random);
+    const auto b = other < a ? other : other + 1;
+    return costOf(*m_candidates[b], 0.0) < costOf(*m_candidates[a], 0.0) ? m_candidates[b] : m_candidates[a];
+}
+
+auto EndpointPool::select(const Selection &selection, TimePoint now, std::mt19937_64 &random) -> EndpointPtr
+{
+    auto wanted = selection;
+    if (!wanted.tried.empty() && allUsableTried(wanted.tried, now)) {
+        wanted.tried = {};
+    }
+    for (const auto locality : {Locality::OwnZone, Locality::OwnRegion, Locality::OtherRegion}) {
+        if (locality == Locality::OtherRegion && !selection.otherRegions) {
+            break;
+        }
+        collect(wanted, locality, now);
+        if (!m_candidates.empty()) {
+            return pick(random);
+        }
+    }
+    return nullptr;
+}
+
+auto EndpointPool::attemptEnded(const Endpoint &endpoint, AttemptResultKind kind, TimePoint now) -> void
+{
+    if (endpoint.locality != Locality::OtherRegion) {
+        return;
+    }
+    auto &pause = m_pauses[endpoint.info.region];
+    if (kind == AttemptResultKind::Answered) {
+        pause.length = Duration{};
+    }
+    if (kind == AttemptResultKind::Busy && now >= pause.until) {
+        pause.length = std::clamp(2 * pause.length, m_settings.leastRegionPause, m_settings.longestRegionPause);
+        pause.until = now + pause.length;
+    }
+}
+
+auto EndpointPool::check(TimePoint now, std::mt19937_64 &random) -> std::vector<EndpointPtr>
+{
+    std::vector<EndpointPtr> silent;
+    for (const auto &it : m_endpoints) {
+        it->limit.update(now);
+        if (it->limit.ejectIfSilent(now, random)) {
+            silent.push_back(it);
+        }
+    }
+    return silent;
+}
+
+auto EndpointPool::anyUsable(TimePoint now) const -> bool
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [now](const auto &it) { return isUsable(*it, now); });
+}
+
+auto EndpointPool::anyHealthyNearby(TimePoint now) const -> bool
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [now](const auto &it) {
+        const auto &endpoint = *it;
+        const auto healthy = endpoint.limit.health() == EndpointHealth::Healthy;
+        return endpoint.locality != Locality::OtherRegion && healthy && isUsable(endpoint, now);
+    });
+}
+
+auto EndpointPool::nextDeadline() const -> std::optional<TimePoint>
+{
+    std::optional<TimePoint> next;
+    for (const auto &it : m_endpoints) {
+        const auto due = it->limit.nextDeadline();
+        if (due && (!next || *due < *next)) {
+            next = due;
+        }
+    }
+    return next;
+}
+
+auto EndpointPool::addTo(RouterStats &stats, TimePoint now) const -> void
+{
+    stats.ejections += m_forgottenEjections;
+    for (const auto &it : m_endpoints) {
+        stats.ejections += it->limit.totalEjections();
+        if (it->unlistedSince) {
+            continue;
+        }
+        ++stats.endpoints;
+        stats.endpointsEjected += it->limit.health() == EndpointHealth::Ejected ? 1 : 0;
+        stats.endpointsLeaving += isUsable(*it, now) ? 0 : 1;
+    }
+}
+
+} // namespace Acaciarail::Scheduling::Detail
--- /dev/null
+++ b/tests/scheduling/admission_test.cpp
@@ -0,0 +1,272 @@
+#include <acaciarail/scheduling/admission.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <map>
+#include <ostream>
+#include <random>
+#include <set>
+#include <string>
+
+using namespace Acaciarail;
+using namespace Acaciarail::Scheduling;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+struct PartsCase
+{
+    std::array<bool, priorityCount> waiting;
+    std::array<double, priorityCount> parts;
+
+    friend auto operator<<(std::ostream &out, const PartsCase &c) -> std::ostream &
+    {
+        return out << c.waiting[0] << c.waiting[1] << c.waiting[2];
+    }
+};
+
+const PartsCase partsCases[] = {
+    {{true, true, true}, {0.5, 0.4, 0.1}},    {{true, true, false}, {0.5, 0.5, 0.0}},  {{true, false, true}, {0.5, 0.0, 0.5}},
+    {{false, true, true}, {0.0, 0.8, 0.2}},   {{true, false, false}, {1.0, 0.0, 0.0}}, {{false, false, true}, {0.0, 0.0, 1.0}},
+    {{false, false, false}, {0.0, 0.0, 0.0}},
+};
+
+auto organisation(const char *name, std::uint32_t share) -> OrganisationPolicy
+{
+    OrganisationPolicy policy;
+    policy.name = OrganisationName(name);
+    policy.share = share;
+    return policy;
+}
+
+/// Queues requests with consecutive numbers and serves them in a fixed number of slots.
+struct Fixture
+{
+    Admission admission;
+    RequestId nextId = 1;
+    std::map<RequestId, QueuedRequest> requests;
+    std::deque<Priority> inService;
+    PerClass inFlight{};
+
+    explicit Fixture(AdmissionSettings settings = {})
+        : admission(settings)
+    {
+        admission.setPolicy({organisation("a", 3), organisation("b", 1)}, defaultClassLimits);
+    }
+
+    auto push(const char *org, const std::string &caller, Priority priority = Priority::Normal) -> Admission::PushResult
+    {
+        const QueuedRequest request{nextId++, OrganisationName(org), CallerName(caller), priority};
+        requests.emplace(request.id, request);
+        return admission.push(request);
+    }
+
+    auto pushMany(int count, const char *org, const std::string &caller, Priority priority = Priority::Normal) -> void
+    {
+        for (int n = 0; n < count; ++n) {
+            static_cast<void>(push(org, caller, priority));
+        }
+    }
+
+    /// Takes the next request when fewer than \a slots are in service, and otherwise ends the oldest one first.
+    auto serve(std::size_t slots) -> const QueuedRequest &
+    {
+        if (inService.size() >= slots) {
+            --inFlight[static_cast<std::size_t>(inService.front())];
+            inService.pop_front();
+        }
+        const auto &request = requests.at(admission.pop(inFlight).value());
+        inService.push_back(request.priority);
+        ++inFlight[static_cast<std::size_t>(request.priority)];
+        return request;
+    }
+};
+
+struct ClassCase
+{
+    std::array<int, priorityCount> queued;
+    std::array<double, priorityCount> least;
+
+    friend auto operator<<(std::ostream &out, const ClassCase &c) -> std::ostream &
+    {
+        return out << c.queued[0] << " " << c.queued[1] << " " << c.queued[2];
+    }
+};
+
+/// Floods of some classes beside enough work of the others, and the part of 200 services that each class gets at least.
+const ClassCase classCases[] = {
+    {{1000, 1000, 1000}, {0.48, 0.38, 0.09}}, {{1000, 200, 0}, {0.48, 0.48, 0.0}}, {{200, 0, 1000}, {0.48, 0.0, 0.48}},
+    {{0, 200, 1000}, {0.0, 0.78, 0.18}},      {{20, 0, 1000}, {0.1, 0.0, 0.9}},
+};
+
+} // namespace
+
+// Guards against parts that do not add up, so that a class is starved or capacity is idle.
+BOOST_DATA_TEST_CASE(classPartsAddUp, data::make(partsCases), c)
+{
+    const auto parts = classParts(defaultClassLimits, c.waiting);
+    for (std::size_t i = 0; i < priorityCount; ++i) {
+        BOOST_TEST(parts[i] == c.parts[i], boost::test_tools::tolerance(1e-9));
+    }
+}
+
+// Guards against a flood of one class that takes more than its limit from the others.
+BOOST_DATA_TEST_CASE(classesGetTheirParts, data::make(classCases), c)
+{
+    Fixture f;
+    for (std::size_t i = 0; i < priorityCount; ++i) {
+        f.pushMany(c.queued[i], "a", "caller-" + std::to_string(i), static_cast<Priority>(i));
+    }
+    std::array<double, priorityCount> served{};
+    constexpr int services = 200;
+    for (int n = 0; n < services; ++n) {
+        served[static_cast<std::size_t>(f.serve(20).priority)] += 1.0 / services;
+    }
+    for (std::size_t i = 0; i < priorityCount; ++i) {
+        BOOST_TEST(served[i] >= c.least[i] - 1e-9);
+    }
+}
+
+// Guards against an organisation that takes more than its share by having more callers or more requests.
+BOOST_AUTO_TEST_CASE(organisationsAreServedByShare)
+{
+    Fixture f;
+    f.pushMany(300, "a", "only");
+    for (int n = 0; n < 20; ++n) {
+        f.pushMany(40, "b", "caller-" + std::to_string(n));
+    }
+    std::map<std::string, int> served;
+    for (int n = 0; n < 200; ++n) {
+        ++served[f.serve(10).organisation.str()];
+    }
+    BOOST_TEST(served["a"] >= 148);
+    BOOST_TEST(served["a"] <= 152);
+}
+
+// Guards against a large caller whose queue must empty before a small one is served.
+BOOST_AUTO_TEST_CASE(smallCallerIsServedAheadOfALargeOne)
+{
+    Fixture f;
+    f.pushMany(1000, "a", "large");
+    for (int n = 0; n < 50; ++n) {
+        f.serve(10);
+    }
+    f.pushMany(3, "a", "small");
+    int position = 0;
+    for (int left = 3; left > 0; ++position) {
+        left -= f.serve(10).caller.str() == "small" ? 1 : 0;
+    }
+    BOOST_TEST(position <= 6);
+}
+
+// Guards against a small caller with two requests close together that waits for a round over a thousand busy callers.
+BOOST_AUTO_TEST_CASE(idleCallerMaySendAFewRequestsAtOnce)
+{
+    Fixture f;
+    static_cast<void>(f.push("a", "small"));
+    f.serve(10);
+    for (int round = 0; round < 15; ++round) {
+        for (int n = 0; n < 100; ++n) {
+            static_cast<void>(f.push("a", "busy-" + std::to_string(n)));
+        }
+        for (int n = 0; round < 14 && n < 100; ++n) {
+            f.serve(10);
+        }
+    }
+    f.pushMany(4, "a", "small");
+    for (int n = 0; n < 4; ++n) {
+        BOOST_TEST(f.serve(10).caller.str() == "small");
+    }
+}
+
+// Guards against a caller whose requests take long and who so gets more than its part of the slots.
+BOOST_AUTO_TEST_CASE(longRequestsAreCharged)
+{
+    Fixture f;
+    f.pushMany(400, "a", "long");
+    f.pushMany(400, "a", "short");
+    std::map<std::string, int> served;
+    for (int n = 0; n < 200; ++n) {
+        const auto &request = f.serve(10);
+        ++served[request.caller.str()];
+        f.admission.settle(request.organisation, request.caller, request.caller.str() == "long" ? 1.6 : 0.4);
+    }
+    BOOST_TEST(served["short"] >= 3 * served["long"]);
+}
+
+// Guards against queues that grow with a flood, and against a flood that keeps small callers out of a full queue.
+BOOST_AUTO_TEST_CASE(fullQueueTakesThePlaceOfTheLongestCaller)
+{
+    Fixture f({10, 8, 100});
+    f.pushMany(8, "a", "large");
+    BOOST_TEST(!f.push("a", "large").accepted);
+    f.pushMany(2, "b", "other");
+    const auto pushed = f.push("a", "small");
+    BOOST_TEST(pushed.accepted);
+    BOOST_REQUIRE(pushed.evicted.has_value());
+    BOOST_TEST(f.requests.at(*pushed.evicted).caller.str() == "large");
+    BOOST_TEST(*pushed.evicted == 8U);
+    BOOST_TEST(!f.push("a", "large").accepted);
+    BOOST_TEST(f.admission.size() == 10U);
+}
+
+// Guards against state that grows with every caller ever seen.
+BOOST_AUTO_TEST_CASE(idleCallersAreForgotten)
+{
+    Fixture f;
+    for (int n = 0; n < 100'000; ++n) {
+        static_cast<void>(f.push("a", "caller-" + std::to_string(n)));
+        f.pushMany(1, "a", "steady");
+        f.serve(10);
+        f.serve(10);
+    }
+    BOOST_TEST(f.admission.knownCallers() < 8192U);
+}
+
+// Guards against refusing a newcomer for the queue of a flood, and against accepting what the flood itself can never have served.
+BOOST_AUTO_TEST_CASE(expectedWaitIsTheCallersOwn)
+{
+    Fixture f;
+    f.pushMany(500, "a", "large");
+    const OrganisationName org("a");
+    BOOST_TEST(f.admission.expectedAhead(org, CallerName("small"), Priority::Normal) == 0.0);
+    BOOST_TEST(f.admission.expectedAhead(org, CallerName("large"), Priority::Normal) >= 490.0);
+}
+
+// Guards against requests that are lost, served twice or left in the counts by any order of operations.
+BOOST_DATA_TEST_CASE(everyRequestLeavesExactlyOnce, data::xrange(10), seed)
+{
+    std::mt19937_64 random(seed);
+    Fixture f({50, 20, 100});
+    std::set<RequestId> queued;
+    const auto below = [&random](std::uint64_t n) { return random() % n; };
+    for (int n = 0; n < 5000; ++n) {
+        const auto dice = below(10);
+        if (dice < 5) {
+            const auto *org = below(2) == 0 ? "a" : "unnamed";
+            const auto pushed = f.push(org, std::to_string(below(6)), static_cast<Priority>(below(priorityCount)));
+            if (pushed.accepted) {
+                queued.insert(f.nextId - 1);
+            }
+            if (pushed.evicted) {
+                BOOST_REQUIRE(queued.erase(*pushed.evicted) == 1U);
+            }
+        } else if (dice < 8) {
+            const auto expected = f.admission.peek({});
+            const auto id = f.admission.pop({});
+            BOOST_REQUIRE((id == expected));
+            BOOST_REQUIRE(id.has_value() == !queued.empty());
+            BOOST_REQUIRE((!id || queued.erase(*id) == 1U));
+        } else if (dice < 9) {
+            const auto id = 1 + below(f.nextId);
+            BOOST_REQUIRE(f.admission.remove(id) == (queued.erase(id) == 1U));
+        } else {
+            f.admission.settle(OrganisationName("a"), CallerName(std::to_string(below(6))), 0.1 * static_cast<double>(below(100)));
+        }
+        BOOST_REQUIRE(f.admission.size() == queued.size());
+        BOOST_REQUIRE(queued.size() <= 50U);
+    }
+}
--- /dev/null
+++ b/tests/scheduling/endpoint_limits_test.cpp
@@ -0,0 +1,257 @@
+#include <acaciarail/scheduling/endpoint_limits.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+
+using namespace Acaciarail;
+using namespace Acaciarail::Scheduling;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+constexpr AttemptResult answer{AttemptResultKind::Answered, 200, 100ms};
+
+struct Fixture
+{
+    EndpointLimitSettings settings;
+    std::mt19937_64 random{1};
+    EndpointLimit limit{settings, 8};
+    TimePoint now{1s};
+
+    /// One attempt that takes \a latency.
+    auto attempt(AttemptResultKind kind, Duration latency = 100ms, std::uint32_t status = 200) -> void
+    {
+        const auto startedAt = now;
+        limit.started(now);
+        now += latency;
+        limit.ended(startedAt, {kind, status, latency}, now, random);
+    }
+
+    /// Keeps the endpoint as full as the limit allows, for a number of answers.
+    auto saturate(int answers, Duration latency = 100ms) -> void
+    {
+        for (int n = 0; n < answers;) {
+            const auto startedAt = now;
+            int started = 0;
+            while (limit.mayStart(now)) {
+                limit.started(now);
+                ++started;
+            }
+            now += latency;
+            for (; started > 0; --started, ++n) {
+                limit.ended(startedAt, {AttemptResultKind::Answered, 200, latency}, now, random);
+            }
+        }
+    }
+};
+
+struct EjectionCase
+{
+    std::string name;
+    AttemptResultKind kind;
+    std::uint32_t status;
+    Duration latency;
+    bool ejects;
+
+    friend auto operator<<(std::ostream &out, const EjectionCase &c) -> std::ostream &
+    {
+        return out << c.name;
+    }
+};
+
+const EjectionCase ejectionCases[] = {
+    {"connection refused", AttemptResultKind::ConnectFailed, 0, 1ms, true},
+    {"connection lost", AttemptResultKind::Failed, 0, 10ms, true},
+    {"fast server error", AttemptResultKind::Answered, 500, 1ms, true},
+    {"no answer", AttemptResultKind::TimedOut, 0, 2s, true},
+    {"short deadline of the caller", AttemptResultKind::TimedOut, 0, 50ms, false},
+    {"busy", AttemptResultKind::Busy, 503, 2ms, false},
+    {"answer of the request's own fault", AttemptResultKind::Answered, 404, 5ms, false},
+};
+
+} // namespace
+
+// Guards against endpoints that fail fast and so attract all the work, and against ejecting endpoints that work.
+BOOST_DATA_TEST_CASE(failuresInARowEject, data::make(ejectionCases), c)
+{
+    Fixture f;
+    f.saturate(20);
+    for (std::uint32_t n = 0; n < f.settings.ejectAfterFailures; ++n) {
+        f.attempt(c.kind, c.latency, c.status);
+    }
+    BOOST_TEST((f.limit.health() == EndpointHealth::Ejected) == c.ejects);
+    BOOST_TEST(f.limit.mayStart(f.now + 1s) != c.ejects);
+}
+
+// Guards against an endpoint that fails every second request and is never noticed because no three fail in a row.
+BOOST_AUTO_TEST_CASE(frequentFailuresEject)
+{
+    Fixture f;
+    f.saturate(20);
+    for (int n = 0; n < 100 && f.limit.health() == EndpointHealth::Healthy; ++n) {
+        f.attempt(n % 3 == 0 ? AttemptResultKind::Answered : AttemptResultKind::Failed);
+    }
+    BOOST_TEST((f.limit.health() == EndpointHealth::Ejected));
+}
+
+// Guards against a returned endpoint that is flooded at once, and against probes that all fail together.
+BOOST_AUTO_TEST_CASE(ejectedEndpointReturnsGradually)
+{
+    Fixture f;
+    f.saturate(50);
+    for (int n = 0; n < 3; ++n) {
+        f.attempt(AttemptResultKind::ConnectFailed, 1ms);
+    }
+    f.now = f.limit.nextDeadline().value();
+    f.limit.update(f.now);
+    BOOST_REQUIRE((f.limit.health() == EndpointHealth::Probing));
+    f.limit.started(f.now);
+    BOOST_TEST(!f.limit.mayStart(f.now));
+    f.limit.ended(f.now, answer, f.now + 100ms, f.random);
+    BOOST_TEST((f.limit.health() == EndpointHealth::Healthy));
+    BOOST_TEST(f.limit.limit() <= 2.0);
+    f.now += 1s;
+    f.saturate(40);
+    BOOST_TEST(f.limit.limit() > 4.0);
+}
+
+// Guards against an endpoint that stays broken and costs an attempt several times a second.
+BOOST_AUTO_TEST_CASE(failedProbesLengthenTheEjection)
+{
+    Fixture f;
+    for (int n = 0; n < 3; ++n) {
+        f.attempt(AttemptResultKind::ConnectFailed, 1ms);
+    }
+    int probes = 0;
+    while (f.now < TimePoint(120s)) {
+        f.now = f.limit.nextDeadline().value();
+        f.limit.update(f.now);
+        f.attempt(AttemptResultKind::ConnectFailed, 1ms);
+        ++probes;
+    }
+    BOOST_TEST(probes <= 20);
+    BOOST_TEST((f.limit.nextDeadline().value() - f.now <= f.settings.longestEjection));
+}
+
+// Guards against attempts piling up on an endpoint whose connections have gone silent.
+BOOST_AUTO_TEST_CASE(silentEndpointIsEjected)
+{
+    Fixture f;
+    f.saturate(20);
+    f.limit.started(f.now);
+    f.limit.started(f.now);
+    const auto due = f.limit.nextDeadline().value();
+    BOOST_TEST((due == f.now + f.limit.progressTimeout()));
+    BOOST_TEST(!f.limit.ejectIfSilent(due - 1us, f.random));
+    BOOST_TEST(f.limit.ejectIfSilent(due, f.random));
+    BOOST_TEST(!f.limit.mayStart(due));
+}
+
+// Guards against taking an endpoint that answers other requests, or has one long request, for a silent one.
+BOOST_AUTO_TEST_CASE(endpointThatAnswersIsNotSilent)
+{
+    Fixture f;
+    f.saturate(20);
+    const auto longOnes = f.now;
+    f.limit.started(longOnes);
+    BOOST_TEST(!f.limit.ejectIfSilent(f.now + 10s, f.random));
+    f.limit.started(longOnes);
+    for (int n = 0; n < 100; ++n) {
+        f.attempt(AttemptResultKind::Answered);
+        BOOST_REQUIRE(!f.limit.ejectIfSilent(f.now, f.random));
+    }
+}
+
+// Guards against a slow endpoint that stays ejected although it answers after all.
+BOOST_AUTO_TEST_CASE(lateAnswerEndsTheEjectionForSilence)
+{
+    Fixture f;
+    f.saturate(20);
+    const auto startedAt = f.now;
+    f.limit.started(startedAt);
+    f.limit.started(startedAt);
+    f.now += 2s;
+    BOOST_REQUIRE(f.limit.ejectIfSilent(f.now, f.random));
+    f.limit.ended(startedAt, {AttemptResultKind::Answered, 200, 2s}, f.now, f.random);
+    BOOST_TEST((f.limit.health() == EndpointHealth::Healthy));
+}
+
+// Guards against a limit that ignores busy answers, so that most attempts under overload are wasted.
+BOOST_AUTO_TEST_CASE(limitSettlesWhereBusyAnswersAreRare)
+{
+    Fixture f;
+    constexpr std::uint32_t share = 3;
+    int busy = 0;
+    int answers = 0;
+    while (answers < 2000) {
+        const auto startedAt = f.now;
+        std::uint32_t started = 0;
+        while (f.limit.mayStart(f.now)) {
+            f.limit.started(f.now);
+            ++started;
+        }
+        f.now += 100ms;
+        for (std::uint32_t n = 0; n < started; ++n) {
+            const auto isBusy = n >= share;
+            f.limit.ended(startedAt, {isBusy ? AttemptResultKind::Busy : AttemptResultKind::Answered, 200, 100ms}, f.now, f.random);
+            ++(isBusy ? busy : answers);
+        }
+    }
+    BOOST_TEST(busy < answers / 20);
+    BOOST_TEST(f.limit.limit() > 2.0);
+    BOOST_TEST(f.limit.limit() < 5.0);
+}
+
+// Guards against an endpoint that queues instead of answering busy and is filled without bound.
+BOOST_AUTO_TEST_CASE(risingLatencyLowersTheLimit)
+{
+    Fixture f;
+    f.saturate(100);
+    const auto before = f.limit.limit();
+    f.saturate(50, 600ms);
+    BOOST_TEST(f.limit.limit() < before / 2);
+    BOOST_TEST(f.limit.limit() >= 1.0);
+}
+
+// Guards against a limit above the endpoint's slots.
+BOOST_DATA_TEST_CASE(limitNeverExceedsTheSlots, data::make({1U, 2U, 8U, 64U}), slots)
+{
+    EndpointLimit limit({}, slots);
+    std::mt19937_64 random(1);
+    TimePoint now(1s);
+    for (int n = 0; n < 500; ++n) {
+        std::uint32_t started = 0;
+        while (limit.mayStart(now)) {
+            limit.started(now);
+            ++started;
+        }
+        BOOST_REQUIRE(started <= slots);
+        for (; started > 0; --started) {
+            limit.ended(now, answer, now + 100ms, random);
+        }
+        now += 100ms;
+    }
+    BOOST_TEST(limit.limit() == slots);
+}
+
+// Guards against hammering an endpoint whose slots are all taken by other instances.
+BOOST_AUTO_TEST_CASE(repeatedBusyAnswersPauseTheEndpoint)
+{
+    Fixture f;
+    f.saturate(20);
+    int busy = 0;
+    const auto end = f.now + 10s;
+    while (f.now < end) {
+        if (f.limit.mayStart(f.now)) {
+            f.attempt(AttemptResultKind::Busy, 2ms);
+            ++busy;
+        }
+        f.now += 1ms;
+    }
+    BOOST_TEST(busy < 40);
+    BOOST_TEST(f.limit.mayStart(f.now + 2s));
+}
