Limit attempts to a region that answers busy by a window

Cause: after each pause of another region all its endpoints were tried at once, so that busy answers used up the retry budget and requests waited for it. Change: each other region has a window of attempts in progress, which grows by answers and is halved by a busy answer. ./bench flood prints the part of attempts that goes to other regions.

--- a/benchmarks/flood_bench.cpp
+++ b/benchmarks/flood_bench.cpp
@@ -46,6 +46,7 @@
     double goodput = 0.0;
     double busy = 0.0;
     double extra = 0.0;
+    double crossRegion = 0.0;
     /// Kept part of the callers of each class outside the flooding organisation.
     std::array<double, priorityCount> keptOfClass{};
     std::uint64_t falseNotRun = 0;
@@ -172,9 +173,11 @@
     double extra = 0.0;
     for (const auto &it : result.attempts) {
         extra += it.extra ? 1 : 0;
+        figures.crossRegion += it.crossRegion ? 1 : 0;
     }
     const auto attempts = static_cast<double>(result.attempts.size());
     figures.extra = extra / std::max(1.0, attempts - extra);
+    figures.crossRegion /= std::max(1.0, attempts);
     figures.busy = static_cast<double>(result.busyAnswers) / std::max(1.0, attempts);
     for (std::size_t i = 0; i < priorityCount; ++i) {
         figures.keptOfClass[i] = classes[i].kept();
@@ -221,6 +224,7 @@
     }
     report.figure(name + " busy answers / attempts", medianWithSpread(column(runs, &Figures::busy), 3));
     report.figure(name + " extra / first attempts", medianWithSpread(column(runs, &Figures::extra), 3));
+    report.figure(name + " other regions / attempts", medianWithSpread(column(runs, &Figures::crossRegion), 3));
     const auto lies = column(runs, [](const Figures &it) { return static_cast<double>(it.falseNotRun); });
     report.check(name + " false not-run", "0", medianWithSpread(lies, 0), *std::max_element(lies.begin(), lies.end()) == 0.0);
 }
--- a/packages/scheduling/src/endpoint_pool.cpp
+++ b/packages/scheduling/src/endpoint_pool.cpp
@@ -9,6 +9,10 @@
 /// Weight of an endpoint's recent failures when two endpoints are compared.
 constexpr double failureWeight = 4.0;
 
+/// Growth of a region's window for each answer, and its reduction for each busy answer.
+constexpr double regionGrowth = 0.5;
+constexpr double regionReduction = 0.5;
+
 auto isUsable(const Endpoint &endpoint, TimePoint now) -> bool
 {
     return !endpoint.unlistedSince && !endpoint.info.leaving && !endpoint.limit.saidLeaving(now);
@@ -95,13 +99,17 @@
     });
 }
 
-auto EndpointPool::isPaused(const Endpoint &endpoint, TimePoint now) const -> bool
+auto EndpointPool::isRegionClosed(const Endpoint &endpoint, TimePoint now) const -> bool
 {
     if (endpoint.locality != Locality::OtherRegion) {
         return false;
     }
-    const auto it = m_pauses.find(endpoint.info.region);
-    return it != m_pauses.end() && now < it->second.until;
+    const auto it = m_regions.find(endpoint.info.region);
+    if (it == m_regions.end()) {
+        return false;
+    }
+    const auto &window = it->second;
+    return now < window.pausedUntil || window.inFlight >= window.size;
 }
 
 auto EndpointPool::allUsableTried(std::span<const std::uint64_t> tried, TimePoint now) const -> bool
@@ -116,7 +124,7 @@
 {
     m_candidates.clear();
     for (const auto &it : m_endpoints) {
-        if (it->locality != locality || !isUsable(*it, now) || !it->limit.mayStart(now) || isPaused(*it, now)) {
+        if (it->locality != locality || !isUsable(*it, now) || !it->limit.mayStart(now) || isRegionClosed(*it, now)) {
             continue;
         }
         if (isTried(*it, selection.tried)) {
@@ -164,18 +172,28 @@
     return nullptr;
 }
 
-auto EndpointPool::attemptEnded(const Endpoint &endpoint, AttemptResultKind kind, TimePoint now) -> void
+auto EndpointPool::attemptStarted(const Endpoint &endpoint) -> void
+{
+    if (endpoint.locality == Locality::OtherRegion) {
+        ++m_regions[endpoint.info.region].inFlight;
+    }
+}
+
+auto EndpointPool::attemptEnded(const Endpoint &endpoint, std::optional<AttemptResultKind> kind, TimePoint now) -> void
 {
     if (endpoint.locality != Locality::OtherRegion) {
         return;
     }
-    auto &pause = m_pauses[endpoint.info.region];
+    auto &window = m_regions[endpoint.info.region];
+    --window.inFlight;
     if (kind == AttemptResultKind::Answered) {
-        pause.length = Duration{};
+        window.pause = Duration{};
+        window.size += regionGrowth;
     }
-    if (kind == AttemptResultKind::Busy && now >= pause.until) {
-        pause.length = std::clamp(2 * pause.length, m_settings.leastRegionPause, m_settings.longestRegionPause);
-        pause.until = now + pause.length;
+    if (kind == AttemptResultKind::Busy) {
+        window.pause = std::clamp(2 * window.pause, m_settings.leastRegionPause, m_settings.longestRegionPause);
+        window.pausedUntil = now + window.pause;
+        window.size = std::max(1.0, window.size * regionReduction);
     }
 }
 
--- a/packages/scheduling/src/endpoint_pool.h
+++ b/packages/scheduling/src/endpoint_pool.h
@@ -69,8 +69,11 @@
     /// Returns an endpoint for one attempt, or null when none may take it now. \pre none. Not thread-safe.
     [[nodiscard]] auto select(const Selection &selection, TimePoint now, std::mt19937_64 &random) -> EndpointPtr;
 
-    /// Reports the end of an attempt, for the pauses of other regions. \pre none. Not thread-safe.
-    auto attemptEnded(const Endpoint &endpoint, AttemptResultKind kind, TimePoint now) -> void;
+    /// Counts an attempt towards the window of its region. \pre none. Not thread-safe.
+    auto attemptStarted(const Endpoint &endpoint) -> void;
+
+    /// Reports the end of an attempt; \a kind is empty when it was given up. \pre attemptStarted() was called. Not thread-safe.
+    auto attemptEnded(const Endpoint &endpoint, std::optional<AttemptResultKind> kind, TimePoint now) -> void;
 
     /// Updates ejections; returns the endpoints that were found silent. \pre none. Not thread-safe.
     [[nodiscard]] auto check(TimePoint now, std::mt19937_64 &random) -> std::vector<EndpointPtr>;
@@ -87,15 +90,18 @@
     auto addTo(RouterStats &stats, TimePoint now) const -> void;
 
 private:
-    struct RegionPause
+    /// Attempts that may be in progress in another region, so that finding out that it is full costs few busy answers.
+    struct RegionWindow
     {
-        TimePoint until{};
-        Duration length{};
+        double size = 1.0;
+        std::uint32_t inFlight = 0;
+        TimePoint pausedUntil{};
+        Duration pause{};
     };
 
     [[nodiscard]] auto localityOf(const EndpointInfo &info) const -> Locality;
     [[nodiscard]] auto find(const EndpointName &name) -> std::vector<EndpointPtr>::iterator;
-    [[nodiscard]] auto isPaused(const Endpoint &endpoint, TimePoint now) const -> bool;
+    [[nodiscard]] auto isRegionClosed(const Endpoint &endpoint, TimePoint now) const -> bool;
     [[nodiscard]] auto allUsableTried(std::span<const std::uint64_t> tried, TimePoint now) const -> bool;
     auto collect(const Selection &selection, Locality locality, TimePoint now) -> void;
     [[nodiscard]] auto pick(std::mt19937_64 &random) const -> EndpointPtr;
@@ -104,7 +110,7 @@
     const RequestRouterSettings &m_settings;
     /// In the order in which they were first seen, so that choices do not depend on hashes.
     std::vector<EndpointPtr> m_endpoints;
-    std::unordered_map<RegionName, RegionPause> m_pauses;
+    std::unordered_map<RegionName, RegionWindow> m_regions;
     std::vector<EndpointPtr> m_candidates;
     std::uint64_t m_forgottenEjections = 0;
 };
--- a/packages/scheduling/src/request_router.cpp
+++ b/packages/scheduling/src/request_router.cpp
@@ -463,6 +463,7 @@
     for (const auto &it : request.live) {
         m_commands.emplace_back(CancelAttempt{request.info.id, it.number});
         it.endpoint->limit.abandoned(it.startedAt, now, m_random);
+        request.service->pool.attemptEnded(*it.endpoint, std::nullopt, now);
         --request.service->inFlight[static_cast<std::size_t>(request.info.priority)];
     }
     request.live.clear();
@@ -586,6 +587,7 @@
     ++request.attempts;
     ++service.inFlight[static_cast<std::size_t>(request.info.priority)];
     endpoint->limit.started(now);
+    service.pool.attemptStarted(*endpoint);
     const auto timeout = std::min(service.policy.attemptTimeout, Duration(request.info.deadline - now));
     request.live.push_back({request.attempts, endpoint, now, now + timeout + m_settings.resultGrace});
     request.tried.push_back(endpoint->serial);
