--- a/tests/peer/main.cpp
+++ b/tests/peer/main.cpp
@@ -8,7 +8,7 @@
 {
     FixedSeed()
     {
-        ::setenv("RC_PARAMS", "seed=20260101", 0);
+        ::setenv("RC_PARAMS", "seed=20260101 max_success=300", 0);
     }
 };
 
