--- a/packages/runtime/include/acaciarail/runtime/reconnecting_connection.h
+++ b/packages/runtime/include/acaciarail/runtime/reconnecting_connection.h
@@ -22,7 +22,7 @@
 /// Events of the connection; called on the loop, never from inside a method. A hook may destroy the connection.
 struct ReconnectHooks
 {
-    /// Returns the content of the first frame of each new connection; when empty, there is none.
+    /// Returns the content of the first frame of each new connection, to which a reply is expected; when empty, there is none.
     std::function<std::string()> greeting;
     std::function<void()> up;
     std::function<void(std::string_view content)> received;
--- a/packages/runtime/src/reconnecting_connection.cpp
+++ b/packages/runtime/src/reconnecting_connection.cpp
@@ -33,6 +33,7 @@
         }
         if (const auto content = hooks->greeting(); !content.empty()) {
             [[maybe_unused]] const auto error = connection->send(content);
+            connection->expectReplies();
         }
     }
 
--- /dev/null
+++ b/tests/peer/peer_links_test.cpp
@@ -0,0 +1,291 @@
+#include "../runtime/raw_socket.h"
+
+#include <acaciarail/core.h>
+#include <acaciarail/peer.h>
+#include <acaciarail/runtime.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <functional>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <variant>
+#include <vector>
+
+using namespace Acaciarail;
+using namespace Acaciarail::Peer;
+using namespace Acaciarail::Tests;
+namespace data = boost::unit_test::data;
+
+/// One instance, which keeps what its hooks are told. Times are short.
+struct Instance
+{
+    Instance(Runtime::EventLoop &loop, const std::string &name, const Runtime::SocketAddress &address = {})
+        : links(loop, settingsFor(name, address), hooks(), std::hash<std::string>{}(name))
+    {
+        BOOST_REQUIRE(!links.listen());
+    }
+
+    static auto settingsFor(const std::string &name, const Runtime::SocketAddress &address) -> PeerLinksSettings
+    {
+        return {.self = InstanceName(name),
+                .incarnation = 1,
+                .server = {address, {.progressTimeout = 100ms}, 64},
+                .helloTimeout = 50ms,
+                .acknowledgeAfter = 5ms,
+                .minBackoff = 1ms,
+                .maxBackoff = 8ms};
+    }
+
+    auto hooks() -> PeerLinksHooks
+    {
+        return {
+            [this](const InstanceName &from, const Message &m) { received.emplace_back(from.str(), m); },
+            [this](const InstanceName &) { ++ups; },
+            [this](const InstanceName &, const Runtime::CloseInfo &info) { downs.emplace_back(Runtime::closeReasonName(info.reason)); }};
+    }
+
+    std::vector<std::pair<std::string, Message>> received;
+    int ups = 0;
+    std::vector<std::string> downs;
+    PeerLinks links;
+};
+
+/// Two instances of which the first knows the second.
+struct PeerFixture
+{
+    PeerFixture()
+    {
+        BOOST_REQUIRE(!a.links.setPeer(nameB, b.links.address().str()));
+    }
+
+    auto runUntil(const std::function<bool()> &done) -> bool
+    {
+        return loop.runUntil(done, patience);
+    }
+
+    const InstanceName nameA{"a"};
+    const InstanceName nameB{"b"};
+    Runtime::EventLoop loop;
+    Instance a{loop, "a"};
+    Instance b{loop, "b"};
+};
+
+/// The frame with which instances announce their name.
+static auto hello(const std::string &name) -> std::string
+{
+    return encode(std::tuple(1, 0, std::tuple(name, 1)));
+}
+
+// Guards against messages that arrive changed or under a wrong name, and against an answer that needs the asker's address.
+BOOST_AUTO_TEST_CASE(messagesTravelBothWaysOverOneConnection)
+{
+    PeerFixture f;
+    BOOST_TEST(!f.a.links.isUp(f.nameB));
+    BOOST_TEST((f.b.links.send(f.nameA, SnapshotRequest{}) == make_error_code(Error::NoEndpoint)));
+    BOOST_TEST(!f.a.links.send(f.nameB, RecordsRequest{17}));
+    BOOST_REQUIRE(f.runUntil([&f] { return f.b.received.size() == 1; }));
+    BOOST_TEST(f.b.received[0].first == "a");
+    BOOST_TEST(std::get<RecordsRequest>(f.b.received[0].second).from == 17U);
+    BOOST_TEST(!f.b.links.send(f.nameA, Records{{{17, "record"}}}));
+    BOOST_REQUIRE(f.runUntil([&f] { return f.a.received.size() == 1; }));
+    BOOST_TEST(f.a.received[0].first == "b");
+    BOOST_TEST((std::get<Records>(f.a.received[0].second).entries == std::vector<LogEntry>{{17, "record"}}));
+    BOOST_TEST(f.a.ups == 1);
+    BOOST_TEST(f.b.links.acceptedCount() == 1U);
+    BOOST_TEST(f.a.links.acceptedCount() == 0U);
+}
+
+// Guards against messages that are refused or cut although they fit a frame.
+BOOST_AUTO_TEST_CASE(largestMessagesArrive)
+{
+    PeerFixture f;
+    const std::string part(Runtime::maxFrameBytes - 64, 'x');
+    BOOST_TEST(!f.a.links.send(f.nameB, SnapshotPart{1, 0, 2, part}));
+    BOOST_TEST(!f.a.links.send(f.nameB, SnapshotPart{1, 1, 2, part}));
+    const auto tooLarge = f.a.links.send(f.nameB, SnapshotPart{1, 0, 1, std::string(Runtime::maxFrameBytes, 'x')});
+    BOOST_TEST((tooLarge == make_error_code(Error::TooLarge)));
+    BOOST_REQUIRE(f.runUntil([&f] { return f.b.received.size() == 2; }));
+    BOOST_TEST((std::get<SnapshotPart>(f.b.received[1].second).bytes == part));
+}
+
+struct FrameCase
+{
+    std::string name;
+    std::string bytes;
+    std::size_t received;
+
+    friend auto operator<<(std::ostream &out, const FrameCase &c) -> std::ostream &
+    {
+        return out << c.name;
+    }
+};
+
+static const FrameCase frameCases[] = {
+    {"silent", "", 0},
+    {"message before the name", frame(encodeMessage(Message(RecordsRequest{1}))), 0},
+    {"empty frame before the name", frame(""), 0},
+    {"empty name", frame(hello("")), 0},
+    {"long name", frame(hello(std::string(257, 'x'))), 0},
+    {"own name", frame(hello("b")), 0},
+    {"garbage", frame(hello("x")) + frame("garbage"), 0},
+    {"unknown version", frame(hello("x")) + frame(encode(std::tuple(99, 0, std::vector<int>{}))), 0},
+    {"unknown type after a message",
+     frame(hello("x")) + frame(encodeMessage(Message(RecordsRequest{1}))) + frame(encode(std::tuple(1, 99, std::vector<int>{}))), 1},
+    {"oversized", frame(hello("x")) + std::string("\x00\x20\x00\x00", 4), 0},
+    {"another protocol", "GET / HTTP/1.1\r\n\r\n", 0},
+};
+
+// Guards against strangers and faulty peers whose frames are taken as valid, keep a connection, or disturb other peers.
+BOOST_DATA_TEST_CASE(faultyFramesCloseTheConnection, data::make(frameCases), c)
+{
+    PeerFixture f;
+    const RawSocket socket;
+    BOOST_REQUIRE(socket.connect(f.b.links.address().port));
+    socket.write(c.bytes);
+    BOOST_REQUIRE(f.runUntil([&] {
+        f.loop.post([] {});
+        static_cast<void>(socket.readAvailable());
+        return socket.isClosedByPeer();
+    }));
+    BOOST_TEST(f.b.links.acceptedCount() == 0U);
+    BOOST_TEST(f.b.received.size() == c.received);
+    BOOST_TEST(!f.a.links.send(f.nameB, RecordsRequest{1}));
+    BOOST_TEST(f.runUntil([&f, &c] { return f.b.received.size() == c.received + 1; }));
+}
+
+// Guards against input of any kind that crashes the decoding of messages.
+BOOST_AUTO_TEST_CASE(damagedMessagesAreSafe)
+{
+    const auto good =
+        encodeMessage(Message(Heartbeat{InstanceName("a"), 1, ZoneName("zone"), 9, false, {{ZoneName("zone"), 0, {1, 1}, 8, 2}}}));
+    BOOST_TEST(rc::check("damaged messages", [&good] {
+        auto bytes = good;
+        for (const auto &[at, value] : *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+                 rc::gen::pair(rc::gen::inRange<std::size_t>(0, good.size()), rc::gen::arbitrary<char>()))) {
+            bytes[at] = value;
+        }
+        Message message;
+        const auto error = decodeMessage(bytes, message);
+        RC_ASSERT(error || message.index() < std::variant_size_v<Message>);
+    }));
+}
+
+// Guards against messages for a replaced instance that reach another one at the same address.
+BOOST_AUTO_TEST_CASE(otherInstanceAtTheAddressIsRefused)
+{
+    PeerFixture f;
+    const InstanceName expected("c");
+    BOOST_REQUIRE(!f.a.links.setPeer(expected, f.b.links.address().str()));
+    BOOST_TEST(!f.a.links.send(expected, RecordsRequest{1}));
+    BOOST_REQUIRE(f.runUntil([&f] { return !f.a.downs.empty(); }));
+    BOOST_TEST(f.a.downs.front() == "frame-refused");
+    BOOST_TEST(f.a.ups == 0);
+    BOOST_TEST(!f.a.links.isUp(expected));
+}
+
+// Guards against a peer that accepts connections and never reads them, so that heartbeats to it are lost without notice.
+BOOST_AUTO_TEST_CASE(silentPeerIsNoticed)
+{
+    PeerFixture f;
+    const RawSocket listener;
+    BOOST_REQUIRE(!f.a.links.setPeer(f.nameB, "127.0.0.1:" + std::to_string(listener.listen())));
+    BOOST_TEST(!f.a.links.send(f.nameB, Heartbeat{}));
+    const RawSocket server(listener.accept());
+    server.write(frame(hello("b")));
+    BOOST_REQUIRE(f.runUntil([&f] { return f.a.ups == 1; }));
+    BOOST_TEST(!f.a.links.send(f.nameB, Heartbeat{}));
+    BOOST_REQUIRE(f.runUntil([&f] { return !f.a.downs.empty(); }));
+    BOOST_TEST(f.a.downs.front() == "progress-timeout");
+}
+
+// Guards against one-way messages that are not acknowledged and close a healthy connection.
+BOOST_AUTO_TEST_CASE(oneWayMessagesAreAcknowledged)
+{
+    PeerFixture f;
+    const RawSocket listener;
+    const InstanceName silent("silent");
+    BOOST_REQUIRE(!f.a.links.setPeer(silent, "127.0.0.1:" + std::to_string(listener.listen())));
+    BOOST_TEST(!f.a.links.send(f.nameB, Heartbeat{}));
+    BOOST_REQUIRE(f.runUntil([&f] { return f.b.received.size() == 1; }));
+    BOOST_TEST(!f.a.links.send(f.nameB, Heartbeat{}));
+    // The silent peer's timeout starts later, so that of the other connection would have ended first.
+    BOOST_TEST(!f.a.links.send(silent, Heartbeat{}));
+    BOOST_REQUIRE(f.runUntil([&f] { return !f.a.downs.empty(); }));
+    BOOST_TEST(f.a.links.isUp(f.nameB));
+    BOOST_TEST(f.b.received.size() == 2U);
+}
+
+// Guards against links that stay down after a peer was restarted at the same address.
+BOOST_AUTO_TEST_CASE(restartedPeerIsReached)
+{
+    Runtime::EventLoop loop;
+    Instance a(loop, "a");
+    auto b = std::make_unique<Instance>(loop, "b");
+    const InstanceName nameB("b");
+    const auto address = b->links.address();
+    BOOST_REQUIRE(!a.links.setPeer(nameB, address.str()));
+    BOOST_TEST(!a.links.send(nameB, Heartbeat{}));
+    BOOST_REQUIRE(loop.runUntil([&a, &b] { return a.ups == 1 && b->received.size() == 1; }, patience));
+    b.reset();
+    BOOST_REQUIRE(loop.runUntil([&a] { return a.downs.size() >= 3; }, patience));
+    BOOST_TEST(!a.links.isUp(nameB));
+    b = std::make_unique<Instance>(loop, "b", address);
+    BOOST_REQUIRE(loop.runUntil([&a] { return a.ups == 2; }, patience));
+    BOOST_TEST(!a.links.send(nameB, Heartbeat{}));
+    BOOST_TEST(loop.runUntil([&b] { return b->received.size() == 1; }, patience));
+}
+
+// Guards against half-open connections that pile up when a peer connects again.
+BOOST_AUTO_TEST_CASE(newConnectionOfAPeerReplacesTheOldOne)
+{
+    PeerFixture f;
+    const RawSocket first;
+    const RawSocket second;
+    BOOST_REQUIRE(first.connect(f.b.links.address().port));
+    first.write(frame(hello("x")));
+    BOOST_REQUIRE(f.runUntil([&f] { return f.b.links.isUp(InstanceName("x")); }));
+    BOOST_REQUIRE(second.connect(f.b.links.address().port));
+    second.write(frame(hello("x")) + frame(encodeMessage(Message(RecordsRequest{1}))));
+    BOOST_REQUIRE(f.runUntil([&f] { return f.b.received.size() == 1; }));
+    BOOST_TEST(f.b.links.acceptedCount() == 1U);
+    static_cast<void>(first.readAvailable());
+    BOOST_TEST(first.isClosedByPeer());
+    f.b.links.removePeer(InstanceName("x"));
+    BOOST_TEST(f.b.links.acceptedCount() == 0U);
+}
+
+// Guards against use after free when a hook removes its peer or all links.
+BOOST_AUTO_TEST_CASE(hooksMayRemoveTheirPeer)
+{
+    Runtime::EventLoop loop;
+    Instance a(loop, "a");
+    std::unique_ptr<PeerLinks> b;
+    int received = 0;
+    PeerLinksHooks hooks;
+    hooks.received = [&b, &received](const InstanceName &from, const Message &) {
+        if (++received == 1) {
+            b->removePeer(from);
+        } else {
+            b.reset();
+        }
+    };
+    b = std::make_unique<PeerLinks>(loop, Instance::settingsFor("b", {}), hooks, 1);
+    BOOST_REQUIRE(!b->listen());
+    const InstanceName nameB("b");
+    BOOST_REQUIRE(!a.links.setPeer(nameB, b->address().str()));
+    BOOST_TEST(!a.links.send(nameB, Heartbeat{}));
+    BOOST_TEST(!a.links.send(nameB, Heartbeat{}));
+    BOOST_REQUIRE(loop.runUntil([&received] { return received == 1; }, patience));
+    // The first connection may have been closed before its greeting was answered.
+    BOOST_REQUIRE(loop.runUntil([&a, &nameB] { return !a.downs.empty() && a.links.isUp(nameB); }, patience));
+    BOOST_TEST(!a.links.send(nameB, Heartbeat{}));
+    BOOST_REQUIRE(loop.runUntil([&received] { return received == 2; }, patience));
+    BOOST_TEST(!b);
+}
