Pass chunked bodies to libevhtp with a length

Its parser leaves the last line end of chunks unread, so that it ran into the next request of the connection. A test with a third request shows it.

--- a/packages/caller/include/acaciarail/caller/request_framer.h
+++ b/packages/caller/include/acaciarail/caller/request_framer.h
@@ -43,6 +43,8 @@
     std::size_t size = 0;
     /// Bytes of the head when the state is Body or Complete.
     std::size_t headSize = 0;
+    /// The body is in chunks, see decodeChunks().
+    bool chunked = false;
     /// The caller waits for `100 Continue` before it sends the body.
     bool expectsContinue = false;
     /// Why the request is refused, and the HTTP status.
@@ -84,7 +86,6 @@
     bool m_isHttp11 = false;
     bool m_sawHost = false;
     bool m_sawLength = false;
-    bool m_chunked = false;
     std::size_t m_length = 0;
     /// Body bytes of the chunks so far, and whether the last chunk was seen.
     std::size_t m_chunkedLength = 0;
@@ -92,4 +93,7 @@
     bool m_sawLastChunk = false;
 };
 
+/// Returns the body that \a chunks carry. \pre RequestFramer accepted \a chunks as the body of a request. Thread-safe.
+[[nodiscard]] auto decodeChunks(std::string_view chunks) -> std::string;
+
 } // namespace Acaciarail::Caller
--- a/packages/caller/src/connection.cpp
+++ b/packages/caller/src/connection.cpp
@@ -96,6 +96,22 @@
     return line.substr(targetEnd + 1);
 }
 
+/// Builds the message that libevhtp parses. Its parser leaves the last line end of chunks unread, so that it gets them as a plain body.
+auto parserMessage(std::string_view message, const Framing &framing, const HttpRequest &request) -> std::string
+{
+    if (!framing.chunked) {
+        return std::string(message);
+    }
+    const auto body = decodeChunks(message.substr(framing.headSize));
+    std::string out(message.substr(0, message.find('\n') + 1));
+    for (const auto &it : request.headers) {
+        if (!findHeader({it}, "Transfer-Encoding")) {
+            out += it.name + ": " + it.value + "\r\n";
+        }
+    }
+    return out + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 auto asksToClose(const HttpHeaders &headers) -> bool
 {
     const auto value = findHeader(headers, "Connection");
@@ -270,13 +286,14 @@
     const auto head = std::string_view(m_pending).substr(0, framing.headSize);
     const bool isHttp10 = readRequestLine(head, request) == "HTTP/1.0";
     request.headers = readHeaders(head);
-    evbuffer_prepend(bufferevent_get_input(m_bev), m_pending.data(), framing.size);
+    const auto message = parserMessage(std::string_view(m_pending).substr(0, framing.size), framing, request);
+    evbuffer_prepend(bufferevent_get_input(m_bev), message.data(), message.size());
     hold(m_pending.substr(framing.size));
     m_evhtpRead(m_bev, m_evhtpArg);
     if (m_mode == Mode::Closed) {
         return;
     }
-    if (m_request == nullptr) {
+    if (m_request == nullptr || evbuffer_get_length(bufferevent_get_input(m_bev)) > 0) {
         logEvent(LogLevel::Warning, "http-parser-disagrees", {{"peer", m_peer}});
         refuse(400, {Error::MalformedInput, Execution::NotRun, "request: expected valid HTTP, found something else"});
         return;
--- a/packages/caller/src/request_framer.cpp
+++ b/packages/caller/src/request_framer.cpp
@@ -201,7 +201,7 @@
         if (!equalWithoutCase(value, "chunked")) {
             return refuse(501, Error::MalformedInput, "header Transfer-Encoding: expected chunked, found " + Detail::quoteFound(value));
         }
-        if (std::exchange(m_chunked, true)) {
+        if (std::exchange(m_framing.chunked, true)) {
             return refuse(400, Error::MalformedInput, "header Transfer-Encoding: expected one, found several");
         }
     } else if (equalWithoutCase(name, "expect")) {
@@ -218,7 +218,7 @@
     if (m_isHttp11 && !m_sawHost) {
         return refuse(400, Error::MalformedInput, "header Host: expected one, found none");
     }
-    if (m_chunked && (m_sawLength || !m_isHttp11)) {
+    if (m_framing.chunked && (m_sawLength || !m_isHttp11)) {
         return refuse(400, Error::MalformedInput,
                       "header Transfer-Encoding: expected it in HTTP/1.1 without Content-Length, found "
                           + std::string(m_sawLength ? "both" : "HTTP/1.0"));
@@ -235,7 +235,7 @@
 
 auto RequestFramer::examineBody(std::string_view bytes) -> void
 {
-    if (m_chunked) {
+    if (m_framing.chunked) {
         examineChunks(bytes);
         return;
     }
@@ -314,4 +314,24 @@
     return true;
 }
 
+auto decodeChunks(std::string_view chunks) -> std::string
+{
+    constexpr int hexadecimal = 16;
+    std::string out;
+    while (true) {
+        const auto lineSize = chunks.find(lineEnd);
+        if (lineSize == std::string_view::npos) {
+            return out;
+        }
+        std::size_t size = 0;
+        std::from_chars(chunks.data(), chunks.data() + lineSize, size, hexadecimal);
+        if (size == 0) {
+            return out;
+        }
+        chunks.remove_prefix(lineSize + lineEnd.size());
+        out += chunks.substr(0, size);
+        chunks.remove_prefix(std::min(size + lineEnd.size(), chunks.size()));
+    }
+}
+
 } // namespace Acaciarail::Caller
--- a/tests/caller/caller_server_test.cpp
+++ b/tests/caller/caller_server_test.cpp
@@ -155,6 +155,11 @@
     test.received[0].reply.send(text("one"));
     BOOST_TEST(loop.runUntil([&] { return test.received.size() == 2; }));
     BOOST_TEST(test.received[1].request.path == "/next");
+    test.received[1].reply.send(text("two"));
+    BOOST_TEST(loop.runUntil([&] { return client.responses() == 2; }));
+    client.send(get("/last"));
+    BOOST_TEST(loop.runUntil([&] { return test.received.size() == 3; }));
+    BOOST_TEST(test.received[2].request.path == "/last");
 }
 
 // Guards against a request whose method, query, headers or peer are lost or altered.
