--- a/tests/standins/load_generator.cpp
+++ b/tests/standins/load_generator.cpp
@@ -141,6 +141,18 @@
     return out;
 }
 
+/// Adds the counts that the member \a name of \a document holds.
+auto addRuns(const Json &document, const char *name, std::map<std::string, std::uint64_t> &runs) -> void
+{
+    const auto member = document.find(name);
+    if (member == document.end()) {
+        return;
+    }
+    for (const auto &[key, n] : member->items()) {
+        runs[key] += n.get<std::uint64_t>();
+    }
+}
+
 class Generator
 {
 public:
@@ -530,12 +542,8 @@
     const auto document = response == nullptr ? Json() : Json::parse(response->body, nullptr, false);
     if (document.is_object()) {
         --m_countsMissing;
-        for (const auto &[key, n] : document.value("keys", Json::object()).items()) {
-            m_keyRuns[key] += n.get<std::uint64_t>();
-        }
-        for (const auto &[value, n] : document.value("values", Json::object()).items()) {
-            m_valueRuns[value] += n.get<std::uint64_t>();
-        }
+        addRuns(document, "keys", m_keyRuns);
+        addRuns(document, "values", m_valueRuns);
     }
     if (m_client->attemptsInProgress() == 0) {
         event_base_loopbreak(m_base);
