--- a/packages/operator/include/acaciarail/operator/command.h
+++ b/packages/operator/include/acaciarail/operator/command.h
@@ -70,6 +70,8 @@
 {
     /// Archives to audit instead of the deployment.
     std::vector<std::string> files;
+    /// Reports only these job ids, `ORGANISATION/KEY` of requests, or subjects; empty for all.
+    std::vector<std::string> only;
     /// Archive to write; empty for none.
     std::string exportFile;
     std::chrono::milliseconds openAge = std::chrono::hours(24);
--- a/packages/operator/src/command_audit.cpp
+++ b/packages/operator/src/command_audit.cpp
@@ -227,6 +227,9 @@
 auto runAudit(const CommandContext &context) -> ExitCode
 {
     const auto &options = context.options.audit;
+    if (!context.options.arguments.empty()) {
+        return reportUsage(context, "expected flags only, found " + quotedText(context.options.arguments.front()));
+    }
     auto read = options.files.empty() ? readServer(context) : readArchives(context);
     // An incomplete set of events would make a sound deployment look faulty, and a faulty one sound.
     if (read.exitCode != ExitCode::Ok) {
@@ -237,10 +240,10 @@
     }
     const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     auto report = audit(read.events, {now, options.openAge, options.complete});
-    if (!context.options.arguments.empty()) {
-        keepSubjects(report, context.options.arguments);
+    if (!options.only.empty()) {
+        keepSubjects(report, options.only);
         if (report.paths.empty()) {
-            context.err << "error: expected events of " << printable(context.options.arguments.front()) << ", found none\n";
+            context.err << "error: expected events of " << printable(options.only.front()) << ", found none\n";
             return ExitCode::Failed;
         }
     }
