--- a/packages/operator/include/acaciarail/operator/settings.h
+++ b/packages/operator/include/acaciarail/operator/settings.h
@@ -33,8 +33,9 @@
     Duration defaultDeadline = std::chrono::seconds(30);
     /// Longest deadline that a request may state; a longer one is shortened to it.
     Duration maxDeadline = std::chrono::seconds(60);
-    /// Time without a byte after which a connection with requests in progress is closed.
-    Duration progressTimeout = std::chrono::seconds(2);
+    /// Time without a byte after which a connection with requests in progress is closed; longer than logReadWait, during which the
+    /// platform sends nothing.
+    Duration progressTimeout = std::chrono::seconds(10);
     Duration connectTimeout = std::chrono::milliseconds(500);
     /// Time without a request after which a caller's connection is closed.
     Duration callerIdleTimeout = std::chrono::seconds(60);
--- a/packages/operator/src/settings.cpp
+++ b/packages/operator/src/settings.cpp
@@ -240,9 +240,10 @@
                 sink.add({}, "the key " + Detail::quotedText(key) + " or the flag --" + std::string(key), "neither of them");
             }
         }
-        if (m_result.settings.timeouts.shutdownGrace < m_result.settings.timeouts.maxDeadline) {
-            refuseShutdownGrace(sink);
-        }
+        const auto &timeouts = m_result.settings.timeouts;
+        checkOrder(sink, {"default_deadline_ms", timeouts.defaultDeadline}, {"max_deadline_ms", timeouts.maxDeadline});
+        checkOrder(sink, {"max_deadline_ms", timeouts.maxDeadline}, {"shutdown_grace_ms", timeouts.shutdownGrace});
+        checkOrder(sink, {"log_read_wait_ms", timeouts.logReadWait}, {"progress_timeout_ms", timeouts.progressTimeout});
         take(sink);
         return std::move(m_result);
     }
@@ -254,14 +255,21 @@
         m_result.faults.insert(m_result.faults.end(), faults.begin(), faults.end());
     }
 
-    auto refuseShutdownGrace(FaultSink &sink) const -> void
+    struct NamedTime
+    {
+        std::string_view key;
+        Duration time;
+    };
+
+    static auto checkOrder(FaultSink &sink, NamedTime shorter, NamedTime longer) -> void
     {
-        const auto &timeouts = m_result.settings.timeouts;
         const auto milliseconds = [](Duration d) {
             return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count()) + " ms";
         };
-        sink.add({}, "shutdown_grace_ms of at least max_deadline_ms, " + milliseconds(timeouts.maxDeadline),
-                 milliseconds(timeouts.shutdownGrace));
+        if (shorter.time > longer.time) {
+            sink.add({}, std::string(shorter.key) + " of at most " + std::string(longer.key) + ", " + milliseconds(longer.time),
+                     milliseconds(shorter.time));
+        }
     }
 
     auto readChunk(const Detail::TomlValue &value, std::uint32_t firstLine, FaultSink &sink) -> void
--- a/packages/operator/src/table_reader.cpp
+++ b/packages/operator/src/table_reader.cpp
@@ -131,7 +131,8 @@
     }
     auto place = placeOfValue(value, m_firstLine);
     const auto at = value.location().line_str().find(key);
-    if (at != std::string::npos && at < place.column) {
+    // The place of a value is behind its key, that of a table is the bracket before its name.
+    if (at != std::string::npos && (at < place.column || value.is_table())) {
         place.column = static_cast<std::uint32_t>(at + 1);
     }
     return place;
