--- a/packages/caller/src/job_json.cpp
+++ b/packages/caller/src/job_json.cpp
@@ -227,7 +227,7 @@
     const auto &spec = document.job.spec;
     nlohmann::ordered_json out;
     out["id"] = document.job.id.str();
-    out["phase"] = jobPhaseName(document.phase);
+    out["state"] = jobPhaseName(document.phase);
     if (document.outcome) {
         out["outcome"] = jobOutcomeName(*document.outcome);
         out["reason"] = jobReasonName(document.reason);
--- a/packages/operator/src/command_jobs.cpp
+++ b/packages/operator/src/command_jobs.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <array>
+#include <string_view>
 #include <utility>
 
 namespace Acaciarail::Operator::Detail {
@@ -17,18 +19,23 @@
 {
     const auto &shape = job.shape;
     Json body{{"name", job.name},
-              {"team", job.team.str()},
-              {"kind", job.kind},
-              {"tasks", shape.tasks},
-              {"accelerators", shape.perTask.accelerators},
-              {"cores", shape.perTask.cores},
-              {"memory_mib", shape.perTask.memoryMiB},
-              {"adjacency", adjacencyName(shape.adjacency)},
+              {"shape",
+               {{"tasks", shape.tasks},
+                {"accelerators", shape.perTask.accelerators},
+                {"cores", shape.perTask.cores},
+                {"memory_mib", shape.perTask.memoryMiB},
+                {"adjacency", adjacencyName(shape.adjacency)}}},
               {"priority", priorityName(job.priority)},
-              {"run_time_s", std::chrono::duration_cast<std::chrono::seconds>(job.declaredRunTime).count()},
+              {"run_time_ms", std::chrono::duration_cast<std::chrono::milliseconds>(job.declaredRunTime).count()},
               {"idempotent", job.idempotent},
-              {"checkpointable", job.checkpointable},
-              {"zone", job.zone.str()}};
+              {"checkpointable", job.checkpointable}};
+    const std::array<std::pair<const char *, std::string_view>, 3> optional{
+        {{"team", job.team.str()}, {"kind", job.kind}, {"zone", job.zone.str()}}};
+    for (const auto &[key, value] : optional) {
+        if (!value.empty()) {
+            body[key] = value;
+        }
+    }
     if (job.startWithin) {
         body["start_within_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(*job.startWithin).count();
     }
--- a/packages/telemetry/include/acaciarail/telemetry/trace_buffer.h
+++ b/packages/telemetry/include/acaciarail/telemetry/trace_buffer.h
@@ -36,7 +36,7 @@
     std::vector<Span> m_spans;
 };
 
-/// Renders spans as JSON: `{"trace":ID,"spans":[{"id","parent","name","start_us","duration_us","status","error","attributes"}]}`.
+/// Renders spans as JSON: `{"trace":ID,"spans":[{"span_id","parent_id","name","start_us","duration_us","status","error","attributes"}]}`.
 /// Times are microseconds after the earliest start. Text that is not UTF-8 is replaced. \pre none. Thread-safe.
 [[nodiscard]] auto renderTrace(TraceId trace, const std::vector<Span> &spans) -> std::string;
 
--- a/packages/telemetry/src/trace_buffer.cpp
+++ b/packages/telemetry/src/trace_buffer.cpp
@@ -24,9 +24,9 @@
 auto toJson(const Span &span, TimePoint origin) -> nlohmann::ordered_json
 {
     nlohmann::ordered_json out;
-    out["id"] = span.id.str();
+    out["span_id"] = span.id.str();
     if (span.parent.valid()) {
-        out["parent"] = span.parent.str();
+        out["parent_id"] = span.parent.str();
     }
     out["name"] = span.name;
     out["start_us"] = (span.start - origin).count();
