--- a/packages/scheduling/include/acaciarail/scheduling/fleet.h
+++ b/packages/scheduling/include/acaciarail/scheduling/fleet.h
@@ -46,9 +46,11 @@
     Unpromised,
     /// Both free and unpromised.
     FreeUnpromised,
+    /// Free and outside all promises even when these are in use, so that work here will not be reclaimed.
+    Spare,
 };
 
-inline constexpr std::size_t roomCount = 3;
+inline constexpr std::size_t roomCount = 4;
 
 /// Set of worker numbers with constant-time updates and fast search for the next member.
 class WorkerSet
@@ -71,7 +73,7 @@
 {
 public:
     static constexpr std::size_t acceleratorClasses = 17;
-    static constexpr std::size_t coreClasses = 16;
+    static constexpr std::size_t coreClasses = 64;
 
     /// \pre the worker is not in the index.
     auto insert(WorkerIndex i, const ResourceTotals &room, bool idle) -> void;
@@ -79,15 +81,17 @@
     auto erase(WorkerIndex i, const ResourceTotals &room, bool idle) noexcept -> void;
 
     /// Calls \a visit(worker) in order of increasing room, idle workers after all others, until it returns false.
-    /// Only workers whose class can hold \a need are visited; the caller checks the exact room. \pre none.
+    /// Only workers whose class can hold \a need are visited, with \a coresPerAccelerator more for each free accelerator;
+    /// the caller checks the exact room. \pre none.
     template<typename Visit>
-    auto visit(const Resources &need, const Visit &visit) const -> void
+    auto visit(const Resources &need, std::uint32_t coresPerAccelerator, const Visit &visit) const -> void
     {
-        const auto leastClass = coreClass(need.cores);
         for (std::size_t row = 0; row < m_masks.size(); ++row) {
-            if (row % acceleratorClasses < acceleratorClass(need.accelerators)) {
+            const auto accelerators = row % acceleratorClasses;
+            if (accelerators < acceleratorClass(need.accelerators)) {
                 continue;
             }
+            const auto leastClass = coreClass(need.cores + static_cast<std::int64_t>(accelerators * coresPerAccelerator));
             for (auto mask = m_masks[row] >> leastClass << leastClass; mask != 0; mask &= mask - 1) {
                 const auto &members = m_buckets[row * coreClasses + static_cast<std::size_t>(std::countr_zero(mask))];
                 for (auto it = members.next(0); it; it = members.next(*it + 1)) {
@@ -105,7 +109,7 @@
     [[nodiscard]] static auto acceleratorClass(std::int64_t accelerators) noexcept -> std::size_t;
 
     /// One row for each accelerator class, first of workers in use, then of idle ones; a bit for each core class with members.
-    std::array<std::uint32_t, 2 * acceleratorClasses> m_masks{};
+    std::array<std::uint64_t, 2 * acceleratorClasses> m_masks{};
     std::array<WorkerSet, 2 * acceleratorClasses * coreClasses> m_buckets;
 };
 
@@ -123,6 +127,8 @@
     bool keepsPromises = false;
     ResourceTotals capacity;
     ResourceTotals used;
+    /// Part of \c used that is outside guarantees.
+    ResourceTotals borrowed;
     /// Held for waiting gangs with a reservation.
     ResourceTotals held;
     /// Placed for guarantees, used or not.
@@ -152,8 +158,8 @@
     auto setLeaving(WorkerIndex i, bool leaving) -> void;
     auto setAbsent(WorkerIndex i) -> void;
     auto setBarred(WorkerIndex i, bool barred, bool quarantined) -> void;
-    auto addUsed(WorkerIndex i, const ResourceTotals &amount) -> void;
-    auto removeUsed(WorkerIndex i, const ResourceTotals &amount) -> void;
+    auto addUsed(WorkerIndex i, const ResourceTotals &amount, bool borrowed) -> void;
+    auto removeUsed(WorkerIndex i, const ResourceTotals &amount, bool borrowed) -> void;
     auto addHeld(WorkerIndex i, const ResourceTotals &amount) -> void;
     auto removeHeld(WorkerIndex i, const ResourceTotals &amount) -> void;
     auto addPromised(WorkerIndex i, const ResourceTotals &amount) -> void;
--- a/packages/scheduling/src/fleet.cpp
+++ b/packages/scheduling/src/fleet.cpp
@@ -123,7 +123,15 @@
 
 auto RoomIndex::coreClass(std::int64_t cores) noexcept -> std::size_t
 {
-    return std::min<std::size_t>(std::bit_width(static_cast<std::uint64_t>(cores)), coreClasses - 1);
+    // Small counts have a class each, so that nearly full workers are not visited in vain; larger ones share four for each power of 2.
+    constexpr std::size_t exactClasses = 32;
+    const auto n = static_cast<std::uint64_t>(cores);
+    if (n < exactClasses) {
+        return n;
+    }
+    const auto magnitude = static_cast<std::size_t>(std::bit_width(n)) - 6;
+    const auto quarter = static_cast<std::size_t>(n >> (magnitude + 3U)) - 4;
+    return std::min(exactClasses + 4 * magnitude + quarter, coreClasses - 1);
 }
 
 auto RoomIndex::acceleratorClass(std::int64_t accelerators) noexcept -> std::size_t
@@ -141,7 +149,7 @@
     const auto row = rowOf(room, idle);
     const auto column = coreClass(room.cores);
     m_buckets[row * coreClasses + column].insert(i);
-    m_masks[row] |= 1U << column;
+    m_masks[row] |= std::uint64_t{1} << column;
 }
 
 auto RoomIndex::erase(WorkerIndex i, const ResourceTotals &room, bool idle) noexcept -> void
@@ -151,7 +159,7 @@
     auto &members = m_buckets[row * coreClasses + column];
     members.erase(i);
     if (members.empty()) {
-        m_masks[row] &= ~(1U << column);
+        m_masks[row] &= ~(std::uint64_t{1} << column);
     }
 }
 
@@ -229,14 +237,20 @@
     });
 }
 
-auto Fleet::addUsed(WorkerIndex i, const ResourceTotals &amount) -> void
+auto Fleet::addUsed(WorkerIndex i, const ResourceTotals &amount, bool borrowed) -> void
 {
-    update(i, [&](FleetWorker &it) { it.used += amount; });
+    update(i, [&](FleetWorker &it) {
+        it.used += amount;
+        it.borrowed += borrowed ? amount : ResourceTotals{};
+    });
 }
 
-auto Fleet::removeUsed(WorkerIndex i, const ResourceTotals &amount) -> void
+auto Fleet::removeUsed(WorkerIndex i, const ResourceTotals &amount, bool borrowed) -> void
 {
-    update(i, [&](FleetWorker &it) { it.used -= amount; });
+    update(i, [&](FleetWorker &it) {
+        it.used -= amount;
+        it.borrowed -= borrowed ? amount : ResourceTotals{};
+    });
     ++m_growth;
 }
 
@@ -340,9 +354,11 @@
     it.room[0] = clampedDifference(worker.capacity, occupied);
     it.room[1] = clampedDifference(worker.capacity, worker.promised);
     it.room[2] = least(it.room[0], it.room[1]);
+    it.room[3] = clampedDifference(worker.capacity, sum(sum(worker.promised, worker.borrowed), worker.held));
     it.idle[0] = occupied == ResourceTotals{};
     it.idle[1] = worker.promised == ResourceTotals{};
     it.idle[2] = it.idle[0] && it.idle[1];
+    it.idle[3] = it.idle[2];
     auto &rack = m_racks[worker.rack];
     for (std::size_t k = 0; k < roomCount; ++k) {
         m_indexes[k].insert(i, it.room[k], it.idle[k]);
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -122,25 +122,45 @@
     return {narrow(grown.accelerators), narrow(grown.cores), narrow(grown.memoryMiB)};
 }
 
-auto onOneWorker(const Fleet &fleet, const Shape &shape, Room room, const WorkerFilter &filter) -> std::optional<Placement>
+/// What an accelerator task usually needs besides its accelerator. Work without accelerators leaves this much for each free
+/// accelerator as long as there is another place, because an accelerator without cores or memory is stranded.
+constexpr std::uint32_t coresPerAccelerator = 4;
+constexpr std::uint32_t memoryMiBPerAccelerator = 8192;
+
+auto onOneWorker(const Fleet &fleet, const Resources &need, std::uint32_t tasks, Room room, const WorkerFilter &filter, bool keepsReserve)
+    -> std::optional<Placement>
 {
-    const auto need = shape.tasks == 1 ? shape.perTask : wholeGang(shape);
     std::optional<Placement> found;
-    fleet.index(room).visit(need, [&](WorkerIndex i) {
-        if (tasksThatFit(fleet.room(i, room), need, 1) == 0 || (filter && !filter(i))) {
+    fleet.index(room).visit(need, keepsReserve ? coresPerAccelerator : 0, [&](WorkerIndex i) {
+        auto rest = fleet.room(i, room);
+        if (keepsReserve) {
+            rest -= {0, coresPerAccelerator * rest.accelerators, memoryMiBPerAccelerator * rest.accelerators};
+        }
+        if (tasksThatFit(rest, need, 1) == 0 || (filter && !filter(i))) {
             return true;
         }
-        found = Placement{{i, shape.tasks}};
+        found = Placement{{i, tasks}};
         return false;
     });
     return found;
 }
 
+auto onOneWorker(const Fleet &fleet, const Shape &shape, Room room, const WorkerFilter &filter) -> std::optional<Placement>
+{
+    const auto need = shape.tasks == 1 ? shape.perTask : wholeGang(shape);
+    if (need.accelerators == 0) {
+        if (auto found = onOneWorker(fleet, need, shape.tasks, room, filter, true)) {
+            return found;
+        }
+    }
+    return onOneWorker(fleet, need, shape.tasks, room, filter, false);
+}
+
 auto onAnyWorkers(const Fleet &fleet, const Shape &shape, Room room, const WorkerFilter &filter) -> std::optional<Placement>
 {
     Placement placement;
     auto rest = shape.tasks;
-    fleet.index(room).visit(shape.perTask, [&](WorkerIndex i) {
+    fleet.index(room).visit(shape.perTask, 0, [&](WorkerIndex i) {
         const auto n = tasksThatFit(fleet.room(i, room), shape.perTask, rest);
         if (n > 0 && (!filter || filter(i))) {
             placement.push_back({i, n});
@@ -199,11 +219,20 @@
 
 auto fitsEmptyFleet(const Fleet &fleet, const Shape &shape) -> bool
 {
-    const auto room = [&fleet](WorkerIndex i) {
-        const auto &capacity = fleet.worker(i).info.capacity;
-        return times(capacity, 1);
-    };
-    return findPlacementIn(fleet, shape, room).has_value();
+    const auto room = [&fleet](WorkerIndex i) { return times(fleet.worker(i).info.capacity, 1); };
+    if (shape.tasks > 1 && (shape.adjacency == Adjacency::Rack || shape.adjacency == Adjacency::NeighbouringRacks)) {
+        return findPlacementIn(fleet, shape, room).has_value();
+    }
+    const auto isOnOneWorker = shape.tasks == 1 || shape.adjacency == Adjacency::Worker;
+    std::uint64_t sum = 0;
+    for (WorkerIndex i = 0; i < fleet.workers().size(); ++i) {
+        const auto n = tasksThatFit(room(i), shape.perTask, shape.tasks);
+        sum = isOnOneWorker ? n : sum + n;
+        if (sum >= shape.tasks) {
+            return true;
+        }
+    }
+    return false;
 }
 
 auto isAdjacent(const Fleet &fleet, const Placement &placement, Adjacency adjacency) -> bool
--- a/packages/scheduling/src/zone_attempts.cpp
+++ b/packages/scheduling/src/zone_attempts.cpp
@@ -109,13 +109,13 @@
 auto ZoneState::afterFailure(JobIndex j, const AttemptEnd &end, TimePoint now) -> void
 {
     auto &job = m_jobs[j];
-    std::optional<WorkerIndex> culprit = end.worker.empty() ? std::nullopt : m_fleet.find(end.worker);
-    if (!culprit && end.kind == AttemptEndKind::Failed && job.attempt.members.size() == 1) {
+    auto culprit = m_fleet.find(end.worker).value_or(noIndex);
+    if (culprit == noIndex && end.kind == AttemptEndKind::Failed && job.attempt.members.size() == 1) {
         culprit = job.attempt.members.front().worker;
     }
     job.attempt.members.clear();
-    if (culprit) {
-        blameWorker(j, *culprit, now);
+    if (culprit != noIndex) {
+        blameWorker(j, culprit, now);
     }
     if (!job.idempotent) {
         const auto failed = end.kind == AttemptEndKind::Failed;
--- a/packages/scheduling/src/zone_capacity.cpp
+++ b/packages/scheduling/src/zone_capacity.cpp
@@ -95,10 +95,10 @@
         const auto amount = amountOn(job, it);
         auto &load = m_loads[it.worker];
         if (sign > 0) {
-            m_fleet.addUsed(it.worker, amount);
+            m_fleet.addUsed(it.worker, amount, isBorrowed(job));
             load.jobs.push_back(j);
         } else {
-            m_fleet.removeUsed(it.worker, amount);
+            m_fleet.removeUsed(it.worker, amount, isBorrowed(job));
             load.jobs.erase(std::find(load.jobs.begin(), load.jobs.end(), j));
         }
         load.unprovenJobs += static_cast<std::uint32_t>(attempt.proven ? 0 : sign);
@@ -409,7 +409,7 @@
 {
     const auto &job = m_jobs[j];
     const auto filter = filterFor(job);
-    auto places = findPlacement(m_fleet, job.shape, Room::FreeUnpromised, filter);
+    auto places = findPlacement(m_fleet, job.shape, Room::Spare, filter);
     if (!places) {
         places = findPlacement(m_fleet, job.shape, Room::Free, filter);
     }
--- a/packages/scheduling/src/zone_guarantees.cpp
+++ b/packages/scheduling/src/zone_guarantees.cpp
@@ -14,9 +14,12 @@
     return shape.tasks == 1 || shape.adjacency == Adjacency::Worker;
 }
 
-/// Tasks of the job that one place of the slot holds.
+/// Tasks of the job that one place of the slot holds. Work without accelerators does not use up guaranteed accelerators.
 auto tasksPerPlace(const Shape &job, const Shape &slot) noexcept -> std::uint32_t
 {
+    if (slot.perTask.accelerators > 0 && job.perTask.accelerators == 0) {
+        return 0;
+    }
     return tasksThatFit(times(slot.perTask, 1), job.perTask, job.tasks);
 }
 
--- a/tests/scheduling/job_driver.h
+++ b/tests/scheduling/job_driver.h
@@ -172,6 +172,19 @@
         const auto it = m_jobs.find(id);
         return it == m_jobs.end() || it->second.starts == 0 ? std::nullopt : std::optional(it->second.firstStart);
     }
+    /// Returns the room of each worker in its own books.
+    [[nodiscard]] auto freeRooms() const -> std::vector<Resources>
+    {
+        std::vector<Resources> rooms;
+        for (const auto &[name, capacity] : m_capacity) {
+            const auto it = m_used.find(name);
+            const auto used = it == m_used.end() ? Resources{} : it->second;
+            rooms.push_back({capacity.accelerators - used.accelerators, capacity.cores - used.cores, capacity.memoryMiB - used.memoryMiB});
+        }
+        return rooms;
+    }
+    /// Accelerators of all attempts that were stopped or checkpointed by command.
+    double stoppedAccelerators = 0;
     /// Stops sent by reason.
     std::map<StopReason, std::uint32_t> stops;
     std::uint32_t checkpoints = 0;
@@ -261,12 +274,14 @@
     auto apply(const CheckpointGang &command) -> void
     {
         ++checkpoints;
+        stoppedAccelerators += static_cast<double>(m_jobs[command.job].job.spec.shape.accelerators());
         at(m_times.checkpoint, [this, command] { endAttempt(command.job, command.attempt, {AttemptEndKind::Stopped, {}, true}); });
     }
 
     auto apply(const StopGang &command) -> void
     {
         ++stops[command.reason];
+        stoppedAccelerators += static_cast<double>(m_jobs[command.job].job.spec.shape.accelerators());
         at(m_times.stop, [this, command] { endAttempt(command.job, command.attempt, {AttemptEndKind::Stopped, {}, false}); });
     }
 
