Resolve the findings of the linter in the new sources

The remaining findings (modernize-use-nullptr at defaulted operator<=> in core and in the worker messages) are false positives in headers that existed before.

--- a/packages/peer/src/peer_links.cpp
+++ b/packages/peer/src/peer_links.cpp
@@ -200,9 +200,9 @@
         if (!acknowledgeTimer.pending()) {
             acknowledgeTimer.start(settings.acknowledgeAfter);
         }
-        // The hook may remove the peer, so copies are passed.
+        // The hook may remove the peer together with its name, so a copy is passed.
         const auto current = hooks;
-        const auto from = peer;
+        const InstanceName from(peer.str());
         if (current->received) {
             current->received(from, message);
         }
--- a/packages/worker/include/acaciarail/worker/worker_links.h
+++ b/packages/worker/include/acaciarail/worker/worker_links.h
@@ -34,7 +34,7 @@
 {
 public:
     /// \pre \a loop outlives the links. \a seed determines the jitter.
-    WorkerLinks(Runtime::EventLoop &loop, WorkerLinksSettings settings, WorkerLinksHooks hooks, std::uint64_t seed);
+    WorkerLinks(Runtime::EventLoop &loop, const WorkerLinksSettings &settings, WorkerLinksHooks hooks, std::uint64_t seed);
     ~WorkerLinks();
     WorkerLinks(const WorkerLinks &) = delete;
     auto operator=(const WorkerLinks &) -> WorkerLinks & = delete;
--- a/packages/worker/src/worker_links.cpp
+++ b/packages/worker/src/worker_links.cpp
@@ -36,9 +36,9 @@
 
 struct WorkerLinks::State
 {
-    State(Runtime::EventLoop &l, WorkerLinksSettings s, WorkerLinksHooks h, std::uint64_t seed)
+    State(Runtime::EventLoop &l, const WorkerLinksSettings &s, WorkerLinksHooks h, std::uint64_t seed)
         : loop(l)
-        , settings(std::move(s))
+        , settings(s)
         , hooks(std::make_shared<const WorkerLinksHooks>(std::move(h)))
         , random(seed)
     {
@@ -115,8 +115,8 @@
     std::map<WorkerName, std::unique_ptr<Runtime::ReconnectingConnection>> links;
 };
 
-WorkerLinks::WorkerLinks(Runtime::EventLoop &loop, WorkerLinksSettings settings, WorkerLinksHooks hooks, std::uint64_t seed)
-    : m_state(std::make_shared<State>(loop, std::move(settings), std::move(hooks), seed))
+WorkerLinks::WorkerLinks(Runtime::EventLoop &loop, const WorkerLinksSettings &settings, WorkerLinksHooks hooks, std::uint64_t seed)
+    : m_state(std::make_shared<State>(loop, settings, std::move(hooks), seed))
 {
 }
 
--- a/tests/runtime/event_loop_test.cpp
+++ b/tests/runtime/event_loop_test.cpp
@@ -27,6 +27,7 @@
     std::vector<std::vector<int>> seen(threads);
     int total = 0;
     std::vector<std::thread> posters;
+    posters.reserve(threads);
     for (int t = 0; t < threads; ++t) {
         posters.emplace_back([&loop, &seen, &total, t] {
             for (int i = 0; i < perThread; ++i) {
--- a/tests/runtime/raw_socket.h
+++ b/tests/runtime/raw_socket.h
@@ -43,7 +43,7 @@
     {
         auto address = loopback(0);
         socklen_t length = sizeof address;
-        ::bind(m_fd, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        static_cast<void>(::bind(m_fd, reinterpret_cast<const sockaddr *>(&address), sizeof address));
         ::listen(m_fd, backlog);
         ::getsockname(m_fd, reinterpret_cast<sockaddr *>(&address), &length);
         return ntohs(address.sin_port);
--- a/tests/standins/platform_model.cpp
+++ b/tests/standins/platform_model.cpp
@@ -105,6 +105,7 @@
         }
     }
     std::vector<ListedInstance> out;
+    out.reserve(visible.size());
     for (auto &[name, it] : visible) {
         out.push_back(std::move(it));
     }
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -89,7 +89,7 @@
 class Registration
 {
 public:
-    Registration(Runtime::EventLoop &loop, const Runtime::SocketAddress &platform, std::vector<ListedInstance> workers)
+    Registration(Runtime::EventLoop &loop, const Runtime::SocketAddress &platform, const std::vector<ListedInstance> &workers)
         : m_body(R"({"add":)" + instancesToJson(workers) + "}")
         , m_client(loop, {platform, ZoneName(), registrationTimeout})
         , m_retry(loop, [this] { start(); })
@@ -140,7 +140,7 @@
             std::cerr << "--platform: expected HOST:PORT, found " << FLAGS_platform << '\n';
             return 2;
         }
-        registration = std::make_unique<Registration>(loop, *platform, std::move(registered));
+        registration = std::make_unique<Registration>(loop, *platform, registered);
     }
     const Runtime::SignalWatcher terminated(loop, SIGTERM, [&loop] { loop.stop(); });
     const Runtime::SignalWatcher interrupted(loop, SIGINT, [&loop] { loop.stop(); });
