Share one connection between two peers, bound requests in progress, and test reconnect storms

Cause: each pair of peers opened two connections; a silent platform could use up descriptors; unacknowledged writes lived for minutes. Change: an accepted connection serves the other direction; at most 256 HTTP requests in progress; TCP_USER_TIMEOUT of 20 s.

--- a/packages/peer/include/acaciarail/peer/peer_links.h
+++ b/packages/peer/include/acaciarail/peer/peer_links.h
@@ -21,7 +21,8 @@
     /// An accepted connection that has not announced its name by then is closed.
     Duration helloTimeout = 2s;
     /// Received messages are acknowledged with an empty frame after this time, so that a sender notices a silent connection.
-    Duration acknowledgeAfter = 500ms;
+    /// Longer than the interval of the heartbeats, so that they serve as acknowledgements when both sides send them.
+    Duration acknowledgeAfter = 1s;
     /// Bounds of the delay before a connection is attempted again; see Worker::WorkerLinksSettings.
     Duration minBackoff = 100ms;
     Duration maxBackoff = 5s;
@@ -62,9 +63,9 @@
     auto removePeer(const InstanceName &peer) -> void;
 
     /// Sends \a message over the outgoing connection, or over an accepted one from that peer while the outgoing one is not established;
-    /// connects when there is neither. Errors: Error::NoEndpoint when the peer is not known and not connected, Error::ConnectionLost
-    /// while the link waits to reconnect, Error::TooLarge, Error::Overloaded. On an error nothing was sent; without an error the message
-    /// may still be lost with the connection. \pre none.
+    /// connects when there is neither, so that two instances normally share one connection. Errors: Error::NoEndpoint when the peer is not
+    /// known and not connected, Error::ConnectionLost while the link waits to reconnect, Error::TooLarge, Error::Overloaded. On an error
+    /// nothing was sent; without an error the message may still be lost with the connection. \pre none.
     [[nodiscard]] auto send(const InstanceName &peer, const Message &message) -> std::error_code;
 
     /// Returns whether a connection with \a peer is established, in either direction. \pre none.
--- a/packages/peer/src/peer_links.cpp
+++ b/packages/peer/src/peer_links.cpp
@@ -349,9 +349,6 @@
     auto *out = m_state->findOutgoing(peer);
     auto *in = m_state->findAccepted(peer);
     if (in != nullptr && (out == nullptr || !out->greeted)) {
-        if (out != nullptr) {
-            out->link->connect();
-        }
         return sendAcknowledged(*in->connection, in->acknowledgeTimer, content);
     }
     if (out == nullptr) {
--- a/packages/platform/src/http_client.cpp
+++ b/packages/platform/src/http_client.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr std::size_t maxIdleConnections = 4;
+/// Further requests are refused, so that a silent platform cannot use up the descriptors of the process.
+constexpr std::size_t maxBusyConnections = 256;
 constexpr std::size_t maxHeaderBytes = 16384;
 /// evhttp's own timeout in seconds; the timer of each request, which has a finer resolution, ends it earlier.
 constexpr int fallbackTimeoutSeconds = 3600;
@@ -133,6 +135,14 @@
 
 auto HttpClient::start(HttpRequest request, std::function<void(HttpResult)> done) -> void
 {
+    if (m_state->busy.size() >= maxBusyConnections) {
+        m_state->loop.post([weak = std::weak_ptr<State>(m_state), hook = std::move(done)] {
+            if (!weak.expired()) {
+                hook({Error::Overloaded, false, 0, {}});
+            }
+        });
+        return;
+    }
     const auto connection = m_state->acquire();
     m_state->busy.emplace(connection.get(), connection);
     connection->maybeSent = false;
--- a/packages/platform/src/http_client.h
+++ b/packages/platform/src/http_client.h
@@ -23,7 +23,8 @@
 
 struct HttpResult
 {
-    /// Empty once a complete answer arrived; otherwise Error::Timeout, Error::ConnectionLost or Error::TooLarge.
+    /// Empty once a complete answer arrived; otherwise Error::Timeout, Error::ConnectionLost, Error::TooLarge,
+    /// or Error::Overloaded when too many requests are in progress.
     std::error_code error;
     /// False when it is certain that the server never received any part of the request.
     bool maybeSent = false;
--- a/packages/runtime/src/frame_connection.cpp
+++ b/packages/runtime/src/frame_connection.cpp
@@ -29,6 +29,9 @@
 constexpr int keepaliveIntervalSeconds = 5;
 constexpr int keepaliveProbes = 3;
 
+/// Written bytes that stay unacknowledged for this long end the connection; the kernel's own limit is about 15 minutes.
+constexpr int unacknowledgedMilliseconds = 20'000;
+
 auto setOption(int fd, int level, int option, int value) -> void
 {
     ::setsockopt(fd, level, option, &value, sizeof value);
@@ -41,6 +44,7 @@
     setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepaliveIdleSeconds);
     setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepaliveIntervalSeconds);
     setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, keepaliveProbes);
+    setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
 }
 
 auto encodeLength(std::size_t n) -> std::array<unsigned char, frameHeaderBytes>
--- a/tests/peer/peer_links_test.cpp
+++ b/tests/peer/peer_links_test.cpp
@@ -177,6 +177,47 @@
     }));
 }
 
+// Guards against bytes of any kind that crash the listener, are taken as a message, or keep a connection.
+BOOST_AUTO_TEST_CASE(anyBytesAreSafe)
+{
+    PeerFixture f;
+    BOOST_TEST(rc::check("any bytes", [&f] {
+        RawSocket socket;
+        RC_ASSERT(socket.connect(f.b.links.address().port));
+        if (*rc::gen::arbitrary<bool>()) {
+            socket.write(frame(hello("x")));
+        }
+        // Short lengths make complete frames likely.
+        for (const auto &it : *rc::gen::container<std::vector<std::string>>(rc::gen::arbitrary<std::string>())) {
+            socket.write(frame(it));
+        }
+        socket.write(*rc::gen::arbitrary<std::string>());
+        const auto before = f.b.received.size();
+        f.runUntil([&f] { return f.b.links.acceptedCount() == 1; });
+        socket.close();
+        RC_ASSERT(f.runUntil([&f] { return f.b.links.acceptedCount() == 0; }));
+        RC_ASSERT(f.b.received.size() == before);
+    }));
+}
+
+// Guards against two connections between two instances where one is enough.
+BOOST_AUTO_TEST_CASE(acceptedConnectionIsUsedForTheOtherDirection)
+{
+    PeerFixture f;
+    BOOST_REQUIRE(!f.b.links.setPeer(f.nameA, f.a.links.address().str()));
+    BOOST_TEST(!f.a.links.send(f.nameB, Heartbeat{}));
+    BOOST_REQUIRE(f.runUntil([&f] { return f.b.received.size() == 1; }));
+    BOOST_TEST(!f.b.links.send(f.nameA, Heartbeat{}));
+    BOOST_REQUIRE(f.runUntil([&f] { return f.a.received.size() == 1; }));
+    BOOST_TEST(f.a.links.acceptedCount() == 0U);
+    // Once that connection is gone, the other side opens its own.
+    f.a.links.removePeer(f.nameB);
+    BOOST_REQUIRE(f.runUntil([&f] { return f.b.links.acceptedCount() == 0; }));
+    BOOST_TEST(!f.b.links.send(f.nameA, Heartbeat{}));
+    BOOST_REQUIRE(f.runUntil([&f] { return f.a.received.size() == 2; }));
+    BOOST_TEST(f.a.links.acceptedCount() == 1U);
+}
+
 // Guards against messages for a replaced instance that reach another one at the same address.
 BOOST_AUTO_TEST_CASE(otherInstanceAtTheAddressIsRefused)
 {
--- /dev/null
+++ b/tests/runtime/reconnecting_connection_test.cpp
@@ -0,0 +1,80 @@
+#include "raw_socket.h"
+
+#include <acaciarail/core.h>
+#include <acaciarail/runtime.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace Acaciarail;
+using namespace Acaciarail::Runtime;
+using namespace Acaciarail::Tests;
+
+// Guards against a flood of attempts at a server that accepts connections and closes them at once.
+BOOST_AUTO_TEST_CASE(acceptedConnectionsDoNotResetTheBackoff)
+{
+    EventLoop loop;
+    int accepted = 0;
+    FrameServer server(loop, {}, [&accepted](const std::unique_ptr<FrameConnection> &) { ++accepted; });
+    BOOST_REQUIRE(!server.listen());
+    ReconnectingConnection connection(loop, server.address(), {{}, 1ms, 1h}, {}, 1);
+    connection.connect();
+    BOOST_REQUIRE(loop.runUntil([&accepted] { return accepted >= 3; }, patience));
+    bool passed = false;
+    Timer end(loop, [&passed] { passed = true; });
+    end.start(200ms);
+    BOOST_REQUIRE(loop.runUntil([&passed] { return passed; }, patience));
+    // With doubling delays, this many attempts would take more than an hour; with a constant delay they take 25 ms.
+    BOOST_TEST(accepted < 25);
+    BOOST_TEST((connection.send("x") == make_error_code(Error::ConnectionLost)));
+}
+
+// Guards against a server whose replies leave the delay at its longest, and against a greeting that is not the first frame.
+BOOST_AUTO_TEST_CASE(repliesResetTheBackoffAndGreetingComesFirst)
+{
+    EventLoop loop;
+    std::vector<std::string> frames;
+    std::unique_ptr<FrameConnection> accepted;
+    int closes = 0;
+    FrameServer server(loop, {}, [&](std::unique_ptr<FrameConnection> c) {
+        accepted = std::move(c);
+        FrameHooks hooks;
+        hooks.received = [&](std::string_view content) {
+            frames.emplace_back(content);
+            static_cast<void>(accepted->send("reply"));
+        };
+        accepted->setHooks(std::move(hooks));
+    });
+    BOOST_REQUIRE(!server.listen());
+    int replies = 0;
+    ReconnectHooks hooks;
+    hooks.greeting = [] { return std::string("hello"); };
+    hooks.received = [&](std::string_view) {
+        ++replies;
+        accepted.reset();
+    };
+    hooks.down = [&closes](const CloseInfo &) { ++closes; };
+    // Without a reset, forty doublings of the delay would exceed any patience.
+    ReconnectingConnection connection(loop, server.address(), {{}, 1ms, 1000h}, hooks, 1);
+    BOOST_TEST(!connection.send("message"));
+    BOOST_REQUIRE(loop.runUntil([&] { return replies >= 40 && closes >= 40; }, patience));
+    BOOST_TEST(frames[0] == "hello");
+}
+
+// Guards against a server that accepts the greeting and stays silent.
+BOOST_AUTO_TEST_CASE(unansweredGreetingTimesOut)
+{
+    EventLoop loop;
+    const RawSocket listener;
+    std::vector<std::string> downs;
+    ReconnectHooks hooks;
+    hooks.greeting = [] { return std::string("hello"); };
+    hooks.down = [&downs](const CloseInfo &info) { downs.emplace_back(closeReasonName(info.reason)); };
+    ReconnectingConnection connection(loop, {"127.0.0.1", listener.listen()}, {{.progressTimeout = 20ms}, 100ms, 5s}, hooks, 1);
+    connection.connect();
+    BOOST_REQUIRE(loop.runUntil([&downs] { return !downs.empty(); }, patience));
+    BOOST_TEST(downs[0] == "progress-timeout");
+}
--- a/tests/worker/worker_links_test.cpp
+++ b/tests/worker/worker_links_test.cpp
@@ -261,6 +261,24 @@
     BOOST_TEST(replies == 2);
 }
 
+// Guards against links that are lost, doubled or mixed up when many are cut at the same moment.
+BOOST_AUTO_TEST_CASE(manyLinksRecoverTogether)
+{
+    constexpr std::size_t count = 200;
+    WorkerFixture f;
+    for (std::size_t i = 0; i < count; ++i) {
+        const WorkerName name("worker-" + std::to_string(i));
+        BOOST_REQUIRE(!f.links.setWorker(name, f.worker.address().str()));
+        BOOST_REQUIRE(!f.links.connect(name));
+    }
+    for (int round = 1; round <= 3; ++round) {
+        BOOST_REQUIRE(f.runUntil([&] { return f.ups == static_cast<int>(count) * round && f.worker.connectionCount() == count; }));
+        f.worker.dropConnections();
+    }
+    BOOST_REQUIRE(f.runUntil([&] { return f.worker.connectionCount() == count; }));
+    BOOST_TEST(f.worker.acceptedCount() == 4 * count);
+}
+
 // Guards against links that give up while a worker is away, and against more than one connection after it returns.
 BOOST_AUTO_TEST_CASE(linkOutlastsAnAbsentWorker)
 {
