--- a/packages/peer/src/peer_links.cpp
+++ b/packages/peer/src/peer_links.cpp
@@ -200,9 +200,9 @@
         if (!acknowledgeTimer.pending()) {
             acknowledgeTimer.start(settings.acknowledgeAfter);
         }
-        // The hook may remove the peer, so copies are passed.
+        // The hook may remove the peer together with its name, so a copy is passed.
         const auto current = hooks;
-        const auto from = peer;
+        const InstanceName from(peer.str());
         if (current->received) {
             current->received(from, message);
         }
@@ -349,9 +349,6 @@
     auto *out = m_state->findOutgoing(peer);
     auto *in = m_state->findAccepted(peer);
     if (in != nullptr && (out == nullptr || !out->greeted)) {
-        if (out != nullptr) {
-            out->link->connect();
-        }
         return sendAcknowledged(*in->connection, in->acknowledgeTimer, content);
     }
     if (out == nullptr) {
