Close connections of cancelled and timed out attempts at once

A cancelled attempt was reported as not sent while its connection was still being established; the connection was closed one turn of the loop later and could send the request in between. The new tests of the endpoint client show it.

--- a/packages/endpoint/src/pooled_connection.cpp
+++ b/packages/endpoint/src/pooled_connection.cpp
@@ -172,9 +172,19 @@
 
 PooledConnection::~PooledConnection()
 {
+    sever();
+}
+
+auto PooledConnection::sever() -> void
+{
+    m_reusable = false;
+    if (!m_connection) {
+        return;
+    }
     auto *bev = evhttp_connection_get_bufferevent(m_connection.get());
     evbuffer_remove_cb(bufferevent_get_output(bev), &PooledConnection::onOutput, this);
     evbuffer_remove_cb(bufferevent_get_input(bev), &PooledConnection::onInput, this);
+    m_connection.reset();
 }
 
 auto PooledConnection::send(Attempt attempt) -> void
@@ -205,9 +215,9 @@
 auto PooledConnection::abandon() -> bool
 {
     m_attempt.reset();
-    m_reusable = false;
     m_deadline.cancel();
     m_progress.cancel();
+    sever();
     return m_mayHaveBeenSent;
 }
 
@@ -349,6 +359,7 @@
     if (!m_attempt) {
         return;
     }
+    sever();
     auto f = failure(Error::Timeout,
                      "answer of " + m_attempt->address + ": expected one within " + std::to_string(m_attempt->timeout.count())
                          + " us, found none");
@@ -361,6 +372,7 @@
     if (!m_attempt) {
         return;
     }
+    sever();
     if (!m_mayHaveBeenSent) {
         finish(failure(Error::Timeout,
                        "connection to " + m_attempt->address + ": expected it within " + std::to_string(m_settings.connectTimeout.count())
--- a/packages/endpoint/src/pooled_connection.h
+++ b/packages/endpoint/src/pooled_connection.h
@@ -85,6 +85,9 @@
     auto readResponse(evhttp_request &request) -> std::variant<AttemptResponse, AttemptFailure>;
     auto describeError() -> AttemptFailure;
     auto failure(Error error, std::string detail) const -> AttemptFailure;
+    /// Closes the connection at once, so that it cannot be established and used after the attempt was reported as not sent.
+    /// \pre not called from a callback of evhttp.
+    auto sever() -> void;
     auto onDeadline() -> void;
     auto onNoProgress() -> void;
     auto progressed() -> void;
--- /dev/null
+++ b/tests/endpoint/endpoint_client_test.cpp
@@ -0,0 +1,556 @@
+#include "fake_endpoint.h"
+#include "test_client.h"
+
+#include <acaciarail/endpoint/endpoint_client.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <ostream>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace Acaciarail;
+using namespace Acaciarail::Endpoint;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+auto makeAttempt(RequestId id, const std::string &address, const std::string &target = "/work") -> Attempt
+{
+    Attempt attempt;
+    attempt.id = {id, 1};
+    attempt.address = address;
+    attempt.method = "GET";
+    attempt.target = target;
+    // Reached only by tests of the timeout, which set a shorter one.
+    attempt.timeout = 50s;
+    return attempt;
+}
+
+auto answer(const std::string &body) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+// Guards against a request that reaches the endpoint altered, with headers of the caller's own connection or without its trace.
+BOOST_AUTO_TEST_CASE(attemptIsSentAsGiven)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    auto attempt = makeAttempt(1, endpoint.address(), "/a%20b?c=%zz&d");
+    attempt.method = "DELETE";
+    attempt.headers = {{"X-One", "1"},           {"Host", "other"},    {"Connection", "close"},
+                       {"Content-Length", "99"}, {"traceparent", "x"}, {"Transfer-Encoding", "no"}};
+    attempt.body = "body";
+    attempt.traceparent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    test.client->send(std::move(attempt));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1 && endpoint.connections[0]->received.ends_with("body"); }));
+    const auto &received = endpoint.connections[0]->received;
+    BOOST_TEST(received.starts_with("DELETE /a%20b?c=%zz&d HTTP/1.1\r\n"));
+    BOOST_TEST(received.find("X-One: 1\r\n") != std::string::npos);
+    BOOST_TEST(received.find("Host: " + endpoint.address() + "\r\n") != std::string::npos);
+    BOOST_TEST(received.find("Content-Length: 4\r\n") != std::string::npos);
+    BOOST_TEST(received.find("traceparent: 00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01\r\n") != std::string::npos);
+    for (const auto *absent : {"other", "close", "99", "traceparent: x", "Transfer-Encoding"}) {
+        BOOST_TEST(received.find(absent) == std::string::npos, "found " << absent);
+    }
+    endpoint.connections[0]->send("HTTP/1.1 503 Busy\r\nContent-Length: 2\r\nAcaciarail-Execution: not-run\r\nacaciarail-leaving: "
+                                  "TRUE\r\nX: y\r\n\r\nno");
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    const auto *response = test.response(0);
+    BOOST_TEST_REQUIRE(response);
+    BOOST_TEST(response->status == 503);
+    BOOST_TEST(response->body == "no");
+    BOOST_TEST(response->header("x") == "y");
+    BOOST_TEST(response->notRun);
+    BOOST_TEST(response->leaving);
+}
+
+struct NotRunCase
+{
+    std::string name;
+    std::string answer;
+    bool notRun;
+
+    friend auto operator<<(std::ostream &out, const NotRunCase &c) -> std::ostream &
+    {
+        return out << c.name;
+    }
+};
+
+const NotRunCase notRunCases[] = {
+    {"503 with statement", "HTTP/1.1 503 No\r\nAcaciarail-Execution: not-run\r\nContent-Length: 0\r\n\r\n", true},
+    {"503 without statement", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false},
+    {"500 with statement", "HTTP/1.1 500 No\r\nAcaciarail-Execution: not-run\r\nContent-Length: 0\r\n\r\n", false},
+    {"503 with another statement", "HTTP/1.1 503 No\r\nAcaciarail-Execution: unknown\r\nContent-Length: 0\r\n\r\n", false},
+};
+
+// Guards against a request that ran and is sent again because an answer is taken for a statement that it did not run.
+BOOST_DATA_TEST_CASE(onlyStatedRefusalsCountAsNotRun, data::make(notRunCases), c)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    test.client->send(makeAttempt(1, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1; }));
+    endpoint.connections[0]->send(c.answer);
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    BOOST_TEST_REQUIRE(test.response(0));
+    BOOST_TEST(test.response(0)->notRun == c.notRun);
+}
+
+struct BadAnswerCase
+{
+    std::string name;
+    std::string bytes;
+    Error error;
+
+    friend auto operator<<(std::ostream &out, const BadAnswerCase &c) -> std::ostream &
+    {
+        return out << c.name;
+    }
+};
+
+const BadAnswerCase badAnswerCases[] = {
+    {"closed", "", Error::ConnectionLost},
+    {"part of the head", "HTTP/1.1 200 OK\r\nContent-Le", Error::ConnectionLost},
+    {"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345", Error::ConnectionLost},
+    {"truncated chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12", Error::ConnectionLost},
+    {"missing last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n12\r\n", Error::ConnectionLost},
+    {"no length", "HTTP/1.1 200 OK\r\n\r\n12345", Error::EndpointFailed},
+    {"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n12", Error::EndpointFailed},
+    {"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", Error::EndpointFailed},
+    {"interim status", "HTTP/1.1 103 Early\r\n\r\n", Error::EndpointFailed},
+    {"body too large", "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n", Error::TooLarge},
+    {"chunks too large", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + std::string(2000, 'x') + "\r\n0\r\n\r\n",
+     Error::TooLarge},
+};
+
+// Guards against an incomplete or ambiguous answer that passes for a complete one, and against the claim that such a request did not run.
+BOOST_DATA_TEST_CASE(badAnswersAreFailures, data::make(badAnswerCases), c)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    EndpointClientSettings settings;
+    settings.maxResponseBody = 1000;
+    TestClient test(loop, settings);
+    test.client->send(makeAttempt(1, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1; }));
+    endpoint.connections[0]->sendAndClose(c.bytes);
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    const auto *failure = test.failure(0);
+    BOOST_TEST_REQUIRE(failure);
+    BOOST_TEST(errorName(failure->failure.error) == errorName(c.error));
+    BOOST_TEST(failure->mayHaveBeenSent);
+    BOOST_TEST((failure->failure.execution == Execution::Unknown));
+    BOOST_TEST(loop.runUntil([&] { return test.client->connections(endpoint.address()) == 0; }));
+}
+
+// Guards against malformed heads that crash the client or leave the attempt open.
+BOOST_DATA_TEST_CASE(malformedHeadsAreFailures,
+                     data::make({"nonsense\r\n\r\n", "HTTP/1.1 abc OK\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n\r\n", "\r\n\r\n"}), bytes)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    test.client->send(makeAttempt(1, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1; }));
+    endpoint.connections[0]->sendAndClose(bytes);
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    BOOST_TEST_REQUIRE(test.failure(0));
+    BOOST_TEST(test.failure(0)->mayHaveBeenSent);
+}
+
+// Guards against a request that never left and is reported as possibly run, so that it cannot be sent elsewhere.
+BOOST_AUTO_TEST_CASE(refusedConnectionMeansNotRun)
+{
+    Loop loop;
+    std::string address;
+    {
+        const FakeEndpoint gone(loop);
+        address = gone.address();
+    }
+    TestClient test(loop);
+    test.client->send(makeAttempt(1, address));
+    BOOST_TEST(test.outcomes.empty());
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    BOOST_TEST_REQUIRE(test.failure(0));
+    BOOST_TEST((test.failure(0)->failure.execution == Execution::NotRun));
+    BOOST_TEST((test.failure(0)->failure.error == Error::ConnectionLost));
+    BOOST_TEST(!test.failure(0)->mayHaveBeenSent);
+}
+
+struct FaultyCase
+{
+    std::string name;
+    std::function<void(Attempt &)> change;
+
+    friend auto operator<<(std::ostream &out, const FaultyCase &c) -> std::ostream &
+    {
+        return out << c.name;
+    }
+};
+
+const FaultyCase faultyCases[] = {
+    {"no address", [](Attempt &it) { it.address = ""; }},
+    {"host name", [](Attempt &it) { it.address = "localhost:80"; }},
+    {"no port", [](Attempt &it) { it.address = "127.0.0.1"; }},
+    {"unknown method", [](Attempt &it) { it.method = "BREW"; }},
+    {"space in target", [](Attempt &it) { it.target = "/a HTTP/1.1\r\nX: y\r\n\r\n"; }},
+    {"relative target", [](Attempt &it) { it.target = "a"; }},
+    {"line end in header",
+     [](Attempt &it) {
+         it.headers = {{"A", "b\r\nC: d"}};
+     }},
+    {"line end in header name",
+     [](Attempt &it) {
+         it.headers = {{"A\r\nB", "c"}};
+     }},
+    {"line end in traceparent", [](Attempt &it) { it.traceparent = "a\nb"; }},
+    {"zero timeout", [](Attempt &it) { it.timeout = 0s; }},
+    {"negative timeout", [](Attempt &it) { it.timeout = -1s; }},
+};
+
+// Guards against input that forges a second request on the connection.
+BOOST_DATA_TEST_CASE(faultyAttemptsAreRefusedUnsent, data::make(faultyCases), c)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    auto attempt = makeAttempt(1, endpoint.address());
+    c.change(attempt);
+    test.client->send(std::move(attempt));
+    BOOST_TEST(test.outcomes.empty());
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    BOOST_TEST_REQUIRE(test.failure(0));
+    BOOST_TEST((test.failure(0)->failure.error == Error::MalformedInput));
+    BOOST_TEST((test.failure(0)->failure.execution == Execution::NotRun));
+    BOOST_TEST(endpoint.connections.empty());
+}
+
+// Guards against answers that are mixed up when they come late and in another order.
+BOOST_AUTO_TEST_CASE(answersBelongToTheirRequests)
+{
+    constexpr std::size_t count = 64;
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    std::mt19937 engine(5);
+    for (int round = 0; round < 5; ++round) {
+        test.outcomes.clear();
+        for (std::size_t i = 0; i < count; ++i) {
+            test.client->send(makeAttempt(i, endpoint.address(), "/" + std::to_string(i) + "."));
+        }
+        const auto before = static_cast<std::size_t>(round) * count;
+        BOOST_TEST_REQUIRE(loop.runUntil([&] { return endpoint.requests() == before + count; }));
+        std::vector<std::size_t> order(count);
+        std::generate(order.begin(), order.end(), [n = std::size_t{0}]() mutable { return n++; });
+        std::shuffle(order.begin(), order.end(), engine);
+        for (const auto i : order) {
+            const auto &received = endpoint.connections[i]->received;
+            const auto at = received.rfind("GET ") + 4;
+            endpoint.connections[i]->send(answer(received.substr(at, received.find(' ', at) - at)));
+        }
+        BOOST_TEST_REQUIRE(loop.runUntil([&] { return test.outcomes.size() == count; }));
+        for (std::size_t i = 0; i < count; ++i) {
+            BOOST_TEST_REQUIRE(test.response(i));
+            BOOST_TEST(test.response(i)->body == "/" + std::to_string(test.outcomes[i].id.request) + ".");
+        }
+    }
+    BOOST_TEST(endpoint.connections.size() == count);
+    BOOST_TEST(test.client->connections(endpoint.address()) == count);
+}
+
+// Guards against more connections than the endpoint accepts; the surplus attempt is refused as not run.
+BOOST_AUTO_TEST_CASE(connectionsAreLimited)
+{
+    constexpr std::size_t limit = 64;
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    for (std::size_t i = 0; i <= limit; ++i) {
+        test.client->send(makeAttempt(i, endpoint.address()));
+    }
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == limit && test.outcomes.size() == 1; }));
+    BOOST_TEST(endpoint.connections.size() == limit);
+    BOOST_TEST(test.outcomes[0].id.request == limit);
+    BOOST_TEST_REQUIRE(test.failure(0));
+    BOOST_TEST((test.failure(0)->failure.error == Error::Overloaded));
+    BOOST_TEST(!test.failure(0)->mayHaveBeenSent);
+    endpoint.connections[0]->send(answer("a"));
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 2; }));
+    test.client->send(makeAttempt(100, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == limit + 1; }));
+    BOOST_TEST(endpoint.connections.size() == limit);
+}
+
+struct ReuseCase
+{
+    std::string name;
+    std::string answer;
+    bool reused;
+
+    friend auto operator<<(std::ostream &out, const ReuseCase &c) -> std::ostream &
+    {
+        return out << c.name;
+    }
+};
+
+const ReuseCase reuseCases[] = {
+    {"plain", answer("ok"), true},
+    {"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true},
+    {"no content", "HTTP/1.1 204 No Content\r\n\r\n", true},
+    {"close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", false},
+    {"http 1.0", "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", false},
+    {"surplus bytes", answer("ok") + "x", false},
+    {"second answer", answer("ok") + answer("forged"), false},
+};
+
+// Guards against bytes after an answer that are taken for the answer to the next request.
+BOOST_DATA_TEST_CASE(connectionIsReusedOnlyAfterACleanEnd, data::make(reuseCases), c)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    test.client->send(makeAttempt(1, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1; }));
+    endpoint.connections[0]->send(c.answer);
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    BOOST_TEST_REQUIRE(test.response(0));
+    test.client->send(makeAttempt(2, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 2; }));
+    BOOST_TEST(endpoint.connections.size() == (c.reused ? 1U : 2U));
+    endpoint.connections.back()->send(answer("second"));
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 2; }));
+    BOOST_TEST_REQUIRE(test.response(1));
+    BOOST_TEST(test.response(1)->body == "second");
+}
+
+// Guards against an answer that arrives after its request timed out on an idle connection and is given to the next request.
+BOOST_AUTO_TEST_CASE(unsolicitedBytesCloseAnIdleConnection)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    test.client->send(makeAttempt(1, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1; }));
+    endpoint.connections[0]->send(answer("first"));
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    endpoint.connections[0]->send(answer("forged"));
+    BOOST_TEST(loop.runUntil([&] { return test.client->connections(endpoint.address()) == 0; }));
+    test.client->send(makeAttempt(2, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 2; }));
+    endpoint.connections.back()->send(answer("second"));
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 2; }));
+    BOOST_TEST(test.response(1)->body == "second");
+}
+
+// Guards against a request on a connection that the endpoint closed while it was unused.
+BOOST_AUTO_TEST_CASE(closedIdleConnectionIsNotUsed)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    test.client->send(makeAttempt(1, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1; }));
+    endpoint.connections[0]->send(answer("first"));
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    // Sent before the loop can report the end of the connection.
+    endpoint.connections[0]->close();
+    test.client->send(makeAttempt(2, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 2; }));
+    endpoint.connections.back()->send(answer("second"));
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 2; }));
+    BOOST_TEST_REQUIRE(test.response(1));
+}
+
+struct SilentCase
+{
+    std::string name;
+    std::string part;
+    Duration timeout;
+    Duration progressTimeout;
+    bool silent;
+
+    friend auto operator<<(std::ostream &out, const SilentCase &c) -> std::ostream &
+    {
+        return out << c.name;
+    }
+};
+
+const SilentCase silentCases[] = {
+    {"no byte within the timeout", "", 20ms, 0ms, true},
+    {"a part within the timeout", "HTTP/1.1 200 OK\r\n", 60ms, 0ms, false},
+    {"no byte within the progress timeout", "", 50s, 20ms, true},
+    {"a part, then no progress", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n12", 50s, 40ms, true},
+};
+
+// Guards against connections that went silent and are waited for, or used again.
+BOOST_DATA_TEST_CASE(silentConnectionsAreClosed, data::make(silentCases), c)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    auto attempt = makeAttempt(1, endpoint.address());
+    attempt.timeout = c.timeout;
+    attempt.progressTimeout = c.progressTimeout;
+    test.client->send(std::move(attempt));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1; }));
+    endpoint.connections[0]->send(c.part);
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    BOOST_TEST_REQUIRE(test.failure(0));
+    BOOST_TEST((test.failure(0)->failure.error == Error::Timeout));
+    BOOST_TEST((test.failure(0)->failure.execution == Execution::Unknown));
+    BOOST_TEST(test.failure(0)->mayHaveBeenSent);
+    BOOST_TEST(test.failure(0)->silent == c.silent);
+    BOOST_TEST(loop.runUntil([&] { return endpoint.connections[0]->closed; }));
+    test.client->send(makeAttempt(2, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 2; }));
+    BOOST_TEST(endpoint.connections.size() == 2U);
+    endpoint.connections[1]->send(answer("new"));
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 2; }));
+    BOOST_TEST_REQUIRE(test.response(1));
+    BOOST_TEST(test.response(1)->body == "new");
+}
+
+// Guards against a cancelled attempt whose answer is delivered, or given to the next request on its connection.
+BOOST_AUTO_TEST_CASE(cancelledAttemptGivesNoOutcome)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    test.client->send(makeAttempt(1, endpoint.address(), "/one"));
+    BOOST_TEST(!test.client->cancel({1, 1}));
+    test.client->send(makeAttempt(2, endpoint.address(), "/two"));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1; }));
+    auto &connection = *endpoint.connections.back();
+    BOOST_TEST(connection.received.starts_with("GET /two"));
+    BOOST_TEST(test.client->cancel({2, 1}));
+    BOOST_TEST(!test.client->cancel({2, 1}));
+    connection.send(answer("late"));
+    BOOST_TEST(loop.runUntil([&] { return connection.closed; }));
+    test.client->send(makeAttempt(3, endpoint.address(), "/three"));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 2; }));
+    endpoint.connections.back()->send(answer("three"));
+    BOOST_TEST(loop.runUntil([&] { return !test.outcomes.empty(); }));
+    BOOST_TEST(test.outcomes[0].id.request == 3U);
+    BOOST_TEST(test.response(0)->body == "three");
+    BOOST_TEST(test.outcomes.size() == 1U);
+    BOOST_TEST(test.client->attemptsInProgress() == 0U);
+}
+
+// Guards against an outcome that is delivered after its attempt was cancelled in the same turn of the loop.
+BOOST_AUTO_TEST_CASE(outcomeThatIsReadyCanBeCancelled)
+{
+    Loop loop;
+    TestClient test(loop);
+    test.client->send(makeAttempt(1, "nowhere"));
+    test.client->send(makeAttempt(2, "nowhere"));
+    BOOST_TEST(!test.client->cancel({1, 1}));
+    BOOST_TEST(loop.runUntil([&] { return !test.outcomes.empty(); }));
+    BOOST_TEST(test.outcomes.size() == 1U);
+    BOOST_TEST(test.outcomes[0].id.request == 2U);
+}
+
+// Guards against new requests on connections to an endpoint that is gone.
+BOOST_AUTO_TEST_CASE(forgottenEndpointLosesItsConnections)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    test.client->send(makeAttempt(1, endpoint.address()));
+    test.client->send(makeAttempt(2, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 2; }));
+    endpoint.connections[0]->send(answer("idle"));
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    test.client->forget(endpoint.address());
+    BOOST_TEST(test.client->connections(endpoint.address()) == 1U);
+    endpoint.connections[1]->send(answer("last"));
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 2; }));
+    BOOST_TEST_REQUIRE(test.response(1));
+    BOOST_TEST(test.client->connections(endpoint.address()) == 0U);
+}
+
+// Guards against unused connections that stay open for ever.
+BOOST_AUTO_TEST_CASE(unusedConnectionsAreClosed)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    EndpointClientSettings settings;
+    settings.idleTimeout = 20ms;
+    TestClient test(loop, settings);
+    test.client->send(makeAttempt(1, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1; }));
+    endpoint.connections[0]->send(answer("ok"));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.connections[0]->closed; }));
+    BOOST_TEST(test.outcomes.size() == 1U);
+    BOOST_TEST(test.client->connections(endpoint.address()) == 0U);
+}
+
+// Guards against a graceful stop that cuts attempts off, starts new ones or never ends.
+BOOST_AUTO_TEST_CASE(stopLetsAttemptsFinish)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    test.client->send(makeAttempt(1, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1; }));
+    test.client->stop();
+    test.client->send(makeAttempt(2, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == 1; }));
+    BOOST_TEST_REQUIRE(test.failure(0));
+    BOOST_TEST((test.failure(0)->failure.error == Error::Draining));
+    BOOST_TEST(!test.failure(0)->mayHaveBeenSent);
+    BOOST_TEST(test.stopped == 0);
+    endpoint.connections[0]->send(answer("done"));
+    BOOST_TEST(loop.runUntil([&] { return test.stopped > 0; }));
+    BOOST_TEST(test.outcomes.size() == 2U);
+    BOOST_TEST_REQUIRE(test.response(1));
+    test.client->stop();
+    BOOST_TEST(loop.runUntil([&] { return endpoint.connections[0]->closed; }));
+    BOOST_TEST(test.stopped == 1);
+}
+
+// Guards against a cancelled last attempt that leaves a stopping client waiting.
+BOOST_AUTO_TEST_CASE(cancelEndsTheStop)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    TestClient test(loop);
+    test.client->send(makeAttempt(1, endpoint.address()));
+    BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == 1; }));
+    test.client->stop();
+    test.client->cancel({1, 1});
+    BOOST_TEST(loop.runUntil([&] { return test.stopped == 1; }));
+    BOOST_TEST(test.outcomes.empty());
+}
+
+// Guards against a client that is destroyed by its own hook, or with attempts in progress.
+BOOST_AUTO_TEST_CASE(clientMayBeDestroyedAtAnyTime)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    std::unique_ptr<EndpointClient> client;
+    int outcomes = 0;
+    EndpointClientHooks hooks;
+    hooks.onOutcome = [&client, &outcomes](const AttemptOutcome &) {
+        ++outcomes;
+        client.reset();
+    };
+    client = std::make_unique<EndpointClient>(loop.base(), EndpointClientSettings{}, std::move(hooks));
+    client->send(makeAttempt(1, endpoint.address()));
+    client->send(makeAttempt(2, endpoint.address()));
+    client->send(makeAttempt(3, "nowhere"));
+    client->send(makeAttempt(4, "nowhere"));
+    BOOST_TEST(loop.runUntil([&] { return outcomes > 0; }));
+    BOOST_TEST(!client);
+    BOOST_TEST(outcomes == 1);
+}
