--- a/tests/caller/caller_server_test.cpp
+++ b/tests/caller/caller_server_test.cpp
@@ -19,6 +19,7 @@
 using namespace Acaciarail;
 using namespace Acaciarail::Caller;
 namespace data = boost::unit_test::data;
+using namespace std::string_literals;
 
 namespace {
 
@@ -586,7 +587,7 @@
         "PUT /%41?&&==& HTTP/1.1\r\nHost: [::1]:80\r\nContent-Type: multipart/form-data; boundary=x\r\nContent-Length: 2\r\n\r\n--",
         "OPTIONS //a;b=c/@:!$&'()*+,=~ HTTP/1.1\r\nHost: \r\nX: \xff\x80\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n",
     };
-    const std::string alphabet("\r\n\t :/?#%&=\0\x01\x7f\xff;,aZ09-+{}\"\\", 31);
+    const auto alphabet = "\r\n\t :/?#%&=\0\x01\x7f\xff;,aZ09-+{}\"\\"s;
     std::mt19937 engine(20);
     const auto pick = [&engine](std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(engine); };
 
