--- a/packages/caller/src/job_json.cpp
+++ b/packages/caller/src/job_json.cpp
@@ -184,7 +184,7 @@
         }
         return document;
     } catch (const Json::parse_error &e) {
-        return malformed("body", "JSON", "a syntax error at byte " + std::to_string(e.byte));
+        return fault ? *std::move(fault) : malformed("body", "JSON", "a syntax error at byte " + std::to_string(e.byte));
     } catch (const Json::out_of_range &) {
         return malformed("body", "numbers in range", "one that is out of range");
     }
