--- a/packages/scheduling/src/zone_capacity.cpp
+++ b/packages/scheduling/src/zone_capacity.cpp
@@ -50,7 +50,7 @@
     if (isFreeNow(job.attempt.members, {})) {
         start(j, now);
     } else {
-        m_planned.insert(j);
+        m_planned.push_back(j);
     }
 }
 
@@ -60,7 +60,7 @@
     for (const auto &it : job.attempt.members) {
         m_loads[it.worker].planned -= amountOn(job, it);
     }
-    m_planned.erase(j);
+    std::erase(m_planned, j);
     job.attempt.phase = Phase::Starting;
     job.attempt.number = ++job.attempts;
     job.attempt.startedAt = now;
@@ -69,6 +69,8 @@
 
 auto ZoneState::startPlanned(TimePoint now) -> void
 {
+    // Room that an earlier plan waits for is not given to a later one, whose own victims end later.
+    std::unordered_map<WorkerIndex, ResourceTotals> claimed;
     const auto planned = m_planned;
     for (const auto j : planned) {
         const auto &job = m_jobs[j];
@@ -77,10 +79,15 @@
             auto room = worker.capacity;
             room -= worker.used;
             room += m_loads[it.worker].planned;
+            room -= claimed[it.worker];
             return covers(room, amountOn(job, it));
         };
         if (std::all_of(job.attempt.members.begin(), job.attempt.members.end(), canStart)) {
             start(j, now);
+            continue;
+        }
+        for (const auto &it : job.attempt.members) {
+            claimed[it.worker] += amountOn(job, it);
         }
     }
 }
@@ -133,7 +140,7 @@
         const auto mustMove = [this](const PlacedTasks &it) { return !m_fleet.worker(it.worker).keepsPromises; };
         m_relocate = m_relocate || m_guarantees.hasShortfall() || std::any_of(use.places.begin(), use.places.end(), mustMove);
     }
-    m_planned.erase(j);
+    std::erase(m_planned, j);
 }
 
 auto ZoneState::markEnding(JobIndex j) -> void
--- a/packages/scheduling/src/zone_state.h
+++ b/packages/scheduling/src/zone_state.h
@@ -337,7 +337,8 @@
     std::array<std::set<OrganisationIndex>, priorityCount> m_readyOrganisations;
     std::array<ResourceTotals, priorityCount> m_usedByClass;
     std::array<std::uint32_t, priorityCount> m_queued{};
-    std::set<JobIndex> m_planned;
+    /// In the order in which they were planned.
+    std::vector<JobIndex> m_planned;
     std::vector<Reservation> m_reservations;
     std::set<Timer> m_timers;
     std::set<WorkerName> m_limitedWorkers;
