Treat class limits as limits, and put fairness first

Cause: the parts derived from the class limits added up to 1, so that normal callers below their share waited for a nearly full part while two other classes flooded, and those of the flooding organisation came last. Change: a class at its limit gives way while others wait; otherwise shares of organisations and callers decide.

--- a/packages/scheduling/include/acaciarail/scheduling/admission.h
+++ b/packages/scheduling/include/acaciarail/scheduling/admission.h
@@ -18,11 +18,17 @@
 /// Number of something for each priority, indexed by Priority.
 using PerClass = std::array<std::uint32_t, priorityCount>;
 
-/// Part of the capacity that each class may take while the classes marked in \a waiting wait. Each class takes its limit of what the
-/// more urgent ones leave, and the least urgent waiting class takes the rest, so that the parts add up to 1.
+/// A flag for each priority, indexed by Priority.
+using ClassSet = std::array<bool, priorityCount>;
+
+/// Returns the waiting classes that may take one more slot. A class that has reached its limit gives way while others wait; when all
+/// waiting classes have reached their limits, the least urgent one takes the slot, so that none stays idle.
 /// \pre none. Thread-safe.
-[[nodiscard]] auto classParts(const ClassLimits &limits, const std::array<bool, priorityCount> &waiting) noexcept
-    -> std::array<double, priorityCount>;
+[[nodiscard]] auto eligibleClasses(const ClassLimits &limits, const ClassSet &waiting, const PerClass &inFlight) noexcept -> ClassSet;
+
+/// Returns the part of the capacity that class \a index gets at least while the classes in \a waiting wait: what their limits
+/// leave. \pre index < priorityCount. Thread-safe.
+[[nodiscard]] auto leastPart(const ClassLimits &limits, const ClassSet &waiting, std::size_t index) noexcept -> double;
 
 struct AdmissionSettings
 {
@@ -44,7 +50,8 @@
 };
 
 /// Bounded queue of one service. It is fair among organisations by share, then among the callers of an organisation, by start-time
-/// fair queueing. Classes that have used up their part give way to waiting classes that have not.
+/// fair queueing. Fairness counts first: a caller below its share is served at once whatever its class, and a caller's own requests
+/// are served most urgent first. The class limits bound what a flood of one class takes.
 class Admission
 {
 public:
--- a/packages/scheduling/src/admission.cpp
+++ b/packages/scheduling/src/admission.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <compare>
 #include <map>
+#include <numeric>
 #include <string>
 
 namespace Acaciarail::Scheduling {
@@ -83,11 +84,9 @@
     std::size_t classIndex;
 };
 
-using Eligible = std::array<bool, priorityCount>;
-
 /// Returns the eligible class whose first turn has the least tag; the more urgent class when equal.
 template<typename T>
-auto leastTag(const Turns<T> &turns, const Eligible &eligible) -> std::optional<std::size_t>
+auto leastTag(const Turns<T> &turns, const ClassSet &eligible) -> std::optional<std::size_t>
 {
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < priorityCount; ++i) {
@@ -100,22 +99,33 @@
 
 } // namespace
 
-auto classParts(const ClassLimits &limits, const std::array<bool, priorityCount> &waiting) noexcept -> std::array<double, priorityCount>
+auto eligibleClasses(const ClassLimits &limits, const ClassSet &waiting, const PerClass &inFlight) noexcept -> ClassSet
 {
-    std::array<double, priorityCount> parts{};
-    double left = 1.0;
+    const auto total = 1.0 + std::accumulate(inFlight.begin(), inFlight.end(), 0U);
+    const auto classes = std::count(waiting.begin(), waiting.end(), true);
+    ClassSet result{};
     std::optional<std::size_t> last;
     for (std::size_t i = 0; i < priorityCount; ++i) {
         if (waiting[i]) {
-            parts[i] = left * std::clamp(limits[i], 0.0, 1.0);
-            left -= parts[i];
+            result[i] = classes == 1 || inFlight[i] < std::max(1.0, std::ceil(limits[i] * total));
             last = i;
         }
     }
-    if (last) {
-        parts[*last] += left;
+    if (last && std::none_of(result.begin(), result.end(), [](bool it) { return it; })) {
+        result[*last] = true;
     }
-    return parts;
+    return result;
+}
+
+auto leastPart(const ClassLimits &limits, const ClassSet &waiting, std::size_t index) noexcept -> double
+{
+    double left = 1.0;
+    for (std::size_t i = 0; i < priorityCount; ++i) {
+        if (i != index && waiting[i]) {
+            left -= limits[i];
+        }
+    }
+    return std::max(0.0, left);
 }
 
 struct Admission::State
@@ -141,7 +151,7 @@
     auto setOrganisationTag(Organisation &organisation, double tag) -> void;
     auto insert(Caller &caller, const QueuedRequest &request) -> void;
     auto erase(const Place &place, RequestId id) -> void;
-    auto eligible(const PerClass &inFlight) const -> Eligible;
+    auto waiting() const -> ClassSet;
     auto choose(const PerClass &inFlight) const -> std::optional<Choice>;
     auto evictFor(const Caller &caller) -> std::optional<RequestId>;
     auto activeCallers() const -> std::size_t;
@@ -258,25 +268,18 @@
     places.erase(id);
 }
 
-auto Admission::State::eligible(const PerClass &inFlight) const -> Eligible
+auto Admission::State::waiting() const -> ClassSet
 {
-    Eligible waiting{};
-    double total = 1.0;
+    ClassSet result{};
     for (std::size_t i = 0; i < priorityCount; ++i) {
-        waiting[i] = queued[i] > 0;
-        total += inFlight[i];
-    }
-    const auto parts = classParts(limits, waiting);
-    Eligible result{};
-    for (std::size_t i = 0; i < priorityCount; ++i) {
-        result[i] = waiting[i] && inFlight[i] < std::max(1.0, std::ceil(parts[i] * total));
+        result[i] = queued[i] > 0;
     }
     return result;
 }
 
 auto Admission::State::choose(const PerClass &inFlight) const -> std::optional<Choice>
 {
-    const auto mayTake = eligible(inFlight);
+    const auto mayTake = eligibleClasses(limits, waiting(), inFlight);
     const auto first = leastTag(turns, mayTake);
     if (!first) {
         return std::nullopt;
@@ -439,12 +442,10 @@
     const auto turnsAhead = std::max(0.0, it->tag + static_cast<double>(it->length) - org.virtualTime);
     const auto inOrganisation = turnsAhead * static_cast<double>(org.activeCallers);
     const auto byFairness = std::min(total, inOrganisation * m_state->activeShares / org.share);
-    Eligible waiting{};
-    for (std::size_t n = 0; n < priorityCount; ++n) {
-        waiting[n] = m_state->queued[n] > 0;
-    }
-    const auto part = classParts(m_state->limits, waiting)[i];
-    if (part <= 0.0 || part >= 1.0) {
+    const auto waiting = m_state->waiting();
+    const auto part = std::max(m_state->limits[i], leastPart(m_state->limits, waiting, i));
+    const auto alone = m_state->queued[i] == m_state->places.size();
+    if (alone || part <= 0.0) {
         return byFairness;
     }
     // The class itself is served at its part of the rate, in turns over the callers that wait in it.
