Refuse waiting requests while their time still suffices for an answer

Cause: a waiting request was sent until 1.5 mean latencies before its deadline, so that about one in seven answers of a flooding caller came too late and wasted its slot. Change: waiting ends at the mean latency plus four mean deviations before the deadline, but not before half of the request's time; submit() refuses what is expected to wait longer.

--- a/packages/scheduling/src/request_router.cpp
+++ b/packages/scheduling/src/request_router.cpp
@@ -4,6 +4,7 @@
 #include <acaciarail/scheduling/retry_budget.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -21,8 +22,11 @@
 constexpr double latencySmoothing = 0.02;
 /// A request is sent only while at least this multiple of the mean latency is left; later its answer would mostly be too late.
 constexpr double leastTimeLeft = 0.5;
-/// The same for a request that had to wait: others that wait can use the slot with better chances.
-constexpr double leastTimeLeftAfterWaiting = 1.5;
+/// A request that had to wait needs the mean latency and this multiple of its mean deviation, because an answer after the deadline
+/// wastes a slot that others wait for.
+constexpr double deviationsLeftAfterWaiting = 4.0;
+/// A request may wait for at least this part of its time, however short its deadline is.
+constexpr double leastWaitingPart = 0.5;
 constexpr std::uint32_t firstServerError = 500;
 constexpr std::uint32_t notImplemented = 501;
 
@@ -47,6 +51,7 @@
     PerClass inFlight{};
     /// Microseconds; 0 before the first answer.
     double meanLatency = 0.0;
+    double latencyDeviation = 0.0;
     TimePoint lastAnswer{};
 };
 
@@ -164,6 +169,9 @@
     auto checkDeadline(const Service &service, const RequestInfo &info, TimePoint now) const -> std::optional<Failure>;
     auto expectedWait(const Service &service, const RequestInfo &info, TimePoint now) const -> Duration;
 
+    /// Returns when a waiting request is to be refused rather than sent.
+    auto dropTime(const Service &service, const RequestInfo &info, TimePoint now) const -> TimePoint;
+
     auto checkEndpoints(TimePoint now) -> void;
     auto hedgeSilent(const Endpoint &endpoint, TimePoint now) -> void;
     auto runTimers(TimePoint now) -> void;
@@ -272,6 +280,13 @@
     return inFlight > 0.0 ? times(ahead / inFlight, expectedLatency(service, now)) : Duration{};
 }
 
+auto RequestRouter::Impl::dropTime(const Service &service, const RequestInfo &info, TimePoint now) const -> TimePoint
+{
+    const auto enough = expectedLatency(service, now) + deviationsLeftAfterWaiting * service.latencyDeviation;
+    const auto least = times(leastWaitingPart, static_cast<double>((info.deadline - now).count()));
+    return std::max(info.deadline - times(1.0, enough), now + least);
+}
+
 auto RequestRouter::Impl::checkDeadline(const Service &service, const RequestInfo &info, TimePoint now) const -> std::optional<Failure>
 {
     if (info.deadline <= now) {
@@ -279,7 +294,7 @@
     }
     const auto wait = expectedWait(service, info, now);
     const auto needed = wait + times(leastTimeLeft, expectedLatency(service, now));
-    if (now + needed > info.deadline) {
+    if (now + needed > info.deadline || now + wait > dropTime(service, info, now)) {
         return Failure{Error::DeadlineUnreachable, Execution::NotRun,
                        "the deadline leaves " + milliseconds(info.deadline - now) + ", expected to need at least " + milliseconds(needed)};
     }
@@ -329,7 +344,7 @@
     request.service = &service;
     request.submittedAt = now;
     request.queued = true;
-    request.dropAt = std::max(now + m_settings.tick, info.deadline - times(leastTimeLeftAfterWaiting, expectedLatency(service, now)));
+    request.dropAt = dropTime(service, info, now);
     setTimer(request);
     return std::nullopt;
 }
@@ -439,6 +454,7 @@
     const auto latency = static_cast<double>(result.latency.count());
     if (service.meanLatency > 0.0) {
         service.admission.settle(request.info.organisation, request.info.caller, latency / service.meanLatency);
+        service.latencyDeviation += latencySmoothing * (std::abs(latency - service.meanLatency) - service.latencyDeviation);
         service.meanLatency += latencySmoothing * (latency - service.meanLatency);
     } else {
         service.meanLatency = latency;
