Save at most 20 retries for each service and instance

Cause: up to 100 saved retries of each of 8 instances were spent within the first seconds of a fault and exceeded 10% in that period. Change: maxSavedRetries 100 -> 20.

--- a/packages/scheduling/include/acaciarail/scheduling/retry_budget.h
+++ b/packages/scheduling/include/acaciarail/scheduling/retry_budget.h
@@ -37,7 +37,7 @@
 inline constexpr double minimumRetries = 3;
 
 /// Saved tokens, so that a long calm does not pay for a storm of retries.
-inline constexpr double maxSavedRetries = 100;
+inline constexpr double maxSavedRetries = 20;
 
 /// A rate limit in bytes a second that saves at most one second's worth.
 class ByteBudget
