--- a/tests/peer/peer_links_test.cpp
+++ b/tests/peer/peer_links_test.cpp
@@ -254,7 +254,8 @@
     const InstanceName silent("silent");
     BOOST_REQUIRE(!f.a.links.setPeer(silent, "127.0.0.1:" + std::to_string(listener.listen())));
     BOOST_TEST(!f.a.links.send(f.nameB, Heartbeat{}));
-    BOOST_REQUIRE(f.runUntil([&f] { return f.b.received.size() == 1; }));
+    // The answer to the greeting must not pass for the acknowledgement of the second message.
+    BOOST_REQUIRE(f.runUntil([&f] { return f.a.ups == 1 && f.b.received.size() == 1; }));
     BOOST_TEST(!f.a.links.send(f.nameB, Heartbeat{}));
     // The silent peer's timeout starts later, so that of the other connection would have ended first.
     BOOST_TEST(!f.a.links.send(silent, Heartbeat{}));
--- a/tests/standins/worker_model_test.cpp
+++ b/tests/standins/worker_model_test.cpp
@@ -378,6 +378,18 @@
     BOOST_TEST((only<Ended>(f.send(Confirm{firstTerm, {JobId("unknown"), 1}})).end.kind == AttemptEndKind::Lost));
 }
 
+// Guards against an ended attempt that keeps its capacity until it is acknowledged.
+BOOST_AUTO_TEST_CASE(endedAttemptsHoldNoCapacity)
+{
+    Fixture f;
+    BOOST_TEST(f.reserve("a", 8).granted);
+    BOOST_TEST(f.start("a").started);
+    BOOST_TEST((f.reserve("b", 1).error == Error::CapacityTaken));
+    BOOST_TEST(f.stop("a").size() == 1U);
+    BOOST_TEST(f.model.used().accelerators == 0U);
+    BOOST_TEST(f.reserve("b", 8).granted);
+}
+
 // Guards against a checkpoint that is not answered, or that is forgotten when the attempt is stopped.
 BOOST_AUTO_TEST_CASE(checkpointIsKeptInTheEnd)
 {
