Do not take a pause of the own process for a silent connection

Cause: after a pause longer than the progress timeout, all connections with unanswered requests were closed before their input was read, and in tests on a busy machine a short timeout had the same effect. Change: the timeout starts again when its timer is late by more than half of it; buffered input is handed over before closing.

--- a/packages/runtime/include/acaciarail/runtime/frame_connection.h
+++ b/packages/runtime/include/acaciarail/runtime/frame_connection.h
@@ -26,7 +26,7 @@
     /// Bytes that may wait to be written; more are refused, so that a slow reader cannot use up the memory.
     std::size_t maxQueuedBytes = 4 * maxFrameBytes;
     Duration connectTimeout = 2s;
-    /// Longest time without a received byte while replies are expected.
+    /// Longest time without a received byte while replies are expected. Starts again when the process itself was paused.
     Duration progressTimeout = 3s;
 };
 
--- a/packages/runtime/src/frame_connection.cpp
+++ b/packages/runtime/src/frame_connection.cpp
@@ -160,11 +160,25 @@
     if (expected == 0 || bev == nullptr) {
         return;
     }
-    const auto left = std::max(lastByteAt, expectedSince) + settings.progressTimeout - loop.now();
+    const auto now = loop.now();
+    const auto left = std::max(lastByteAt, expectedSince) + settings.progressTimeout - now;
     if (left > Duration::zero()) {
+        checkedAgain = false;
         progressTimer.start(left);
         return;
     }
+    if (-left > settings.progressTimeout / 2) {
+        // The process itself was paused, perhaps before the request was written, so the other side gets its time again.
+        expectedSince = now;
+        progressTimer.start(settings.progressTimeout);
+        return;
+    }
+    if (!checkedAgain) {
+        // Bytes that arrived during a shorter pause are handed over in the next round of the loop.
+        checkedAgain = true;
+        progressTimer.start({});
+        return;
+    }
     fail(CloseReason::ProgressTimeout, Error::Timeout);
 }
 
--- a/packages/runtime/src/frame_connection_state.h
+++ b/packages/runtime/src/frame_connection_state.h
@@ -62,6 +62,8 @@
     std::size_t expected = 0;
     TimePoint expectedSince;
     TimePoint lastByteAt;
+    /// Whether the progress timeout has passed once without a byte.
+    bool checkedAgain = false;
     std::shared_ptr<const FrameHooks> hooks;
     Timer progressTimer;
     Timer connectTimer;
--- a/tests/runtime/frame_connection_test.cpp
+++ b/tests/runtime/frame_connection_test.cpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace Acaciarail;
@@ -249,6 +250,37 @@
     BOOST_TEST(answered->isOpen());
 }
 
+// Guards against a process that closes all its connections after it was paused itself.
+BOOST_AUTO_TEST_CASE(pauseOfTheProcessIsNotSilence)
+{
+    constexpr Duration timeout = 50ms;
+    EventLoop loop;
+    std::unique_ptr<FrameConnection> accepted;
+    FrameServer server(loop, {}, [&accepted](auto c) {
+        accepted = std::move(c);
+        FrameHooks hooks;
+        hooks.received = [&accepted](std::string_view) { static_cast<void>(accepted->send("reply")); };
+        accepted->setHooks(std::move(hooks));
+    });
+    BOOST_REQUIRE(!server.listen());
+    std::optional<CloseInfo> closed;
+    bool replied = false;
+    FrameHooks hooks;
+    hooks.received = [&replied](std::string_view) { replied = true; };
+    hooks.closed = [&closed](const CloseInfo &info) { closed = info; };
+    const auto client = FrameConnection::connect(loop, server.address(), {.progressTimeout = timeout}, hooks);
+    BOOST_REQUIRE(loop.runUntil([&] { return client->isOpen() && accepted; }, patience));
+    // Stands for the pause: the request is written, but no event is handled for much longer than the timeout.
+    loop.post([&client, timeout] {
+        static_cast<void>(client->send("request"));
+        client->expectReplies();
+        std::this_thread::sleep_for(3 * timeout);
+    });
+    BOOST_REQUIRE(loop.runUntil([&] { return replied || closed; }, patience));
+    BOOST_TEST(replied);
+    BOOST_TEST(!closed.has_value());
+}
+
 // Guards against use after free when a hook destroys its own connection.
 BOOST_AUTO_TEST_CASE(hooksMayDestroyTheirConnection)
 {
