Let open connections of the worker stand-in go silent, and test missing descriptors

Change: silenceConnections() and SIGUSR1 silence the connections that are open, while new ones work; a test lowers the limit of descriptors and checks that the listener recovers.

--- a/tests/runtime/frame_connection_test.cpp
+++ b/tests/runtime/frame_connection_test.cpp
@@ -8,6 +8,8 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <sys/resource.h>
+
 #include <memory>
 #include <optional>
 #include <ostream>
@@ -332,6 +334,28 @@
     BOOST_TEST(receiver.runUntil([&receiver] { return receiver.connections.size() == 2; }));
 }
 
+// Guards against a listener that stops accepting, or keeps the loop busy, after the process ran out of descriptors.
+BOOST_AUTO_TEST_CASE(serverRecoversFromMissingDescriptors)
+{
+    Receiver receiver;
+    const RawSocket socket;
+    rlimit limits{};
+    BOOST_REQUIRE(::getrlimit(RLIMIT_NOFILE, &limits) == 0);
+    const auto nextDescriptor = ::dup(0);
+    ::close(nextDescriptor);
+    const rlimit lowered{static_cast<rlim_t>(nextDescriptor), limits.rlim_max};
+    BOOST_REQUIRE(::setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+    const auto connected = socket.connect(receiver.server.port());
+    for (int i = 0; i < 10; ++i) {
+        receiver.loop.runUntil([] { return false; }, 1us);
+    }
+    const auto acceptedWithout = receiver.connections.size();
+    BOOST_REQUIRE(::setrlimit(RLIMIT_NOFILE, &limits) == 0);
+    BOOST_TEST(connected);
+    BOOST_TEST(acceptedWithout == 0U);
+    BOOST_TEST(receiver.runUntil([&receiver] { return receiver.connections.size() == 1; }));
+}
+
 // Guards against a server that reports success for a port that is in use.
 BOOST_AUTO_TEST_CASE(portInUseIsAnError)
 {
--- a/tests/standins/worker_server.cpp
+++ b/tests/standins/worker_server.cpp
@@ -38,9 +38,9 @@
     return m_server.address();
 }
 
-auto WorkerServer::setSilent(bool silent) -> void
+auto WorkerServer::silenceConnections() -> void
 {
-    m_silent = silent;
+    m_silentUpTo = m_accepted;
 }
 
 auto WorkerServer::dropConnections() -> void
@@ -75,7 +75,7 @@
 
 auto WorkerServer::received(std::uint64_t id, std::string_view content) -> void
 {
-    if (m_silent) {
+    if (id <= m_silentUpTo) {
         return;
     }
     Worker::Request request;
@@ -95,7 +95,7 @@
 auto WorkerServer::send(std::uint64_t id, const Worker::Reply &reply) -> void
 {
     const auto it = m_connections.find(id);
-    if (it == m_connections.end() || m_silent) {
+    if (it == m_connections.end() || id <= m_silentUpTo) {
         return;
     }
     // A holder that does not read loses messages; Ended is repeated, and Report is sent again anyway.
--- a/tests/standins/worker_server.h
+++ b/tests/standins/worker_server.h
@@ -30,8 +30,9 @@
     /// Returns the address in use. \pre listen() succeeded.
     [[nodiscard]] auto address() const -> Runtime::SocketAddress;
 
-    /// While silent, requests are read and dropped, and nothing is sent. \pre none.
-    auto setSilent(bool silent) -> void;
+    /// Makes the connections that are open now silent: what they receive is dropped, and nothing is sent on them.
+    /// New connections work. \pre none.
+    auto silenceConnections() -> void;
 
     /// Closes all connections. \pre none.
     auto dropConnections() -> void;
@@ -50,7 +51,8 @@
 
     Runtime::EventLoop &m_loop;
     WorkerModel m_model;
-    bool m_silent = false;
+    /// Connections up to this number are silent.
+    std::uint64_t m_silentUpTo = 0;
     std::uint64_t m_accepted = 0;
     std::uint64_t m_holder = 0;
     std::map<std::uint64_t, std::unique_ptr<Runtime::FrameConnection>> m_connections;
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -143,6 +143,12 @@
         registration = std::make_unique<Registration>(loop, *platform, registered);
     }
     const Runtime::SignalWatcher terminated(loop, SIGTERM, [&loop] { loop.stop(); });
+    // Stands for open connections that go permanently silent while new ones work.
+    const Runtime::SignalWatcher silenced(loop, SIGUSR1, [&servers] {
+        for (const auto &it : servers) {
+            it->silenceConnections();
+        }
+    });
     const Runtime::SignalWatcher interrupted(loop, SIGINT, [&loop] { loop.stop(); });
     Runtime::Timer limit(loop, [&loop] { loop.stop(); });
     limit.start(std::chrono::seconds(FLAGS_run_for));
--- a/tests/worker/worker_links_test.cpp
+++ b/tests/worker/worker_links_test.cpp
@@ -123,18 +123,19 @@
     BOOST_TEST(f.runUntil([&f] { return f.replies.size() == 1; }));
 }
 
-// Guards against a worker that accepts connections and never answers, and so holds up its requests.
+// Guards against an open connection that goes silent and holds up its requests while a new one would work.
 BOOST_AUTO_TEST_CASE(silentWorkerIsNoticed)
 {
     WorkerFixture f(shortProgressTimeout);
-    f.worker.setSilent(true);
     BOOST_TEST(!f.links.send(workerName, Attach{term, 1s}));
+    BOOST_REQUIRE(f.runUntil([&f] { return f.replies.size() == 1; }));
+    f.worker.silenceConnections();
+    BOOST_TEST(!f.links.send(workerName, Renew{term, 1, 1s, 60s}));
     BOOST_REQUIRE(f.runUntil([&f] { return !f.downs.empty(); }));
     BOOST_TEST(f.downs.front() == "progress-timeout");
-    f.worker.setSilent(false);
     BOOST_REQUIRE(f.runUntil([&f] { return f.ups == 2; }));
-    BOOST_TEST(!f.links.send(workerName, Attach{term, 1s}));
-    BOOST_TEST(f.runUntil([&f] { return !f.replies.empty(); }));
+    BOOST_TEST(!f.links.send(workerName, Renew{term, 2, 1s, 60s}));
+    BOOST_TEST(f.runUntil([&f] { return f.replies.size() == 2; }));
 }
 
 // Guards against requests without an answer that count as unanswered and close a healthy connection.
