--- a/packages/endpoint/include/acaciarail/endpoint/endpoint_client.h
+++ b/packages/endpoint/include/acaciarail/endpoint/endpoint_client.h
@@ -4,6 +4,7 @@
 #include <acaciarail/core/names.h>
 #include <acaciarail/core/time.h>
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -24,7 +25,7 @@
     RequestId request = 0;
     std::uint32_t attempt = 0;
 
-    friend auto operator<=>(const AttemptId &, const AttemptId &) noexcept = default;
+    friend auto operator<=>(const AttemptId &, const AttemptId &) noexcept -> std::strong_ordering = default;
 };
 
 struct HeaderField
--- a/packages/telemetry/include/acaciarail/telemetry/metrics.h
+++ b/packages/telemetry/include/acaciarail/telemetry/metrics.h
@@ -2,6 +2,7 @@
 
 #include <acaciarail/core/time.h>
 
+#include <compare>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -16,7 +17,7 @@
     std::string value;
 
     friend auto operator==(const Label &, const Label &) noexcept -> bool = default;
-    friend auto operator<=>(const Label &, const Label &) noexcept = default;
+    friend auto operator<=>(const Label &, const Label &) noexcept -> std::strong_ordering = default;
 };
 
 using Labels = std::vector<Label>;
--- a/tests/caller/caller_server_test.cpp
+++ b/tests/caller/caller_server_test.cpp
@@ -347,7 +347,10 @@
     client.stopReading();
     client.send(get("/"));
     BOOST_TEST(loop.runUntil([&] { return !test.received.empty(); }));
-    test.received[0].reply.send(text(std::string(64'000'000, 'x')));
+    // More than the socket buffers of both sides hold.
+    std::string body;
+    body.resize(64'000'000);
+    test.received[0].reply.send(text(body));
     BOOST_TEST(loop.runUntil([&] { return test.server->connections() == 0; }));
 }
 
@@ -551,7 +554,7 @@
     Loop loop;
     std::unique_ptr<CallerServer> server;
     CallerServerHooks hooks;
-    hooks.onRequest = [&server](HttpRequest, ReplyHandle) { server.reset(); };
+    hooks.onRequest = [&server](const HttpRequest &, const ReplyHandle &) { server.reset(); };
     server = std::make_unique<CallerServer>(loop.base(), CallerServerSettings{}, std::move(hooks));
     BOOST_TEST(!server->start());
     RawClient client(loop, server->port());
@@ -567,10 +570,10 @@
     TestServer test(loop);
     CallerServerSettings settings;
     settings.port = test.server->port();
-    CallerServer second(loop.base(), settings, {[](HttpRequest, ReplyHandle) {}, {}, {}});
+    CallerServer second(loop.base(), settings, {[](const HttpRequest &, const ReplyHandle &) {}, {}, {}});
     BOOST_TEST((second.start() == std::errc::address_in_use));
     settings.address = "nowhere";
-    CallerServer third(loop.base(), settings, {[](HttpRequest, ReplyHandle) {}, {}, {}});
+    CallerServer third(loop.base(), settings, {[](const HttpRequest &, const ReplyHandle &) {}, {}, {}});
     BOOST_TEST((third.start() == std::errc::invalid_argument));
 }
 
--- a/tests/standins/endpoint_standin.cpp
+++ b/tests/standins/endpoint_standin.cpp
@@ -212,7 +212,7 @@
     [[nodiscard]] auto counts() const -> Json;
     [[nodiscard]] auto values() const -> Json;
     [[nodiscard]] auto serviceMs(std::uint64_t stated) -> std::uint64_t;
-    auto tellPlatform(Json message) -> void;
+    auto tellPlatform(const Json &message) -> void;
 
 private:
     static auto onEnd(evutil_socket_t, short, void *arg) -> void;
@@ -479,7 +479,7 @@
     return static_cast<std::uint64_t>(std::max(0.0, static_cast<double>(stated) * spread(m_engine)));
 }
 
-auto Process::tellPlatform(Json message) -> void
+auto Process::tellPlatform(const Json &message) -> void
 {
     if (!FLAGS_platform.empty()) {
         m_messages.push_back(message.dump());
@@ -559,8 +559,11 @@
     for (std::uint32_t i = 0; i < FLAGS_count; ++i) {
         auto number = std::to_string(i);
         number.insert(0, number.size() < 3 ? 3 - number.size() : 0, '0');
+        auto name = FLAGS_prefix;
+        name += '-';
+        name += number;
         const auto &[region, zone] = zones[i % zones.size()];
-        m_endpoints.push_back(std::make_unique<EndpointStandin>(*this, FLAGS_prefix + "-" + number, region, zone));
+        m_endpoints.push_back(std::make_unique<EndpointStandin>(*this, std::move(name), region, zone));
         if (!m_endpoints.back()->listen()) {
             std::cerr << "endpoint " << i << ": expected a free port, found none\n";
             return false;
