--- a/packages/endpoint/include/acaciarail/endpoint/endpoint_client.h
+++ b/packages/endpoint/include/acaciarail/endpoint/endpoint_client.h
@@ -4,13 +4,13 @@
 #include <acaciarail/core/names.h>
 #include <acaciarail/core/time.h>
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -25,7 +25,11 @@
     RequestId request = 0;
     std::uint32_t attempt = 0;
 
-    friend auto operator<=>(const AttemptId &, const AttemptId &) noexcept -> std::strong_ordering = default;
+    friend auto operator==(const AttemptId &, const AttemptId &) noexcept -> bool = default;
+    friend auto operator<(const AttemptId &a, const AttemptId &b) noexcept -> bool
+    {
+        return std::tie(a.request, a.attempt) < std::tie(b.request, b.attempt);
+    }
 };
 
 struct HeaderField
--- a/packages/telemetry/include/acaciarail/telemetry/metrics.h
+++ b/packages/telemetry/include/acaciarail/telemetry/metrics.h
@@ -2,11 +2,11 @@
 
 #include <acaciarail/core/time.h>
 
-#include <compare>
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace Acaciarail::Telemetry {
@@ -17,7 +17,10 @@
     std::string value;
 
     friend auto operator==(const Label &, const Label &) noexcept -> bool = default;
-    friend auto operator<=>(const Label &, const Label &) noexcept -> std::strong_ordering = default;
+    friend auto operator<(const Label &a, const Label &b) noexcept -> bool
+    {
+        return std::tie(a.name, a.value) < std::tie(b.name, b.value);
+    }
 };
 
 using Labels = std::vector<Label>;
