--- a/packages/endpoint/include/acaciarail/endpoint/endpoint_client.h
+++ b/packages/endpoint/include/acaciarail/endpoint/endpoint_client.h
@@ -59,6 +59,9 @@
     Duration progressTimeout{};
     /// Replaces a `traceparent` among the headers when not empty.
     std::string traceparent;
+    /// Sends on a new connection. An unused one may be closed by the endpoint just as the request is sent, so that its outcome would be
+    /// unknown; for a non-idempotent request that costs more than a connection.
+    bool freshConnection = false;
 };
 
 /// A complete answer of an endpoint, whatever its status.
--- a/packages/endpoint/src/endpoint_client.cpp
+++ b/packages/endpoint/src/endpoint_client.cpp
@@ -48,7 +48,7 @@
 
     auto send(Attempt attempt) -> void;
     auto refuse(const Attempt &attempt, Failure failure) -> void;
-    auto acquire(const std::string &address) -> PooledConnection *;
+    auto acquire(const std::string &address, bool fresh) -> PooledConnection *;
     auto connect(const std::string &address, Pool &pool) -> PooledConnection *;
     auto finished(const std::string &address, PooledConnection &connection, AttemptOutcome outcome) -> void;
     auto remove(const std::string &address, PooledConnection &connection) -> void;
@@ -97,7 +97,7 @@
         refuse(attempt, {Error::DuplicateName, Execution::NotRun, "attempt: expected a new id, found one in progress"});
         return;
     }
-    auto *connection = acquire(attempt.address);
+    auto *connection = acquire(attempt.address, attempt.freshConnection);
     if (connection == nullptr) {
         refuse(attempt,
                {Error::Overloaded, Execution::NotRun,
@@ -109,7 +109,7 @@
     connection->send(std::move(attempt));
 }
 
-auto EndpointClient::State::acquire(const std::string &address) -> PooledConnection *
+auto EndpointClient::State::acquire(const std::string &address, bool fresh) -> PooledConnection *
 {
     auto &pool = pools[address];
     // The latest used one comes first, so that surplus connections become idle and are closed.
@@ -128,6 +128,13 @@
     for (auto *it : dead) {
         remove(address, *it);
     }
+    if (fresh && best != nullptr) {
+        // The new connection takes the place of an unused one, which has to be gone first when the pool is full.
+        if (pools[address].connections.size() >= settings.maxConnectionsPerEndpoint) {
+            remove(address, *best);
+        }
+        best = nullptr;
+    }
     if (best != nullptr) {
         ++stats.reusedConnections;
         return best;
--- a/tests/endpoint/endpoint_client_test.cpp
+++ b/tests/endpoint/endpoint_client_test.cpp
@@ -334,6 +334,28 @@
     BOOST_TEST(test.response(1)->body == "second");
 }
 
+// Guards against a non-idempotent request on a connection that the endpoint may be closing, and against a pool that grows beyond its
+// limit for it.
+BOOST_AUTO_TEST_CASE(freshConnectionIsOpenedOnRequest)
+{
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    EndpointClientSettings settings;
+    settings.maxConnectionsPerEndpoint = 2;
+    TestClient test(loop, settings);
+    for (RequestId i = 1; i <= 4; ++i) {
+        auto attempt = makeAttempt(i, endpoint.address());
+        attempt.freshConnection = true;
+        test.client->send(std::move(attempt));
+        BOOST_TEST(loop.runUntil([&] { return endpoint.requests() == i; }));
+        BOOST_TEST(endpoint.connections.size() == i);
+        BOOST_TEST(test.client->connections(endpoint.address()) <= 2U);
+        endpoint.connections.back()->send(answer("ok"));
+        BOOST_TEST(loop.runUntil([&] { return test.outcomes.size() == i; }));
+        BOOST_TEST_REQUIRE(test.response(i - 1));
+    }
+}
+
 // Guards against an answer that arrives after its request timed out on an idle connection and is given to the next request.
 BOOST_AUTO_TEST_CASE(unsolicitedBytesCloseAnIdleConnection)
 {
@@ -554,3 +576,106 @@
     BOOST_TEST(!client);
     BOOST_TEST(outcomes == 1);
 }
+
+namespace {
+
+constexpr int actionKinds = 10;
+
+/// Answers the request of \a connection in one of several ways, most of them good.
+auto answerInSomeWay(FakeEndpoint::Connection &connection, std::size_t way) -> void
+{
+    const auto &received = connection.received;
+    const auto at = received.rfind("GET ") + 4;
+    const auto body = received.substr(at, received.find(' ', at) - at);
+    const auto whole = answer(body);
+    switch (way) {
+    case 0:
+        connection.sendAndClose(whole.substr(0, whole.size() - 1));
+        break;
+    case 1:
+        connection.close();
+        break;
+    case 2:
+        connection.send(whole + answer("forged"));
+        break;
+    case 3:
+        connection.send(whole.substr(0, whole.size() / 2));
+        break;
+    case 4:
+        connection.sendAndClose(whole);
+        break;
+    default:
+        connection.send(whole);
+    }
+}
+
+} // namespace
+
+// Guards against answers that are mixed up, outcomes that are lost or given twice, and a claim that nothing was sent although the
+// endpoint received the request, under random failures, cancellations and timeouts. The seed is the parameter.
+BOOST_DATA_TEST_CASE(randomFailuresKeepOutcomesTruthful, data::xrange(1, 21), seed)
+{
+    constexpr std::size_t count = 300;
+    std::mt19937 engine(static_cast<std::mt19937::result_type>(seed));
+    const auto pick = [&engine](std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(engine); };
+    Loop loop;
+    FakeEndpoint endpoint(loop);
+    EndpointClientSettings settings;
+    settings.maxConnectionsPerEndpoint = 8;
+    TestClient test(loop, settings);
+    std::vector<std::size_t> cancelledUnsent;
+    std::size_t cancelled = 0;
+    std::size_t sent = 0;
+    while (sent < count || test.client->attemptsInProgress() > 0) {
+        const auto action = pick(actionKinds);
+        if (action < 5 && sent < count) {
+            auto attempt = makeAttempt(sent, endpoint.address(), "/" + std::to_string(sent) + ".");
+            attempt.timeout = pick(4) == 0 ? Duration(2ms) : Duration(200ms);
+            attempt.freshConnection = pick(4) == 0;
+            test.client->send(std::move(attempt));
+            ++sent;
+        } else if (action == 5 && sent > 0) {
+            const auto id = sent - 1 - pick(std::min<std::size_t>(sent, 8));
+            const auto before = test.client->attemptsInProgress();
+            const bool mayHaveBeenSent = test.client->cancel({id, 1});
+            const bool wasInProgress = test.client->attemptsInProgress() < before;
+            cancelled += wasInProgress ? 1 : 0;
+            if (wasInProgress && !mayHaveBeenSent) {
+                cancelledUnsent.push_back(id);
+            }
+        } else if (!endpoint.connections.empty()) {
+            auto &connection = *endpoint.connections[pick(endpoint.connections.size())];
+            if (connection.bev != nullptr && !connection.closed && connection.requests() > connection.answered) {
+                ++connection.answered;
+                answerInSomeWay(connection, pick(20));
+            }
+        }
+        event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+    }
+    std::string received;
+    for (const auto &it : endpoint.connections) {
+        received += it->received;
+    }
+    const auto wasReceived = [&received](std::size_t id) {
+        return received.find("GET /" + std::to_string(id) + ". ") != std::string::npos;
+    };
+    for (const auto id : cancelledUnsent) {
+        BOOST_TEST(!wasReceived(id));
+    }
+    BOOST_TEST(test.outcomes.size() + cancelled == count);
+    std::vector<bool> seen(count, false);
+    std::size_t good = 0;
+    for (std::size_t i = 0; i < test.outcomes.size(); ++i) {
+        const auto id = test.outcomes[i].id.request;
+        BOOST_TEST(!seen[id]);
+        seen[id] = true;
+        if (const auto *response = test.response(i)) {
+            BOOST_TEST(response->body == "/" + std::to_string(id) + ".");
+            ++good;
+        } else if (!test.failure(i)->mayHaveBeenSent) {
+            BOOST_TEST((test.failure(i)->failure.execution == Execution::NotRun));
+            BOOST_TEST(!wasReceived(id));
+        }
+    }
+    BOOST_TEST(good > 0U);
+}
--- a/tests/endpoint/fake_endpoint.h
+++ b/tests/endpoint/fake_endpoint.h
@@ -64,6 +64,8 @@
         bufferevent *bev = nullptr;
         std::string received;
         bool closed = false;
+        /// Requests that the test has answered.
+        std::size_t answered = 0;
 
         Connection() = default;
         Connection(const Connection &) = delete;
--- a/tests/standins/load_generator.cpp
+++ b/tests/standins/load_generator.cpp
@@ -462,7 +462,8 @@
         return;
     }
     const auto &failure = std::get<Endpoint::AttemptFailure>(outcome.result);
-    ++m_byClientFailure[errorName(failure.failure.error)];
+    // A failure after the request was sent shows an instance that died or closed a connection with a request in progress.
+    ++m_byClientFailure[std::string(errorName(failure.failure.error)) + (failure.mayHaveBeenSent ? "/sent" : "/not-sent")];
     eachTally(request, [](Tally &it) { ++it.failed; });
     orderEnded(request, false, !failure.mayHaveBeenSent);
 }
