--- a/packages/endpoint/include/acaciarail/endpoint/endpoint_client.h
+++ b/packages/endpoint/include/acaciarail/endpoint/endpoint_client.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -24,7 +25,11 @@
     RequestId request = 0;
     std::uint32_t attempt = 0;
 
-    friend auto operator<=>(const AttemptId &, const AttemptId &) noexcept = default;
+    friend auto operator==(const AttemptId &, const AttemptId &) noexcept -> bool = default;
+    friend auto operator<(const AttemptId &a, const AttemptId &b) noexcept -> bool
+    {
+        return std::tie(a.request, a.attempt) < std::tie(b.request, b.attempt);
+    }
 };
 
 struct HeaderField
@@ -54,6 +59,9 @@
     Duration progressTimeout{};
     /// Replaces a `traceparent` among the headers when not empty.
     std::string traceparent;
+    /// Sends on a new connection. An unused one may be closed by the endpoint just as the request is sent, so that its outcome would be
+    /// unknown; for a non-idempotent request that costs more than a connection.
+    bool freshConnection = false;
 };
 
 /// A complete answer of an endpoint, whatever its status.
