--- a/packages/operator/src/audit.cpp
+++ b/packages/operator/src/audit.cpp
@@ -180,7 +180,7 @@
         }
         step(progress, event, text);
         Run run{assigned.attempt, assigned.workers};
-        std::sort(run.workers.begin(), run.workers.end());
+        std::sort(run.workers.begin(), run.workers.end(), [](const WorkerName &a, const WorkerName &b) { return a.str() < b.str(); });
         if (std::find(progress.runs.begin(), progress.runs.end(), run) != progress.runs.end()) {
             return;
         }
--- a/packages/operator/src/command_context.cpp
+++ b/packages/operator/src/command_context.cpp
@@ -50,9 +50,8 @@
     TextTable table(header);
     for (const auto &row : rows) {
         std::vector<std::string> cells;
-        for (const auto &it : columns) {
-            cells.push_back(cell(row, it.c_str()));
-        }
+        std::transform(columns.begin(), columns.end(), std::back_inserter(cells),
+                       [&row](const std::string &it) { return cell(row, it.c_str()); });
         table.addRow(std::move(cells));
     }
     return table;
--- a/packages/operator/src/deployment_config.cpp
+++ b/packages/operator/src/deployment_config.cpp
@@ -25,14 +25,14 @@
 template<typename Policy>
 auto sortByName(std::vector<Policy> &policies) -> void
 {
-    std::sort(policies.begin(), policies.end(), [](const Policy &a, const Policy &b) { return a.name < b.name; });
+    std::sort(policies.begin(), policies.end(), [](const Policy &a, const Policy &b) { return a.name.str() < b.name.str(); });
 }
 
 template<typename Policy, typename PolicyName>
 auto findByName(const std::vector<Policy> &policies, const PolicyName &name) noexcept -> const Policy *
 {
     const auto it = std::lower_bound(policies.begin(), policies.end(), name,
-                                     [](const Policy &policy, const PolicyName &wanted) { return policy.name < wanted; });
+                                     [](const Policy &policy, const PolicyName &wanted) { return policy.name.str() < wanted.str(); });
     return it != policies.end() && it->name == name ? &*it : nullptr;
 }
 
@@ -74,7 +74,7 @@
         sortByName(m_config.m_organisations);
         sortByName(m_config.m_services);
         std::sort(m_config.m_zoneShards.begin(), m_config.m_zoneShards.end(),
-                  [](const ZoneShards &a, const ZoneShards &b) { return a.zone < b.zone; });
+                  [](const ZoneShards &a, const ZoneShards &b) { return a.zone.str() < b.zone.str(); });
         if (scope == ConfigScope::Complete) {
             checkOperatorRemains();
         }
--- a/packages/operator/src/document.cpp
+++ b/packages/operator/src/document.cpp
@@ -25,7 +25,7 @@
 constexpr IntegerRange taskRange{1, maxGangTasks};
 constexpr IntegerRange acceleratorRange{0, 1024};
 constexpr IntegerRange coreRange{0, 4096};
-constexpr IntegerRange memoryRange{0, 64U * 1024U * 1024U};
+constexpr IntegerRange memoryRange{0, std::uint64_t{64} * 1024 * 1024};
 constexpr IntegerRange countRange{1, 100'000};
 constexpr IntegerRange shareRange{1, maxShareSum};
 constexpr IntegerRange teamAcceleratorRange{0, 1'000'000};
--- a/packages/operator/src/settings.cpp
+++ b/packages/operator/src/settings.cpp
@@ -41,7 +41,7 @@
 struct TextSetting
 {
     Detail::TextCheck check;
-    void (*apply)(InstanceSettings &settings, std::string value);
+    void (*apply)(InstanceSettings &settings, const std::string &value);
 };
 
 struct IntegerSetting
@@ -116,10 +116,10 @@
 }
 
 template<auto member>
-auto setText(InstanceSettings &settings, std::string value) -> void
+auto setText(InstanceSettings &settings, const std::string &value) -> void
 {
     using Target = std::remove_reference_t<decltype(settings.*member)>;
-    settings.*member = Target(std::move(value));
+    settings.*member = Target(value);
 }
 
 template<auto member>
@@ -171,7 +171,7 @@
                                            "SHA-256 of an operator token that is valid until the first configuration is published."),
     Setting{{"log_level", "text", "Lowest level that is logged: debug, info, warning or error."},
             Presence::Optional,
-            TextSetting{checkLogLevel, [](InstanceSettings &settings, std::string value) { setLogLevel(settings, value); }}},
+            TextSetting{checkLogLevel, setLogLevel}},
 
     limit<&L::maxCallerConnections>("max_caller_connections", "count", connectionRange, "Connections of callers at once."),
     limit<&L::maxBodyBytes>("max_body_bytes", "bytes", bodyRange, "Largest body of a request or response."),
@@ -287,8 +287,8 @@
         const auto faultsBefore = reader.faultCount();
         bool isRead = false;
         if (const auto *text = std::get_if<TextSetting>(&setting.value)) {
-            if (auto found = reader.text(setting.key.key, Presence::Optional, text->check)) {
-                text->apply(m_result.settings, std::move(*found));
+            if (const auto found = reader.text(setting.key.key, Presence::Optional, text->check)) {
+                text->apply(m_result.settings, *found);
                 isRead = true;
             }
         } else if (const auto *integer = std::get_if<IntegerSetting>(&setting.value)) {
--- a/tests/operator/audit_test.cpp
+++ b/tests/operator/audit_test.cpp
@@ -131,6 +131,7 @@
 auto eventsOf(const std::vector<AuditBody> &bodies) -> std::vector<AuditEvent>
 {
     std::vector<AuditEvent> events;
+    events.reserve(bodies.size());
     for (const auto &it : bodies) {
         events.push_back(at(events.size(), it));
     }
--- a/tests/operator/command_test.cpp
+++ b/tests/operator/command_test.cpp
@@ -81,7 +81,7 @@
     return {exitCode, out.str(), err.str()};
 }
 
-auto optionsFor(Verb verb, std::vector<std::uint16_t> ports, std::vector<std::string> arguments = {}) -> CommandOptions
+auto optionsFor(Verb verb, const std::vector<std::uint16_t> &ports, std::vector<std::string> arguments = {}) -> CommandOptions
 {
     CommandOptions options;
     options.verb = verb;
--- a/tests/operator/http_stand_in.cpp
+++ b/tests/operator/http_stand_in.cpp
@@ -100,7 +100,7 @@
     m_thread.join();
 }
 
-auto HttpStandIn::answer(StandInRequest request) -> StandInAnswer
+auto HttpStandIn::answer(const StandInRequest &request) -> StandInAnswer
 {
     const std::lock_guard lock(m_mutex);
     m_requests.push_back(request);
--- a/tests/operator/http_stand_in.h
+++ b/tests/operator/http_stand_in.h
@@ -50,7 +50,7 @@
     [[nodiscard]] auto requests() const -> std::vector<StandInRequest>;
 
     /// Answers \a request; called by the server's thread.
-    [[nodiscard]] auto answer(StandInRequest request) -> StandInAnswer;
+    [[nodiscard]] auto answer(const StandInRequest &request) -> StandInAnswer;
     [[nodiscard]] auto isStopped() const noexcept -> bool
     {
         return m_isStopped;
