--- a/apps/acaciarail/command_line.cpp
+++ b/apps/acaciarail/command_line.cpp
@@ -22,6 +22,9 @@
 DEFINE_string(operator, "", "Name recorded as the operator of the change. Default: the environment variable USER.");
 DEFINE_string(revision, "", "Revision of the files in their version control. Default: a digest of each file.");
 DEFINE_bool(dry_run, false, "Let the deployment check the change without putting it into force.");
+DEFINE_string(base, "",
+              "File or directory with the documents from which the change was made; publishing is refused as a conflict "
+              "when the deployment has others by now. May be repeated.");
 DEFINE_string(remove, "", "Name of a document to remove; may be repeated.");
 
 DEFINE_string(name, "", "Name of the job, unique in the organisation.");
@@ -57,14 +60,14 @@
 constexpr std::string_view defaultServer = "127.0.0.1:8480";
 
 constexpr std::array<std::string_view, 4> commonFlagNames{"server", "token", "output", "timeout_ms"};
-constexpr std::array<std::string_view, 4> publishFlagNames{"operator", "revision", "dry_run", "remove"};
+constexpr std::array<std::string_view, 5> publishFlagNames{"operator", "revision", "dry_run", "base", "remove"};
 constexpr std::array<std::string_view, 14> submitFlagNames{
     "name",      "team",     "kind",       "tasks",           "accelerators", "cores",          "memory_mib",
     "adjacency", "priority", "run_time_s", "start_within_ms", "idempotent",   "checkpointable", "zone"};
 constexpr std::array<std::string_view, 1> jobsFlagNames{"state"};
 constexpr std::array<std::string_view, 5> auditFlagNames{"export", "file", "only", "open_age_s", "complete"};
 /// Each occurrence of these adds to the list.
-constexpr std::array<std::string_view, 4> listFlagNames{"server", "remove", "file", "only"};
+constexpr std::array<std::string_view, 5> listFlagNames{"server", "base", "remove", "file", "only"};
 
 auto contains(std::span<const std::string_view> names, std::string_view name) -> bool
 {
@@ -329,6 +332,7 @@
         }
         publish.revision = FLAGS_revision;
         publish.dryRun = FLAGS_dry_run;
+        publish.base = splitList(FLAGS_base);
         publish.remove = splitList(FLAGS_remove);
     }
 
--- a/apps/acaciarail/help.cpp
+++ b/apps/acaciarail/help.cpp
@@ -35,7 +35,8 @@
      "Collects the documents like `check`, fetches the versions that the deployment has now, and publishes those that differ as one "
      "change: "
      "either all of them come into force or none. The change records its operator, and the file and revision of each document. When "
-     "another operator published one of the documents first, nothing is published and the winner is named (exit code 4). Documents that "
+     "another operator published one of the documents first, nothing is published and the winner is named (exit code 4); with --base also "
+     "when that happened before this command began. Documents that "
      "the deployment has and PATH has not are left alone; --remove removes them.",
      "acaciarail publish examples/hartwell --server 127.0.0.1:8480 --operator alice --revision r1842"},
     {"", "Submit a job.",
--- a/apps/acaciarail/main.cpp
+++ b/apps/acaciarail/main.cpp
@@ -42,6 +42,10 @@
     try {
         const auto exitCode = run(std::vector<std::string>(argv + 1, argv + argc));
         std::cout.flush();
+        if (!std::cout) {
+            std::cerr << "error: the result cannot be written\n";
+            return static_cast<int>(Operator::ExitCode::Failed);
+        }
         return static_cast<int>(exitCode);
     } catch (const std::exception &e) {
         std::cerr << "error: " << e.what() << '\n';
--- a/packages/operator/include/acaciarail/operator/command.h
+++ b/packages/operator/include/acaciarail/operator/command.h
@@ -62,6 +62,8 @@
     /// Revision of the files in their version control; empty to record a digest of each file instead.
     std::string revision;
     bool dryRun = false;
+    /// Files or directories with the documents from which the change was made; empty to replace whatever is in force.
+    std::vector<std::string> base;
     /// Names of documents to remove.
     std::vector<std::string> remove;
 };
--- a/packages/operator/include/acaciarail/operator/fault.h
+++ b/packages/operator/include/acaciarail/operator/fault.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <cstdint>
+#include <span>
 #include <string>
 
 namespace Acaciarail::Operator {
@@ -22,4 +25,7 @@
 /// Returns `FILE:LINE:COLUMN: expected EXPECTED, found FOUND`. \pre none. Thread-safe.
 [[nodiscard]] auto faultText(const Fault &fault) -> std::string;
 
+/// Returns the array `[{"file","line","column","expected","found"}]`, as in a problem document. \pre none. Thread-safe.
+[[nodiscard]] auto faultsToJson(std::span<const Fault> faults) -> nlohmann::json;
+
 } // namespace Acaciarail::Operator
--- a/packages/operator/src/command_audit.cpp
+++ b/packages/operator/src/command_audit.cpp
@@ -59,30 +59,62 @@
     return result;
 }
 
-auto readServer(const CommandContext &context) -> ReadEvents
+auto refuseAnswer(const CommandContext &context, const std::string &detail) -> ExitCode
+{
+    context.err << "error: the answer to GET /v1/audit: " << printable(detail, maxDetailBytes) << '\n';
+    return ExitCode::Failed;
+}
+
+auto readEvents(const CommandContext &context, const Json &list, std::vector<AuditEvent> &events) -> ExitCode
+{
+    auto exitCode = ExitCode::Ok;
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        auto event = auditEventFromJson(list.at(i));
+        if (event.event) {
+            events.push_back(std::move(*event.event));
+        } else {
+            exitCode = refuseAnswer(context, "event " + std::to_string(i) + ": " + event.failure.detail);
+        }
+    }
+    return exitCode;
+}
+
+/// One part of the events of a server.
+struct EventPart
+{
+    ExitCode exitCode = ExitCode::Ok;
+    /// Offset of the rest; 0 when there is none.
+    std::uint64_t next = 0;
+};
+
+auto readPart(const CommandContext &context, std::uint64_t from, std::vector<AuditEvent> &events) -> EventPart
 {
-    const auto result = call(context, {HttpMethod::Get, "/v1/audit", {}, true});
-    ReadEvents read{result.exitCode, {}};
+    const auto path = "/v1/audit" + (from == 0 ? std::string() : "?from=" + std::to_string(from));
+    const auto result = call(context, {HttpMethod::Get, path, {}, true});
     if (result.exitCode != ExitCode::Ok) {
-        return read;
+        return {result.exitCode, 0};
     }
     JsonReader reader(result.json);
     const auto *list = reader.array("events");
-    if (list == nullptr) {
-        context.err << "error: the answer to GET /v1/audit: " << reader.faultText() << '\n';
-        read.exitCode = ExitCode::Failed;
-        return read;
+    const auto next = reader.has("next") ? reader.integer("next") : 0;
+    if (list == nullptr || !reader.faultText().empty()) {
+        return {refuseAnswer(context, reader.faultText()), 0};
     }
-    for (std::size_t i = 0; i < list->size(); ++i) {
-        auto event = auditEventFromJson(list->at(i));
-        if (event.event) {
-            read.events.push_back(std::move(*event.event));
-        } else {
-            context.err << "error: the answer to GET /v1/audit: event " << i << ": " << printable(event.failure.detail, maxDetailBytes)
-                        << '\n';
-            read.exitCode = ExitCode::Failed;
-        }
+    if (next != 0 && next <= from) {
+        return {refuseAnswer(context, "expected \"next\" above " + std::to_string(from) + ", found " + std::to_string(next)), 0};
     }
+    return {readEvents(context, *list, events), next};
+}
+
+/// Reads all events. A server that does not return them all at once states the offset of the rest in `next`.
+auto readServer(const CommandContext &context) -> ReadEvents
+{
+    ReadEvents read;
+    EventPart part;
+    do {
+        part = readPart(context, part.next, read.events);
+    } while (part.exitCode == ExitCode::Ok && part.next != 0);
+    read.exitCode = part.exitCode;
     return read;
 }
 
--- a/packages/operator/src/command_context.cpp
+++ b/packages/operator/src/command_context.cpp
@@ -154,11 +154,7 @@
 auto reportFaults(const CommandContext &context, const std::vector<Fault> &faults) -> ExitCode
 {
     if (context.isJson()) {
-        auto list = Json::array();
-        for (const auto &it : faults) {
-            list.push_back({{"file", it.file}, {"line", it.line}, {"column", it.column}, {"expected", it.expected}, {"found", it.found}});
-        }
-        context.out << jsonPage({{"faults", list}}) << '\n';
+        context.out << jsonPage({{"faults", faultsToJson(faults)}}) << '\n';
         return ExitCode::CheckFaults;
     }
     for (const auto &it : faults) {
--- a/packages/operator/src/command_documents.cpp
+++ b/packages/operator/src/command_documents.cpp
@@ -50,6 +50,8 @@
 {
     std::uint64_t version = 0;
     std::string text;
+    /// The whole object, which also names the operator and the origin.
+    Json json;
 };
 using CurrentDocuments = std::map<std::string, CurrentDocument>;
 
@@ -71,7 +73,7 @@
         for (const auto &it : *documents) {
             JsonReader part(it);
             auto name = part.text("name");
-            fetched.documents[std::move(name)] = {part.integer("version"), part.text("text")};
+            fetched.documents[std::move(name)] = {part.integer("version"), part.text("text"), it};
             reader.merge(part);
         }
     }
@@ -151,6 +153,20 @@
     return ExitCode::Conflict;
 }
 
+/// Returns the first changed document that is no longer the one from which the change was made.
+auto changedSince(const std::vector<DocumentFile> &base, const std::vector<ChangedDocument> &changes, const CurrentDocuments &current)
+    -> CurrentDocuments::const_iterator
+{
+    for (const auto &change : changes) {
+        const auto before = std::find_if(base.begin(), base.end(), [&change](const DocumentFile &it) { return it.name == change.name; });
+        const auto now = current.find(change.name);
+        if (now != current.end() && now->second.text != (before == base.end() ? std::string() : before->text)) {
+            return now;
+        }
+    }
+    return current.end();
+}
+
 auto reportServerFaults(const CommandContext &context, const std::vector<DocumentFile> &files, const Json &problem) -> ExitCode
 {
     JsonReader reader(problem);
@@ -277,6 +293,17 @@
         }
         return ExitCode::Ok;
     }
+    if (!options.publish.base.empty()) {
+        const auto base = collectDocuments(options.publish.base);
+        if (!base.faults.empty()) {
+            return reportFaults(context, base.faults);
+        }
+        const auto winner = changedSince(base.files, changes, current.documents);
+        if (winner != current.documents.end()) {
+            return reportConflict(context,
+                                  {{"code", errorName(Error::ConfigConflict)}, {"execution", "not-run"}, {"winner", winner->second.json}});
+        }
+    }
     return send(context, collected.files, changes);
 }
 
--- a/packages/operator/src/fault.cpp
+++ b/packages/operator/src/fault.cpp
@@ -1,5 +1,7 @@
 #include <acaciarail/operator/fault.h>
 
+#include <nlohmann/json.hpp>
+
 namespace Acaciarail::Operator {
 
 auto faultText(const Fault &fault) -> std::string
@@ -14,4 +16,13 @@
     return text + ": expected " + fault.expected + ", found " + fault.found;
 }
 
+auto faultsToJson(std::span<const Fault> faults) -> nlohmann::json
+{
+    auto list = nlohmann::json::array();
+    for (const auto &it : faults) {
+        list.push_back({{"file", it.file}, {"line", it.line}, {"column", it.column}, {"expected", it.expected}, {"found", it.found}});
+    }
+    return list;
+}
+
 } // namespace Acaciarail::Operator
--- a/packages/operator/src/toml_text.cpp
+++ b/packages/operator/src/toml_text.cpp
@@ -416,7 +416,7 @@
     const auto line = lineOf(chunk.text, place.line);
     const auto rest = trim(line.substr(std::min<std::size_t>(place.column - 1, line.size())));
     sink.add({place.line + chunk.firstLine - 1, place.column}, expectedOf(message),
-             rest.empty() ? "the end of the line" : quotedText(rest));
+             rest.empty() ? "the end of the line" : '`' + printable(rest) + '`');
 }
 
 } // namespace
--- a/tests/operator/command_test.cpp
+++ b/tests/operator/command_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
+#include <rapidcheck/boost_test.h>
 
 #include <filesystem>
 #include <fstream>
@@ -309,6 +310,31 @@
     BOOST_TEST(contains(result.out, "in force"));
 }
 
+// Guards against replacing a change that the operator has not seen.
+BOOST_AUTO_TEST_CASE(publishRefusesToReplaceAnUnseenChange)
+{
+    const TemporaryDirectory directory;
+    directory.write("mine/retake.acaciarail.toml", serviceText);
+    directory.write("base/retake.acaciarail.toml", "old");
+    const auto current = [](const std::string &text) {
+        const Json document{{"name", "retake.acaciarail.toml"}, {"version", 8}, {"text", text}, {"operator", "bob"}, {"origin_file", "b/f"},
+                            {"origin_revision", "r9"}};
+        return Json{{"version", 8}, {"documents", Json::array({document})}}.dump();
+    };
+    const StandInAnswer published{200, R"({"version":9,"documents":[]})", false};
+    HttpStandIn changed(configServer(current("changed by bob"), published));
+    auto options = optionsFor(Verb::Publish, {changed.port()}, {directory.path("mine")});
+    options.publish.base = {directory.path("base")};
+    const auto result = run(options);
+    BOOST_TEST(result.exitCode == ExitCode::Conflict);
+    BOOST_TEST(contains(result.err, "operator bob published first: file b/f, revision r9, version 8"), result.err);
+    BOOST_TEST(changed.calls().size() == 1U);
+
+    HttpStandIn unchanged(configServer(current("old"), published));
+    options.client.servers = {{"127.0.0.1", unchanged.port()}};
+    BOOST_TEST(run(options).exitCode == ExitCode::Ok);
+}
+
 // Guards against removals that do not name the version they are based on, and against removing what is not there.
 BOOST_AUTO_TEST_CASE(publishRemovesDocuments)
 {
@@ -490,6 +516,65 @@
     BOOST_TEST(contains(damaged.err, "damaged.jsonl:2:"), damaged.err);
 }
 
+// Guards against an audit that judges only the first part of the events, or that asks for parts for ever.
+BOOST_AUTO_TEST_CASE(auditReadsAllParts)
+{
+    const auto event = [](LogOffset offset, AuditBody body) {
+        return auditEventToJson({offset, "", AuditTime(std::chrono::hours(1)), std::move(body)});
+    };
+    const auto first = event(1, AuditJobAccepted{JobId("j"), "n", OrganisationName("o"), CallerName("c"), ZoneName("z"), true});
+    const auto second = event(7, AuditJobFinished{JobId("j"), JobOutcome::Succeeded, JobReason::None});
+    HttpStandIn server([&](const StandInRequest &request) {
+        const auto json =
+            request.path == "/v1/audit" ? Json{{"events", Json::array({first})}, {"next", 7}} : Json{{"events", Json::array({second})}};
+        return StandInAnswer{200, json.dump(), false};
+    });
+    const auto result = run(optionsFor(Verb::Audit, {server.port()}));
+    BOOST_TEST(result.exitCode == ExitCode::Ok, result.out + result.err);
+    BOOST_TEST(server.calls().back() == "GET /v1/audit?from=7");
+
+    HttpStandIn endless([](const StandInRequest &) { return StandInAnswer{200, R"({"events":[],"next":3})", false}; });
+    BOOST_TEST(run(optionsFor(Verb::Audit, {endless.port()})).exitCode == ExitCode::Failed);
+    BOOST_TEST(endless.calls().size() == 2U);
+}
+
+// Guards against an answer that makes the client throw or crash.
+RC_BOOST_PROP(arbitraryAnswersNeverThrow, ())
+{
+    static const std::vector<std::string> keys{"jobs",      "events", "documents",  "spans",   "winner",    "faults",
+                                               "version",   "name",   "text",       "detail",  "line",      "next",
+                                               "execution", "type",   "attributes", "span_id", "parent_id", "id"};
+    static const std::vector<std::string> scalars{"1", "-1", "null", "\"x\"", "true", "1.5", "{}", "[]", "[[]]", "18446744073709551615"};
+    const auto anyObject = [] {
+        std::string text = "{\"" + *rc::gen::elementOf(keys) + "\":" + *rc::gen::elementOf(scalars);
+        for (auto n = *rc::gen::inRange(0, 4); n > 0; --n) {
+            text += ",\"" + *rc::gen::elementOf(keys) + "\":" + *rc::gen::elementOf(scalars);
+        }
+        return text + '}';
+    };
+    const auto inner = anyObject();
+    const auto list = *rc::gen::elementOf(keys);
+    const std::vector<std::string> bodies{inner, "{\"" + list + "\":[" + inner + ",3]}", "{\"" + list + "\":" + inner + '}', inner + '{'};
+    const auto body = *rc::gen::elementOf(bodies);
+    const auto status = *rc::gen::element(200, 201, 204, 301, 404, 409, 422, 503);
+    const TemporaryDirectory directory;
+    directory.write("retake.acaciarail.toml", serviceText);
+    HttpStandIn server([&](const StandInRequest &request) {
+        const bool isConfig = request.method == "GET" && request.path == "/v1/config" && status != 200;
+        return isConfig ? StandInAnswer{200, noConfig, false} : StandInAnswer{status, body, false};
+    });
+    for (std::size_t i = 0; i < verbCount; ++i) {
+        const auto verb = static_cast<Verb>(i);
+        const bool isPath = verb == Verb::Check || verb == Verb::Publish;
+        const bool isId = verb == Verb::Cancel || verb == Verb::Explain || verb == Verb::Trace;
+        auto options = optionsFor(verb, {server.port()});
+        options.arguments = isPath ? std::vector{directory.path("")} : isId ? std::vector<std::string>{"x"} : std::vector<std::string>{};
+        options.output = *rc::gen::element(OutputFormat::Table, OutputFormat::Json);
+        submitJob(options);
+        RC_ASSERT(run(options).exitCode != ExitCode::Usage);
+    }
+}
+
 // Guards against a trace that misses the spans of other instances, or that never ends because spans refer to each other.
 BOOST_AUTO_TEST_CASE(traceJoinsTheSpansOfAllInstances)
 {
