--- a/packages/operator/src/command_context.cpp
+++ b/packages/operator/src/command_context.cpp
@@ -50,9 +50,8 @@
     TextTable table(header);
     for (const auto &row : rows) {
         std::vector<std::string> cells;
-        for (const auto &it : columns) {
-            cells.push_back(cell(row, it.c_str()));
-        }
+        std::transform(columns.begin(), columns.end(), std::back_inserter(cells),
+                       [&row](const std::string &it) { return cell(row, it.c_str()); });
         table.addRow(std::move(cells));
     }
     return table;
@@ -155,11 +154,7 @@
 auto reportFaults(const CommandContext &context, const std::vector<Fault> &faults) -> ExitCode
 {
     if (context.isJson()) {
-        auto list = Json::array();
-        for (const auto &it : faults) {
-            list.push_back({{"file", it.file}, {"line", it.line}, {"column", it.column}, {"expected", it.expected}, {"found", it.found}});
-        }
-        context.out << jsonPage({{"faults", list}}) << '\n';
+        context.out << jsonPage({{"faults", faultsToJson(faults)}}) << '\n';
         return ExitCode::CheckFaults;
     }
     for (const auto &it : faults) {
