Add stateful fuzzing of whole instances with an oracle and deliberate breaks

Cause: the invariants under any two failures at once were not proved. Change: a world of instances with the real decision and state code over the platform and worker models in simulated time, a plain oracle, 31 kinds of commands, 11 deliberate breaks, and the benchmarks fuzz and mutants.

--- a/packages/instance/include/acaciarail/instance/gang_launch.h
+++ b/packages/instance/include/acaciarail/instance/gang_launch.h
@@ -65,7 +65,7 @@
     /// The worker cannot run the attempt any more: its task lease has expired, or it does not know the attempt. \pre none.
     auto memberLost(const WorkerName &worker) -> void;
 
-    /// Asks all members for a checkpoint and stops each one that has taken it. \pre none.
+    /// Asks all members for a checkpoint, and stops the gang once all have taken it. \pre none.
     auto checkpoint(Duration grace, const SendToWorker &send) -> void;
 
     /// Stops all members. \pre none.
@@ -131,6 +131,7 @@
     TimePoint m_phaseSince;
     TimePoint m_lastSent;
     bool m_mayHaveStarted = false;
+    bool m_isCheckpointing = false;
     /// Set when the gang could not be reserved or started as a whole.
     bool m_launchFailed = false;
     WorkerName m_failedWorker;
--- a/packages/instance/include/acaciarail/instance/instance.h
+++ b/packages/instance/include/acaciarail/instance/instance.h
@@ -160,7 +160,11 @@
     [[nodiscard]] auto replica() const noexcept -> const State::Replica &;
     [[nodiscard]] auto configuration() const noexcept -> const Configuration &;
     [[nodiscard]] auto status(TimePoint now) const -> InstanceStatus;
-    /// Holds for a shard of the own zone that this instance holds. \pre none.
+    /// Whether this instance holds a shard of its zone. \pre none.
+    [[nodiscard]] auto isHolder(TimePoint now) const -> bool;
+    /// Checks the invariants of all held shards from scratch; returns the first fault, or an empty text. Slow; for tests. \pre none.
+    [[nodiscard]] auto verify() const -> std::string;
+    /// Explains a job of a shard that this instance holds. \pre none.
     [[nodiscard]] auto explain(const JobId &job, TimePoint now) const -> std::optional<Scheduling::Explanation>;
     /// Failure that describes a known order; empty when it ran. \pre none.
     [[nodiscard]] auto describeOrder(const State::OrderState &order, TimePoint now) const -> std::optional<Failure>;
--- a/packages/instance/include/acaciarail/instance/shard_controller.h
+++ b/packages/instance/include/acaciarail/instance/shard_controller.h
@@ -114,6 +114,8 @@
     [[nodiscard]] auto nextDeadline(TimePoint now) const -> TimePoint;
     [[nodiscard]] auto isHolder(TimePoint now) const -> bool;
     [[nodiscard]] auto status(TimePoint now) const -> ShardStatus;
+    /// Checks the scheduler's invariants; see Scheduling::ZoneScheduler::verify(). \pre none.
+    [[nodiscard]] auto verify() const -> std::string;
     [[nodiscard]] auto explain(const JobId &id, TimePoint now) const -> std::optional<Scheduling::Explanation>;
 
 private:
--- a/packages/instance/src/gang_launch.cpp
+++ b/packages/instance/src/gang_launch.cpp
@@ -122,6 +122,7 @@
 
 auto GangLaunch::checkpoint(Duration grace, const SendToWorker &send) -> void
 {
+    m_isCheckpointing = true;
     for (const auto &it : m_members) {
         if (it.state != MemberState::Ended) {
             send(it.worker, Worker::Checkpoint{m_term, m_id, grace});
@@ -331,7 +332,9 @@
         enter(LaunchPhase::Ended, now);
         return;
     }
-    if (std::any_of(m_members.begin(), m_members.end(), hasFailed)) {
+    const auto isSaved = [](const Member &it) { return it.checkpointed || it.state == MemberState::Ended; };
+    const auto isCheckpointComplete = m_isCheckpointing && std::all_of(m_members.begin(), m_members.end(), isSaved);
+    if (isCheckpointComplete || std::any_of(m_members.begin(), m_members.end(), hasFailed)) {
         stop(now);
         return;
     }
--- a/packages/instance/src/instance.cpp
+++ b/packages/instance/src/instance.cpp
@@ -454,6 +454,21 @@
     return m_configuration;
 }
 
+auto Instance::isHolder(TimePoint now) const -> bool
+{
+    return std::any_of(m_shards.begin(), m_shards.end(), [now](const auto &it) { return it->isHolder(now); });
+}
+
+auto Instance::verify() const -> std::string
+{
+    for (const auto &it : m_shards) {
+        if (auto fault = it->verify(); !fault.empty()) {
+            return fault;
+        }
+    }
+    return {};
+}
+
 auto Instance::status(TimePoint now) const -> InstanceStatus
 {
     InstanceStatus status;
--- a/packages/instance/src/shard_controller.cpp
+++ b/packages/instance/src/shard_controller.cpp
@@ -150,6 +150,11 @@
     return status;
 }
 
+auto ShardController::verify() const -> std::string
+{
+    return m_scheduler ? m_scheduler->verify() : std::string();
+}
+
 auto ShardController::explain(const JobId &id, TimePoint now) const -> std::optional<Scheduling::Explanation>
 {
     return m_scheduler ? m_scheduler->explain(id, now) : std::nullopt;
--- a/packages/scheduling/src/zone_report.cpp
+++ b/packages/scheduling/src/zone_report.cpp
@@ -170,7 +170,10 @@
         if (tasks != job.shape.tasks) {
             return "job " + job.id.str() + ": expected " + std::to_string(job.shape.tasks) + " tasks, found " + std::to_string(tasks);
         }
-        if (!isAdjacent(m_fleet, job.attempt.members, job.shape.adjacency)) {
+        // The rack of a worker that an adopted attempt names is unknown until the worker joins.
+        const auto isKnown = [this](const auto &it) { return !m_fleet.worker(it.worker).info.rack.empty(); };
+        const auto areKnown = std::all_of(job.attempt.members.begin(), job.attempt.members.end(), isKnown);
+        if (areKnown && !isAdjacent(m_fleet, job.attempt.members, job.shape.adjacency)) {
             return "job " + job.id.str() + ": expected adjacency " + std::string(adjacencyName(job.shape.adjacency))
                 + ", found other workers";
         }
--- /dev/null
+++ b/tests/fuzz/world.h
@@ -0,0 +1,258 @@
+#pragma once
+
+#include "oracle.h"
+#include "platform_model.h"
+#include "worker_model.h"
+
+#include <acaciarail/instance.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Acaciarail::Fuzz {
+
+/// Deliberate breaks that the oracle must catch, so that it is known to be able to fail.
+enum class Mutation : std::uint8_t {
+    None,
+    /// A non-idempotent request is sent a second time after a failure.
+    RetryAfterSend,
+    /// A refusal with an unknown outcome is reported as not run.
+    UnknownAsNotRun,
+    /// An append whose answer was lost counts as not appended.
+    LostAnswerAsNotAppended,
+    /// Workers accept commands of any term.
+    SkipTermCheck,
+    /// The holder believes that its lease lasts ten times as long as it does.
+    LongLease,
+    /// Starts are sent to the first member of a gang only, and the others are reported as started.
+    StartFirstMemberOnly,
+    /// Answers of two requests are exchanged.
+    SwapAnswers,
+    /// The log acknowledges records without keeping them.
+    LoseRecords,
+    /// A draining instance ends at once.
+    AbruptDrain,
+    /// An instance goes back to an older state of the configuration.
+    RevertVersion,
+    /// Claims of non-idempotent requests are not deduplicated by key.
+    ForgetKeys,
+};
+
+inline constexpr std::size_t mutationCount = 12;
+
+[[nodiscard]] auto mutationName(Mutation mutation) noexcept -> const char *;
+
+enum class CommandKind : std::uint8_t {
+    Request,
+    Order,
+    RetryElsewhere,
+    Job,
+    Gang,
+    CancelWave,
+    Publish,
+    Race,
+    Crash,
+    Restart,
+    RestartAll,
+    Pause,
+    Resume,
+    CutZone,
+    Heal,
+    LogDown,
+    LogSlow,
+    LogLosesAnswers,
+    LogLateAppends,
+    LogUp,
+    RetentionPasses,
+    EndpointLeaves,
+    EndpointSilent,
+    EndpointsRecover,
+    WorkerFailsAll,
+    WorkerRestarts,
+    WorkerUnreachable,
+    WorkersRecover,
+    ListLags,
+    Drain,
+    Wait,
+};
+
+inline constexpr std::size_t commandKindCount = 31;
+
+[[nodiscard]] auto commandName(CommandKind kind) noexcept -> const char *;
+
+/// One step of a sequence: what happens, to whom, and how much time passes afterwards.
+struct Command
+{
+    CommandKind kind = CommandKind::Wait;
+    std::uint32_t target = 0;
+    Duration pause{};
+};
+
+struct WorldSettings
+{
+    std::uint64_t seed = 1;
+    Mutation mutation = Mutation::None;
+    std::uint32_t zones = 2;
+    std::uint32_t instancesPerZone = 2;
+    std::uint32_t workersPerZone = 4;
+    std::uint32_t endpointsPerZone = 2;
+    Duration taskLease = 10s;
+    /// Log records between two snapshots, and records that the log keeps once the retention passes.
+    std::uint64_t snapshotEvery = 150;
+    std::uint64_t retention = 400;
+};
+
+/// Instances with the real decision and state code over in-process stand-ins and simulated time.
+class World
+{
+public:
+    explicit World(WorldSettings settings);
+    ~World();
+    World(const World &) = delete;
+    auto operator=(const World &) -> World & = delete;
+
+    auto execute(const Command &command) -> void;
+    auto advance(Duration d) -> void;
+    /// Ends all faults, lets all work finish, and checks the end state.
+    auto settle() -> void;
+
+    [[nodiscard]] auto violations() const noexcept -> const std::vector<Violation> &;
+    [[nodiscard]] auto now() const noexcept -> TimePoint;
+    /// Instances that hold the first shard of a zone right now.
+    [[nodiscard]] auto holdersOf(std::uint32_t zone) const -> std::size_t;
+    /// Index of the instance that holds and has recovered the first shard of a zone.
+    [[nodiscard]] auto holderIndex(std::uint32_t zone) const -> std::optional<std::size_t>;
+    [[nodiscard]] auto instanceCount() const noexcept -> std::size_t;
+    [[nodiscard]] auto instance(std::size_t i) -> Instance::Instance &;
+    [[nodiscard]] auto isUp(std::size_t i) const -> bool;
+    [[nodiscard]] auto platform() -> Standins::PlatformModel &;
+    /// Number of jobs that were started on workers.
+    [[nodiscard]] auto startedAttempts() const noexcept -> std::uint64_t;
+    /// Requests that were answered by an endpoint, and time from submission to answer of each.
+    [[nodiscard]] auto answerTimes() const noexcept -> const std::vector<Duration> &;
+
+    auto crash(std::size_t i) -> void;
+    auto restart(std::size_t i) -> void;
+    auto setPaused(std::size_t i, bool paused) -> void;
+    auto drain(std::size_t i) -> void;
+    auto submitRequest(std::size_t i, std::string orderKey) -> void;
+    auto submitJob(std::size_t i, std::uint32_t tasks, bool idempotent) -> void;
+    auto publish(std::size_t i, const std::string &document) -> void;
+
+private:
+    struct Node
+    {
+        InstanceInfo info;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<Instance::Instance> instance;
+        bool paused = false;
+        bool draining = false;
+        std::deque<std::function<void()>> inbox;
+        TimePoint tickAt;
+        std::map<std::uint64_t, TimePoint> openRequests;
+        /// Answers of endpoints by request and attempt, as content numbers.
+        std::map<std::pair<RequestId, std::uint32_t>, std::uint64_t> answers;
+        std::set<std::pair<RequestId, std::uint32_t>> openAttempts;
+        std::map<Instance::OperationId, std::string> jobNames;
+        /// Configuration documents, kept for the mutation that reverts them.
+        std::vector<std::map<std::string, State::Document>> oldDocuments;
+    };
+
+    struct Endpoint
+    {
+        EndpointInfo info;
+        bool silent = false;
+        std::optional<TimePoint> leavingSince;
+        std::uint32_t busy = 0;
+    };
+
+    struct WorkerNode
+    {
+        std::unique_ptr<Standins::WorkerModel> model;
+        bool reachable = true;
+        bool failsAll = false;
+        TimePoint tickAt;
+    };
+
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t sequence;
+        std::function<void()> action;
+
+        friend auto operator<(const Event &a, const Event &b) -> bool
+        {
+            return std::pair(b.at, b.sequence) < std::pair(a.at, a.sequence);
+        }
+    };
+
+    auto at(TimePoint t, std::function<void()> action) -> void;
+    auto after(Duration d, std::function<void()> action) -> void;
+    auto deliver(std::size_t node, std::uint64_t incarnation, std::function<void()> action) -> void;
+    auto scheduleTick(std::size_t node) -> void;
+    auto scheduleWorkerTick(const WorkerName &name) -> void;
+    auto createInstance(std::size_t node) -> void;
+    auto hooksFor(std::size_t node) -> Instance::InstanceHooks;
+    auto append(std::size_t node, std::vector<std::string> records) -> void;
+    auto readLog(std::size_t node, std::uint64_t incarnation) -> void;
+    auto fetchList(std::size_t node, std::uint64_t incarnation) -> void;
+    auto sendToWorker(std::size_t node, const WorkerName &worker, const Worker::Request &request) -> void;
+    auto sendToHolder(const WorkerName &worker, std::vector<Worker::Reply> replies) -> void;
+    auto sendToPeer(std::size_t node, const InstanceName &peer, const Peer::Message &message) -> void;
+    auto sendAttempt(std::size_t node, const Scheduling::SendAttempt &attempt) -> void;
+    auto endAttempt(std::size_t node, std::uint64_t incarnation, RequestId id, std::uint32_t attempt, Scheduling::AttemptResultKind kind,
+                    Duration latency) -> void;
+    auto operationAnswered(std::size_t node, Instance::OperationId id, const Instance::OperationResult &result) -> void;
+    auto requestClosed(std::size_t node, std::uint64_t content) -> void;
+    auto listNode(std::size_t node) -> void;
+    auto listEndpoint(const Endpoint &endpoint) -> void;
+    auto createEndpoint(std::uint32_t zone, std::uint32_t i) -> void;
+    auto createWorker(std::uint32_t zone, std::uint32_t i) -> void;
+    auto configuration() const -> Instance::Configuration;
+    auto checkStep() -> void;
+    auto checkGangs() -> void;
+    auto checkDrains() -> void;
+    auto noteFault() -> void;
+    [[nodiscard]] auto isCut(const ZoneName &a, const ZoneName &b) const -> bool;
+    [[nodiscard]] auto pickUp(std::uint32_t target) const -> std::optional<std::size_t>;
+    [[nodiscard]] auto zoneName(std::uint32_t zone) const -> ZoneName;
+
+    WorldSettings m_settings;
+    std::mt19937_64 m_random;
+    TimePoint m_now;
+    std::uint64_t m_sequence = 0;
+    std::priority_queue<Event> m_events;
+    Standins::PlatformModel m_platform;
+    std::set<ZoneName> m_cutZones;
+    bool m_lateAppends = false;
+    std::vector<Node> m_nodes;
+    std::map<EndpointName, Endpoint> m_endpoints;
+    std::map<WorkerName, WorkerNode> m_workers;
+    Oracle m_oracle;
+    std::uint64_t m_lastContent = 0;
+    std::uint64_t m_lastJob = 0;
+    std::uint64_t m_lastIncarnation = 0;
+    std::map<std::uint64_t, std::string> m_orderKeys;
+    std::vector<std::string> m_usedKeys;
+    std::vector<JobId> m_acceptedJobs;
+    std::map<Worker::AttemptId, TimePoint> m_partialSince;
+    TimePoint m_lastFault;
+    std::uint64_t m_started = 0;
+    std::vector<Duration> m_answerTimes;
+};
+
+/// Draws a sequence of commands from a seeded engine.
+[[nodiscard]] auto randomSequence(std::uint64_t seed, std::size_t length) -> std::vector<Command>;
+
+/// Runs a sequence in a new world and returns the violations.
+[[nodiscard]] auto runSequence(const WorldSettings &settings, const std::vector<Command> &commands) -> std::vector<Violation>;
+
+} // namespace Acaciarail::Fuzz
--- a/tests/standins/worker_model.h
+++ b/tests/standins/worker_model.h
@@ -139,6 +139,8 @@
     WorkerModelSettings m_settings;
     Plan m_plan;
     Term m_term;
+    /// Highest version of the witness set that a holder or candidate named.
+    std::uint64_t m_witnessVersion = 0;
     TimePoint m_leaseEnd;
     bool m_released = true;
     std::map<Worker::AttemptId, Attempt> m_attempts;
