--- a/packages/scheduling/src/zone_capacity.cpp
+++ b/packages/scheduling/src/zone_capacity.cpp
@@ -535,9 +535,12 @@
 {
     const auto &job = m_jobs[j];
     const auto isOnOneWorker = job.shape.tasks == 1 || job.shape.adjacency == Adjacency::Worker;
-    if (m_reservations.empty() || !job.idempotent || !isOnOneWorker) {
+    if (m_reservations.empty() || !job.idempotent) {
         return false;
     }
+    if (!isOnOneWorker) {
+        return tryBackfillGang(j, now);
+    }
     const auto cautious = m_estimator.cautious(m_organisations[job.organisation].name, job.kind, job.declared);
     // Work that can be moved at any time does not delay the gang, however long it runs.
     const auto canMove = isMovable(job);
@@ -568,6 +571,30 @@
     return true;
 }
 
+auto ZoneState::tryBackfillGang(JobIndex j, TimePoint now) -> bool
+{
+    const auto &job = m_jobs[j];
+    const auto filter = filterFor(job);
+    const auto cautious = m_estimator.cautious(m_organisations[job.organisation].name, job.kind, job.declared);
+    const auto end = now + std::max(cautious - job.progress, Duration(1));
+    const auto room = [&](WorkerIndex w) {
+        const auto &worker = m_fleet.worker(w);
+        if (!worker.open || (filter && !filter(w)) || m_loads[w].heldUntil < end) {
+            return filter && !filter(w) ? ResourceTotals{} : m_fleet.room(w, Room::Free);
+        }
+        auto free = worker.capacity;
+        free -= worker.used;
+        return free;
+    };
+    auto places = findPlacementIn(m_fleet, job.shape, room);
+    if (!places) {
+        return false;
+    }
+    plan(j, std::move(*places), {}, now);
+    m_jobs[j].attempt.backfilled = true;
+    return true;
+}
+
 auto ZoneState::tryPreempt(JobIndex j, TimePoint now) -> bool
 {
     const auto &job = m_jobs[j];
--- a/packages/scheduling/src/zone_state.h
+++ b/packages/scheduling/src/zone_state.h
@@ -280,6 +280,7 @@
     [[nodiscard]] auto mayUse(const JobRecord &job, const Placement &places) const -> bool;
     auto tryBorrow(JobIndex j, TimePoint now) -> bool;
     auto tryBackfill(JobIndex j, TimePoint now) -> bool;
+    auto tryBackfillGang(JobIndex j, TimePoint now) -> bool;
     auto tryPreempt(JobIndex j, TimePoint now) -> bool;
 
     // Guaranteed work, in zone_guarantees.cpp.
