--- a/packages/scheduling/src/zone_capacity.cpp
+++ b/packages/scheduling/src/zone_capacity.cpp
@@ -11,6 +11,10 @@
 constexpr double coresPerAccelerator = 8.0;
 /// A non-idempotent job cannot be run again, so it is stopped only when nothing else will do.
 constexpr double nonIdempotentPenalty = 1e6;
+/// Racks with fixed work and room that are searched for more of it, so that the cost of a placement stays bounded.
+constexpr std::size_t fixedRacksSearched = 4;
+/// Workers on racks with fixed work that are passed over for movable work, so that the cost of a placement stays bounded.
+constexpr std::size_t fixedWorkersRejected = 32;
 /// Workers compared when urgent work takes capacity from less urgent work.
 constexpr std::size_t preemptionCandidates = 8;
 
@@ -108,6 +112,12 @@
             m_fleet.removeUsed(it.worker, amount, isBorrowed(job));
             load.jobs.erase(std::find(load.jobs.begin(), load.jobs.end(), j));
         }
+        if (!isLarge(job.shape) && !isFixed(job) && isBorrowed(job)) {
+            add(load.movable, amount);
+        }
+        if (isFixed(job)) {
+            countFixed(m_fleet.worker(it.worker).rack, std::int64_t{sign} * it.tasks);
+        }
         load.unprovenJobs += static_cast<std::uint32_t>(attempt.proven ? 0 : sign);
         if (attempt.phase == Phase::Planned) {
             add(load.planned, amount);
@@ -416,9 +426,22 @@
 {
     const auto &job = m_jobs[j];
     const auto filter = filterFor(job);
-    auto places = findPlacement(m_fleet, job.shape, Room::Spare, filter);
-    if (!places) {
-        places = findPlacement(m_fleet, job.shape, Room::Free, filter);
+    std::optional<Placement> places;
+    for (const auto room : {Room::Spare, Room::Free}) {
+        if (isFixed(job)) {
+            places = findAmongFixed(job, room, filter);
+        }
+        if (isMovable(job)) {
+            places = findAwayFromFixed(job, room, filter);
+        }
+        if (!places && isGangOfRacks(job.shape)) {
+            places = findTightRacks(job, room, filter);
+        } else if (!places) {
+            places = findPlacement(m_fleet, job.shape, room, filter);
+        }
+        if (places) {
+            break;
+        }
     }
     if (!places) {
         return false;
@@ -427,14 +450,100 @@
     return true;
 }
 
+auto ZoneState::isGangOfRacks(const Shape &shape) noexcept -> bool
+{
+    return shape.tasks > 1 && (shape.adjacency == Adjacency::Rack || shape.adjacency == Adjacency::NeighbouringRacks);
+}
+
+auto ZoneState::findTightRacks(const JobRecord &job, Room room, const WorkerFilter &filter) const -> std::optional<Placement>
+{
+    const auto here = [&](WorkerIndex w) { return filter && !filter(w) ? ResourceTotals{} : m_fleet.room(w, room); };
+    // Movable work counts as room, so that racks which could be cleared for a larger gang stay available.
+    const auto clearable = [&](WorkerIndex w) {
+        auto sum = here(w);
+        sum += m_loads[w].movable;
+        return sum;
+    };
+    return findPlacementIn(m_fleet, job.shape, here, {clearable, {}});
+}
+
+auto ZoneState::isFixed(const JobRecord &job) const noexcept -> bool
+{
+    return !isLarge(job.shape) && !(job.idempotent && job.checkpointable);
+}
+
+auto ZoneState::countFixed(RackIndex rack, std::int64_t tasks) -> void
+{
+    if (rack >= m_fixedOnRack.size()) {
+        m_fixedOnRack.resize(rack + 1);
+    }
+    auto &count = m_fixedOnRack[rack];
+    m_racksByFixed.erase({-count, rack});
+    count += tasks;
+    if (count > 0) {
+        m_racksByFixed.emplace(-count, rack);
+    }
+}
+
+auto ZoneState::findAmongFixed(const JobRecord &job, Room room, const WorkerFilter &filter) const -> std::optional<Placement>
+{
+    const auto need = times(job.shape.perTask, job.shape.tasks);
+    std::size_t searched = 0;
+    for (const auto &[count, rack] : m_racksByFixed) {
+        if (searched == fixedRacksSearched) {
+            break;
+        }
+        const auto &it = m_fleet.racks()[rack];
+        if (!covers(it.room[static_cast<std::size_t>(room)], need)) {
+            continue;
+        }
+        ++searched;
+        std::optional<WorkerIndex> best;
+        for (const auto w : it.workers) {
+            const auto &here = m_fleet.room(w, room);
+            const auto isTighter = [&] {
+                const auto &other = m_fleet.room(*best, room);
+                return std::pair(here.accelerators, here.cores) < std::pair(other.accelerators, other.cores);
+            };
+            if (covers(unreservedRoom(here, job.shape.perTask), need) && (!filter || filter(w)) && (!best || isTighter())) {
+                best = w;
+            }
+        }
+        if (best) {
+            return Placement{{*best, job.shape.tasks}};
+        }
+    }
+    return std::nullopt;
+}
+
+auto ZoneState::findAwayFromFixed(const JobRecord &job, Room room, const WorkerFilter &filter) const -> std::optional<Placement>
+{
+    std::size_t rejected = 0;
+    const auto isAway = [&](WorkerIndex w) {
+        const auto rack = m_fleet.worker(w).rack;
+        const auto hasFixed = rack < m_fixedOnRack.size() && m_fixedOnRack[rack] > 0;
+        if (hasFixed && rejected < fixedWorkersRejected) {
+            ++rejected;
+            return false;
+        }
+        return !filter || filter(w);
+    };
+    return findPlacement(m_fleet, job.shape, room, isAway);
+}
+
 auto ZoneState::tryBackfill(JobIndex j, TimePoint now) -> bool
 {
     const auto &job = m_jobs[j];
     const auto isOnOneWorker = job.shape.tasks == 1 || job.shape.adjacency == Adjacency::Worker;
-    if (m_reservations.empty() || !job.idempotent || !isOnOneWorker) {
+    if (m_reservations.empty() || !job.idempotent) {
         return false;
     }
+    if (!isOnOneWorker) {
+        return tryBackfillGang(j, now);
+    }
     const auto cautious = m_estimator.cautious(m_organisations[job.organisation].name, job.kind, job.declared);
+    // Work that can be moved at any time does not delay the gang, however long it runs.
+    const auto canMove = isMovable(job);
     const auto end = now + std::max(cautious - job.progress, Duration(1));
     const auto need = times(job.shape.perTask, job.shape.tasks);
     std::optional<WorkerIndex> best;
@@ -444,7 +553,7 @@
             const auto &worker = m_fleet.worker(it.worker);
             auto room = worker.capacity;
             room -= worker.used;
-            if (m_loads[it.worker].heldUntil < end || !worker.open || !covers(room, need)) {
+            if ((!canMove && m_loads[it.worker].heldUntil < end) || !worker.open || !covers(room, need)) {
                 continue;
             }
             const auto isTighter = std::pair(room.accelerators, room.cores) < std::pair(bestRoom.accelerators, bestRoom.cores);
@@ -462,6 +571,30 @@
     return true;
 }
 
+auto ZoneState::tryBackfillGang(JobIndex j, TimePoint now) -> bool
+{
+    const auto &job = m_jobs[j];
+    const auto filter = filterFor(job);
+    const auto cautious = m_estimator.cautious(m_organisations[job.organisation].name, job.kind, job.declared);
+    const auto end = now + std::max(cautious - job.progress, Duration(1));
+    const auto room = [&](WorkerIndex w) {
+        const auto &worker = m_fleet.worker(w);
+        if (!worker.open || (filter && !filter(w)) || m_loads[w].heldUntil < end) {
+            return filter && !filter(w) ? ResourceTotals{} : m_fleet.room(w, Room::Free);
+        }
+        auto free = worker.capacity;
+        free -= worker.used;
+        return free;
+    };
+    auto places = findPlacementIn(m_fleet, job.shape, room);
+    if (!places) {
+        return false;
+    }
+    plan(j, std::move(*places), {}, now);
+    m_jobs[j].attempt.backfilled = true;
+    return true;
+}
+
 auto ZoneState::tryPreempt(JobIndex j, TimePoint now) -> bool
 {
     const auto &job = m_jobs[j];
--- a/packages/scheduling/src/zone_state.h
+++ b/packages/scheduling/src/zone_state.h
@@ -53,6 +53,8 @@
     std::string kind;
     /// Order of submission; 0 for an unused record.
     std::uint64_t sequence = 0;
+    /// Position in the queue: time of submission plus the estimated run time, in microseconds.
+    std::int64_t order = 0;
     OrganisationIndex organisation = noIndex;
     TeamIndex team = noIndex;
     GroupIndex group = noIndex;
@@ -71,6 +73,8 @@
     std::vector<WorkerIndex> failedOn;
     std::uint32_t failures = 0;
     std::uint32_t attempts = 0;
+    /// Times that it was stopped for a gang with a reservation.
+    std::uint32_t moves = 0;
     Attempt attempt;
 };
 
@@ -96,9 +100,9 @@
 struct Group
 {
     GroupKey key;
-    std::set<std::pair<std::uint64_t, JobIndex>> waiting;
-    /// Sequence under which it is listed as ready.
-    std::optional<std::uint64_t> readyAs;
+    std::set<std::pair<std::int64_t, JobIndex>> waiting;
+    /// Position of its first job under which it is listed as ready.
+    std::optional<std::int64_t> readyAs;
     bool blocked = false;
     WaitReason reason = WaitReason::NotConsideredYet;
 };
@@ -118,7 +122,7 @@
     ResourceTotals used;
     std::vector<Team> teams;
     std::map<TeamName, TeamIndex> teamByName;
-    std::array<std::set<std::pair<std::uint64_t, GroupIndex>>, priorityCount> ready;
+    std::array<std::set<std::pair<std::int64_t, GroupIndex>>, priorityCount> ready;
 };
 
 /// What the scheduler keeps for each worker in addition to the fleet.
@@ -133,6 +137,8 @@
     std::array<ResourceTotals, priorityCount> reclaimable;
     /// Earliest start of the gangs that hold a reservation here.
     TimePoint heldUntil = TimePoint::max();
+    /// Part of the use by small work that can be moved.
+    ResourceTotals movable;
     std::uint32_t unprovenJobs = 0;
 };
 
@@ -274,6 +280,7 @@
     [[nodiscard]] auto mayUse(const JobRecord &job, const Placement &places) const -> bool;
     auto tryBorrow(JobIndex j, TimePoint now) -> bool;
     auto tryBackfill(JobIndex j, TimePoint now) -> bool;
+    auto tryBackfillGang(JobIndex j, TimePoint now) -> bool;
     auto tryPreempt(JobIndex j, TimePoint now) -> bool;
 
     // Guaranteed work, in zone_guarantees.cpp.
@@ -309,6 +316,15 @@
     auto updateHeldUntil(const Placement &places) -> void;
     auto evictBackfill(JobIndex j, TimePoint now) -> bool;
     auto dropReservation(JobIndex j) -> void;
+    /// Small work that loses little when it is stopped, so that a gang need not wait for it.
+    [[nodiscard]] auto isMovable(const JobRecord &job) const noexcept -> bool;
+    /// Small work that cannot be moved; it is kept together on few racks, so that the others can be cleared for gangs.
+    [[nodiscard]] auto isFixed(const JobRecord &job) const noexcept -> bool;
+    [[nodiscard]] auto findAmongFixed(const JobRecord &job, Room room, const WorkerFilter &filter) const -> std::optional<Placement>;
+    [[nodiscard]] static auto isGangOfRacks(const Shape &shape) noexcept -> bool;
+    [[nodiscard]] auto findTightRacks(const JobRecord &job, Room room, const WorkerFilter &filter) const -> std::optional<Placement>;
+    [[nodiscard]] auto findAwayFromFixed(const JobRecord &job, Room room, const WorkerFilter &filter) const -> std::optional<Placement>;
+    auto countFixed(RackIndex rack, std::int64_t tasks) -> void;
     [[nodiscard]] auto isLarge(const Shape &shape) const noexcept -> bool;
     [[nodiscard]] auto expectedEnd(const JobRecord &job, TimePoint now) const -> TimePoint;
 
@@ -340,6 +356,9 @@
     /// In the order in which they were planned.
     std::vector<JobIndex> m_planned;
     std::vector<Reservation> m_reservations;
+    /// Tasks of fixed work on each rack, and the racks that have any.
+    std::vector<std::int64_t> m_fixedOnRack;
+    std::set<std::pair<std::int64_t, RackIndex>> m_racksByFixed;
     std::set<Timer> m_timers;
     std::set<WorkerName> m_limitedWorkers;
     /// Workers on which jobs of a kind failed since the last success of that kind.
