Make instances that share an endpoint converge to equal limits

Cause: a limit grew for each answer and fell by a constant, which keeps unequal limits unequal, so that some instances were short of slots while others were not. Change: growth is divided by the limit (0.08), and a busy answer takes a part (0.2) of it. 0.05 with 0.2, 0.05 with 0.1 and 0.08 with 0.1 were measured too: lower goodput, or extra attempts above 0.10.

--- a/packages/scheduling/include/acaciarail/scheduling/endpoint_limits.h
+++ b/packages/scheduling/include/acaciarail/scheduling/endpoint_limits.h
@@ -17,10 +17,11 @@
     double initialLimit = 2.0;
     /// Growth for each answer until the first busy answer.
     double fastGrowth = 0.25;
-    /// Growth for each answer afterwards. Its ratio to the reduction bounds the share of busy answers under overload.
-    double growth = 0.02;
-    /// Reduction for each busy answer.
-    double busyReduction = 0.5;
+    /// Growth for each answer afterwards, divided by the limit, and part of the limit that a busy answer takes. Growth by a constant in
+    /// a given time and reduction by a factor make instances that share an endpoint converge to equal limits. The ratio
+    /// growth / (busyReduction * limit^2) is the share of busy answers under overload.
+    double growth = 0.08;
+    double busyReduction = 0.2;
     double leastLimit = 0.1;
     /// Mean latency, as a multiple of the endpoint's least one, above which the limit falls.
     double latencyTolerance = 3.0;
--- a/packages/scheduling/src/endpoint_limits.cpp
+++ b/packages/scheduling/src/endpoint_limits.cpp
@@ -69,7 +69,7 @@
         succeeded(now);
         answered(result.latency, now);
         if (wasFull) {
-            m_limit = std::min(m_slots, m_limit + (m_fast ? m_settings.fastGrowth : m_settings.growth * std::min(1.0, m_limit)));
+            m_limit = std::min(m_slots, m_limit + (m_fast ? m_settings.fastGrowth : m_settings.growth / std::max(1.0, m_limit)));
         }
         break;
     case AttemptResultKind::Busy:
@@ -151,7 +151,7 @@
 auto EndpointLimit::busy(TimePoint now) -> void
 {
     m_fast = false;
-    m_limit = std::max(m_settings.leastLimit, m_limit - m_settings.busyReduction * std::min(1.0, m_limit));
+    m_limit = std::max(m_settings.leastLimit, m_limit * (1.0 - m_settings.busyReduction));
     if (m_limit < 1.0) {
         // A limit below one attempt is a pause between attempts.
         m_notBefore = now + std::max(leastPause, microseconds(m_meanLatency * (1.0 / m_limit - 1.0)));
