Advance the virtual time outside overload

Cause: without a backlog the virtual time stood still, so that the callers of calm times had no credit over a thousand new ones that flood their organisation, and the second of two requests waited for a whole round. Change: a service that leaves nobody waiting moves the virtual time by a whole request.

--- a/packages/scheduling/src/admission.cpp
+++ b/packages/scheduling/src/admission.cpp
@@ -153,6 +153,7 @@
     auto erase(const Place &place, RequestId id) -> void;
     auto waiting() const -> ClassSet;
     auto choose(const PerClass &inFlight) const -> std::optional<Choice>;
+    auto advanceIdle(Organisation &organisation) -> void;
     auto evictFor(const Caller &caller) -> std::optional<RequestId>;
     auto activeCallers() const -> std::size_t;
     auto sweep() -> void;
@@ -295,6 +296,18 @@
     return std::nullopt;
 }
 
+auto Admission::State::advanceIdle(Organisation &organisation) -> void
+{
+    // While nobody else waits, a service moves the virtual time by a whole request. Otherwise it would stand still outside overload,
+    // and callers that were there before a flood would have no credit over those that join it.
+    if (organisation.activeCallers == 0) {
+        organisation.virtualTime += 1.0;
+    }
+    if (places.empty()) {
+        virtualTime += 1.0 / organisation.share;
+    }
+}
+
 auto Admission::State::evictFor(const Caller &caller) -> std::optional<RequestId>
 {
     const auto &longest = *callersByIndex.at(lengths.rbegin()->second);
@@ -403,6 +416,7 @@
     m_state->virtualTime = std::max(m_state->virtualTime, organisation.tag);
     organisation.virtualTime = std::max(organisation.virtualTime, caller.tag);
     m_state->erase(m_state->places.at(id), id);
+    m_state->advanceIdle(organisation);
     m_state->setCallerTag(caller, std::max(caller.tag, organisation.virtualTime - maxLag) + 1.0);
     const auto leastOrganisationTag = m_state->virtualTime - maxLag / organisation.share;
     m_state->setOrganisationTag(organisation, std::max(organisation.tag, leastOrganisationTag) + 1.0 / organisation.share);
--- a/tests/scheduling/admission_test.cpp
+++ b/tests/scheduling/admission_test.cpp
@@ -189,6 +189,26 @@
     }
 }
 
+// Guards against a flood of new callers that are all served before those that were there in calm times.
+BOOST_AUTO_TEST_CASE(callersFromBeforeAFloodKeepTheirCredit)
+{
+    Fixture f;
+    for (int n = 0; n < 60; ++n) {
+        static_cast<void>(f.push("a", "known-" + std::to_string(n % 20)));
+        f.serve(10);
+    }
+    for (int n = 0; n < 1000; ++n) {
+        f.pushMany(2, "a", "new-" + std::to_string(n));
+    }
+    for (int n = 0; n < 100; ++n) {
+        f.serve(10);
+    }
+    f.pushMany(3, "a", "known-7");
+    for (int n = 0; n < 3; ++n) {
+        BOOST_TEST(f.serve(10).caller.str() == "known-7");
+    }
+}
+
 // Guards against a caller whose requests take long and who so gets more than its part of the slots.
 BOOST_AUTO_TEST_CASE(longRequestsAreCharged)
 {
