Start a second attempt of an idempotent request that makes no progress

Cause: a request on a single silent connection, or on an endpoint that had never answered this instance, waited until its deadline. Change: an idempotent attempt without an answer for the progress timeout gets a second attempt elsewhere within the retry budget; the first stays open and whichever answers first is delivered. Endpoints that never answered are judged by the mean latency of their service.

--- a/packages/scheduling/include/acaciarail/scheduling/endpoint_limits.h
+++ b/packages/scheduling/include/acaciarail/scheduling/endpoint_limits.h
@@ -70,6 +70,10 @@
     /// Counts an attempt that was given up without a result. \pre as for ended(). Not thread-safe.
     auto abandoned(TimePoint startedAt, TimePoint now, std::mt19937_64 &random) -> void;
 
+    /// Counts an attempt in flight that has had no answer for the progress timeout as failed, unless the endpoint has answered others
+    /// since it started. \pre none. Not thread-safe.
+    auto noProgress(TimePoint startedAt, TimePoint now, std::mt19937_64 &random) -> void;
+
     /// Ejects the endpoint when several attempts had no answer for the progress timeout; true when it did so now.
     /// \pre none. Not thread-safe.
     [[nodiscard]] auto ejectIfSilent(TimePoint now, std::mt19937_64 &random) -> bool;
@@ -86,6 +90,7 @@
     /// Changes the number of slots. \pre slots >= 1. Not thread-safe.
     auto setSlots(std::uint32_t slots) noexcept -> void;
 
+    [[nodiscard]] auto settings() const noexcept -> const EndpointLimitSettings &;
     [[nodiscard]] auto health() const noexcept -> EndpointHealth;
     [[nodiscard]] auto limit() const noexcept -> double;
     [[nodiscard]] auto inFlight() const noexcept -> std::uint32_t;
--- a/packages/scheduling/src/endpoint_limits.cpp
+++ b/packages/scheduling/src/endpoint_limits.cpp
@@ -107,6 +107,13 @@
     }
 }
 
+auto EndpointLimit::noProgress(TimePoint startedAt, TimePoint now, std::mt19937_64 &random) -> void
+{
+    if (m_lastAnswer < startedAt) {
+        failed(now, random);
+    }
+}
+
 auto EndpointLimit::forget(TimePoint startedAt) -> void
 {
     if (const auto it = m_started.find(startedAt); it != m_started.end()) {
@@ -247,6 +254,11 @@
     m_limit = std::min(m_limit, m_slots);
 }
 
+auto EndpointLimit::settings() const noexcept -> const EndpointLimitSettings &
+{
+    return m_settings;
+}
+
 auto EndpointLimit::health() const noexcept -> EndpointHealth
 {
     return m_health;
--- a/packages/scheduling/src/request_router.cpp
+++ b/packages/scheduling/src/request_router.cpp
@@ -61,6 +61,8 @@
     EndpointPtr endpoint;
     TimePoint startedAt;
     TimePoint expiresAt;
+    /// When an extra attempt may start although this one is still open; empty when it did, or never may.
+    std::optional<TimePoint> hedgeAt;
 };
 
 struct Request
@@ -142,6 +144,17 @@
     return std::any_of(organisations.begin(), organisations.end(), [&name](const auto &it) { return it.name == name; });
 }
 
+/// An endpoint that has never answered is judged by the others of its service.
+auto progressTimeout(const Service &service, const Endpoint &endpoint) -> Duration
+{
+    const auto &settings = endpoint.limit.settings();
+    if (endpoint.limit.meanLatency() || service.meanLatency <= 0.0) {
+        return endpoint.limit.progressTimeout();
+    }
+    return std::clamp(times(settings.progressMultiple, service.meanLatency), settings.leastProgressTimeout,
+                      settings.longestProgressTimeout);
+}
+
 } // namespace
 
 class RequestRouter::Impl
@@ -174,6 +187,7 @@
 
     auto checkEndpoints(TimePoint now) -> void;
     auto hedgeSilent(const Endpoint &endpoint, TimePoint now) -> void;
+    auto hedge(Request &request, TimePoint now) -> void;
     auto runTimers(TimePoint now) -> void;
     auto onTimer(Request &request, TimePoint now) -> void;
     auto dispatch(Service &service, TimePoint now) -> void;
@@ -505,7 +519,7 @@
         next = std::min(next, request.dropAt);
     }
     for (const auto &it : request.live) {
-        next = std::min(next, it.expiresAt);
+        next = std::min(next, it.hedgeAt ? std::min(*it.hedgeAt, it.expiresAt) : it.expiresAt);
     }
     if (request.timer == next) {
         return;
@@ -535,6 +549,7 @@
                "no endpoint was free in time; " + milliseconds(request.info.deadline - now) + " are left until the deadline", now);
         return;
     }
+    hedge(request, now);
     const auto expired = std::find_if(request.live.begin(), request.live.end(), [now](const auto &it) { return it.expiresAt <= now; });
     if (expired == request.live.end()) {
         setTimer(request);
@@ -544,6 +559,21 @@
     attemptEnded(request.info.id, expired->number, {AttemptResultKind::TimedOut, 0, now - expired->startedAt}, now);
 }
 
+auto RequestRouter::Impl::hedge(Request &request, TimePoint now) -> void
+{
+    const auto due =
+        std::find_if(request.live.begin(), request.live.end(), [now](const auto &it) { return it.hedgeAt && *it.hedgeAt <= now; });
+    if (due == request.live.end()) {
+        return;
+    }
+    due->hedgeAt.reset();
+    due->endpoint->limit.noProgress(due->startedAt, now, m_random);
+    if (!request.retryAt && mayRetry(request, AttemptResultKind::TimedOut, now)) {
+        // The first attempt stays open: whichever answers first is delivered.
+        scheduleRetry(request, Duration{}, now);
+    }
+}
+
 auto RequestRouter::Impl::checkEndpoints(TimePoint now) -> void
 {
     // Ejections and silence need no finer resolution than a tick.
@@ -560,19 +590,12 @@
 
 auto RequestRouter::Impl::hedgeSilent(const Endpoint &endpoint, TimePoint now) -> void
 {
-    std::vector<RequestId> affected;
-    for (const auto &[id, it] : m_requests) {
-        const auto single = it.live.size() == 1 && !it.retryAt && it.live.front().endpoint.get() == &endpoint;
-        if (single && it.info.idempotent) {
-            affected.push_back(id);
-        }
-    }
-    std::sort(affected.begin(), affected.end());
-    for (const auto id : affected) {
-        auto &request = m_requests.at(id);
-        if (mayRetry(request, AttemptResultKind::TimedOut, now)) {
-            // The first attempt stays open: whichever answers first is delivered.
-            scheduleRetry(request, Duration{}, now);
+    for (auto &[id, request] : m_requests) {
+        for (auto &it : request.live) {
+            if (it.endpoint.get() == &endpoint && it.hedgeAt) {
+                it.hedgeAt = now;
+                setTimer(request);
+            }
         }
     }
 }
@@ -605,7 +628,11 @@
     endpoint->limit.started(now);
     service.pool.attemptStarted(*endpoint);
     const auto timeout = std::min(service.policy.attemptTimeout, Duration(request.info.deadline - now));
-    request.live.push_back({request.attempts, endpoint, now, now + timeout + m_settings.resultGrace});
+    LiveAttempt attempt{request.attempts, endpoint, now, now + timeout + m_settings.resultGrace, std::nullopt};
+    if (request.info.idempotent) {
+        attempt.hedgeAt = now + progressTimeout(service, *endpoint);
+    }
+    request.live.push_back(std::move(attempt));
     request.tried.push_back(endpoint->serial);
     request.queued = false;
     m_commands.emplace_back(SendAttempt{request.info.id, request.attempts, endpoint->info.name, endpoint->info.address, timeout});
--- a/tests/scheduling/request_router_test.cpp
+++ b/tests/scheduling/request_router_test.cpp
@@ -467,6 +467,37 @@
     BOOST_TEST(f.delivered.size() == delivered);
 }
 
+// Guards against a request that hangs on one silent connection of an endpoint that answers on its others.
+BOOST_AUTO_TEST_CASE(requestOnASilentConnectionGetsASecondAttempt)
+{
+    Fixture f({endpoint("e1"), endpoint("e2")});
+    RequestId id = 1;
+    for (; id <= 60; ++id) {
+        BOOST_REQUIRE(!f.submit(f.request(id)));
+        f.now += 100ms;
+        f.end(f.sent.back(), AttemptResultKind::Answered);
+    }
+    const auto stuckId = id++;
+    BOOST_REQUIRE(!f.submit(f.request(stuckId, true, 5s)));
+    const auto isStuck = [stuckId](const SendAttempt &it) { return it.request == stuckId; };
+    for (int n = 0; n < 15; ++n) {
+        BOOST_REQUIRE(!f.submit(f.request(id++)));
+        f.wait(100ms);
+        for (std::size_t i = 0; i < f.sent.size(); ++i) {
+            if (!isStuck(f.sent[i])) {
+                f.end(SendAttempt(f.sent[i]), AttemptResultKind::Answered);
+            }
+        }
+    }
+    BOOST_TEST(std::count_if(f.sent.begin(), f.sent.end(), isStuck) == 2);
+    BOOST_TEST(f.router.stats().ejections == 0U);
+    const auto second = std::find_if(f.sent.rbegin(), f.sent.rend(), isStuck);
+    f.end(SendAttempt(*second), AttemptResultKind::Answered);
+    BOOST_TEST(f.delivered.back().request == stuckId);
+    BOOST_TEST(f.delivered.back().attempt == 2U);
+    BOOST_TEST(f.cancelled.size() == 1U);
+}
+
 // Guards against a second run of a non-idempotent request on account of a silent endpoint.
 BOOST_AUTO_TEST_CASE(nonIdempotentRequestStaysOnItsSilentEndpoint)
 {
