--- a/packages/scheduling/include/acaciarail/scheduling/endpoint_limits.h
+++ b/packages/scheduling/include/acaciarail/scheduling/endpoint_limits.h
@@ -17,10 +17,11 @@
     double initialLimit = 2.0;
     /// Growth for each answer until the first busy answer.
     double fastGrowth = 0.25;
-    /// Growth for each answer afterwards. Its ratio to the reduction bounds the share of busy answers under overload.
-    double growth = 0.02;
-    /// Reduction for each busy answer.
-    double busyReduction = 0.5;
+    /// Growth for each answer afterwards, divided by the limit, and part of the limit that a busy answer takes. Growth by a constant in
+    /// a given time and reduction by a factor make instances that share an endpoint converge to equal limits. The ratio
+    /// growth / (busyReduction * limit^2) is the share of busy answers under overload.
+    double growth = 0.08;
+    double busyReduction = 0.2;
     double leastLimit = 0.1;
     /// Mean latency, as a multiple of the endpoint's least one, above which the limit falls.
     double latencyTolerance = 3.0;
@@ -69,6 +70,10 @@
     /// Counts an attempt that was given up without a result. \pre as for ended(). Not thread-safe.
     auto abandoned(TimePoint startedAt, TimePoint now, std::mt19937_64 &random) -> void;
 
+    /// Counts an attempt in flight that has had no answer for the progress timeout as failed, unless the endpoint has answered others
+    /// since it started. \pre none. Not thread-safe.
+    auto noProgress(TimePoint startedAt, TimePoint now, std::mt19937_64 &random) -> void;
+
     /// Ejects the endpoint when several attempts had no answer for the progress timeout; true when it did so now.
     /// \pre none. Not thread-safe.
     [[nodiscard]] auto ejectIfSilent(TimePoint now, std::mt19937_64 &random) -> bool;
@@ -85,6 +90,7 @@
     /// Changes the number of slots. \pre slots >= 1. Not thread-safe.
     auto setSlots(std::uint32_t slots) noexcept -> void;
 
+    [[nodiscard]] auto settings() const noexcept -> const EndpointLimitSettings &;
     [[nodiscard]] auto health() const noexcept -> EndpointHealth;
     [[nodiscard]] auto limit() const noexcept -> double;
     [[nodiscard]] auto inFlight() const noexcept -> std::uint32_t;
