Let unused connections make room for new callers

When all connections are taken, the one unused for longest is closed instead of refusing the new one; one with a request or unread bytes is never closed.

--- a/packages/caller/include/acaciarail/caller/caller_server.h
+++ b/packages/caller/include/acaciarail/caller/caller_server.h
@@ -48,8 +48,10 @@
     /// 0 lets the kernel choose; CallerServer::port() reports the choice.
     std::uint16_t port = 0;
     RequestLimits limits;
-    /// Further connections get 503 `overloaded` and are closed.
+    /// A further connection takes the place of one that has been without a request for evictableAfter; when there is none,
+    /// it gets 503 `overloaded` and is closed.
     std::size_t maxConnections = 1024;
+    Duration evictableAfter = std::chrono::seconds(1);
     /// Bytes of incomplete requests of all connections together, 16 MiB; beyond it, requests are refused with 503 `overloaded`.
     std::size_t maxBufferedBytes = std::size_t{16} * 1024 * 1024;
     /// A connection without a request is closed after this time.
@@ -85,6 +87,8 @@
     /// Malformed, oversized and too slow requests that the hook did not see.
     std::uint64_t refused = 0;
     std::uint64_t refusedConnections = 0;
+    /// Unused connections closed to make room.
+    std::uint64_t evictedConnections = 0;
     std::uint64_t disconnected = 0;
 };
 
--- a/packages/caller/include/acaciarail/caller/request_framer.h
+++ b/packages/caller/include/acaciarail/caller/request_framer.h
@@ -10,12 +10,15 @@
 
 namespace Acaciarail::Caller {
 
+/// Largest line that the parser of libevhtp takes; CallerServer lowers larger limits to it.
+inline constexpr std::size_t maxParsedLine = 8000;
+
 /// Sizes that one request may have.
 struct RequestLimits
 {
-    /// In bytes, without the line end.
+    /// In bytes, without the line end; at most maxParsedLine.
     std::size_t maxRequestLine = 4096;
-    /// In bytes of one header line, without the line end.
+    /// In bytes of one header line, without the line end; at most maxParsedLine.
     std::size_t maxHeaderLine = 4096;
     std::size_t maxHeaders = 64;
     /// In bytes of the request line and all headers.
--- a/packages/caller/src/caller_server.cpp
+++ b/packages/caller/src/caller_server.cpp
@@ -11,7 +11,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <iterator>
+#include <optional>
 #include <utility>
 
 namespace Acaciarail::Caller {
@@ -29,6 +32,13 @@
     return {errno, std::system_category()};
 }
 
+auto withParserLimits(CallerServerSettings settings) -> CallerServerSettings
+{
+    settings.limits.maxRequestLine = std::min(settings.limits.maxRequestLine, maxParsedLine);
+    settings.limits.maxHeaderLine = std::min(settings.limits.maxHeaderLine, maxParsedLine);
+    return settings;
+}
+
 auto localPort(evutil_socket_t fd) noexcept -> std::uint16_t
 {
     sockaddr_storage address{};
@@ -71,7 +81,7 @@
 
 ServerState::ServerState(event_base *eventBase, CallerServerSettings serverSettings, CallerServerHooks serverHooks)
     : base(eventBase)
-    , settings(std::move(serverSettings))
+    , settings(withParserLimits(std::move(serverSettings)))
     , hooks(std::move(serverHooks))
     , m_htp(evhtp_new(eventBase, this))
     , m_acceptTimer(eventBase,
@@ -157,6 +167,37 @@
     }
 }
 
+auto ServerState::connectionIdle(Connection *connection) -> void
+{
+    idle.push_back(connection);
+    connection->m_idlePosition = std::prev(idle.end());
+}
+
+auto ServerState::connectionBusy(Connection *connection) -> void
+{
+    if (const auto position = std::exchange(connection->m_idlePosition, std::nullopt)) {
+        idle.erase(*position);
+    }
+}
+
+auto ServerState::makeRoom() -> bool
+{
+    if (connections.size() < settings.maxConnections) {
+        return true;
+    }
+    // The first ones may hold a request that is not read yet; a few are tried.
+    constexpr std::size_t maxTried = 16;
+    const auto before = MonotonicClock::now() - settings.evictableAfter;
+    const auto end = std::next(idle.begin(), static_cast<std::ptrdiff_t>(std::min(idle.size(), maxTried)));
+    const auto found = std::find_if(idle.begin(), end, [before](const auto *it) { return it->isEvictable(before); });
+    if (found == end) {
+        return false;
+    }
+    ++stats.evictedConnections;
+    (*found)->close();
+    return true;
+}
+
 auto ServerState::requestOpened() -> void
 {
     ++inProgress;
@@ -188,8 +229,8 @@
 auto ServerState::onPostAccept(evhtp_connection_t *connection, void *arg) -> evhtp_res
 {
     auto &self = *static_cast<ServerState *>(arg);
+    const bool full = !self.makeRoom();
     auto accepted = std::make_shared<Connection>(self, connection);
-    const bool full = self.connections.size() >= self.settings.maxConnections;
     self.connections.emplace(accepted.get(), accepted);
     ++self.stats.accepted;
     accepted->attach();
--- a/packages/caller/src/connection.cpp
+++ b/packages/caller/src/connection.cpp
@@ -165,6 +165,8 @@
     setsockopt(m_connection->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     m_timer.start(server->settings.idleTimeout);
     m_timedState = FramingState::Empty;
+    m_idleSince = MonotonicClock::now();
+    server->connectionIdle(this);
 }
 
 auto Connection::onRead(bufferevent *, void *arg) -> void
@@ -270,8 +272,11 @@
     }
     m_timedState = framing.state;
     if (framing.state == FramingState::Empty) {
+        m_idleSince = MonotonicClock::now();
+        server->connectionIdle(this);
         m_timer.start(server->stopping() ? server->settings.stopGrace : server->settings.idleTimeout);
     } else {
+        server->connectionBusy(this);
         m_timer.start(framing.state == FramingState::Head ? server->settings.headTimeout : server->settings.bodyTimeout);
     }
 }
@@ -280,6 +285,7 @@
 {
     const auto server = m_server.lock();
     m_timer.cancel();
+    server->connectionBusy(this);
     m_timedState = FramingState::Complete;
 
     HttpRequest request;
@@ -400,6 +406,7 @@
     dropInput();
     bufferevent_enable(m_bev, EV_READ);
     if (const auto server = m_server.lock()) {
+        server->connectionBusy(this);
         m_timer.start(server->settings.lingerTimeout);
     }
 }
@@ -449,6 +456,11 @@
     }
 }
 
+auto Connection::isEvictable(TimePoint before) const -> bool
+{
+    return m_idleSince <= before && !hasUnreadInput();
+}
+
 auto Connection::close() -> void
 {
     if (m_mode != Mode::Closed) {
@@ -469,6 +481,7 @@
     if (!server) {
         return;
     }
+    server->connectionBusy(this);
     server->remove(this);
     if (!lost) {
         return;
--- a/packages/caller/src/connection.h
+++ b/packages/caller/src/connection.h
@@ -6,6 +6,7 @@
 
 #include <evhtp/evhtp.h>
 
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,6 +33,9 @@
 
     /// Removes \a connection and keeps it alive until the current callback has returned.
     auto remove(Connection *connection) -> void;
+    /// Keeps the order in which connections became unused.
+    auto connectionIdle(Connection *connection) -> void;
+    auto connectionBusy(Connection *connection) -> void;
     auto requestOpened() -> void;
     auto requestClosed() -> void;
     /// Books a change of the bytes that connections hold.
@@ -65,6 +69,8 @@
     std::uint16_t port = 0;
     std::size_t inProgress = 0;
     std::unordered_map<Connection *, std::shared_ptr<Connection>> connections;
+    /// Connections without a request, the longest unused first.
+    std::list<Connection *> idle;
 
 private:
     static auto onPreAccept(evhtp_connection_t *connection, void *arg) -> evhtp_res;
@@ -72,6 +78,8 @@
     static auto onAcceptError(evconnlistener *listener, void *arg) -> void;
 
     auto reportIfStopped() -> void;
+    /// Closes an unused connection when there are too many. Returns false when none can be closed.
+    auto makeRoom() -> bool;
 
     EvhtpHandle m_htp;
     Timer m_acceptTimer;
@@ -105,8 +113,12 @@
     /// Starts the time after which the connection is closed unless a request arrives.
     auto prepareStop() -> void;
     auto close() -> void;
+    /// Whether it has been without a request since \a before and nothing is unread.
+    [[nodiscard]] auto isEvictable(TimePoint before) const -> bool;
 
 private:
+    friend class ServerState;
+
     enum class Mode {
         /// Between requests, or while one arrives.
         Receiving,
@@ -157,6 +169,8 @@
     evhtp_request_t *m_request = nullptr;
     std::optional<RequestId> m_openRequest;
     Timer m_timer;
+    TimePoint m_idleSince;
+    std::optional<std::list<Connection *>::iterator> m_idlePosition;
 
     friend auto acceptRequest(evhtp_request_t *request, void *arg) -> void;
 };
--- a/tests/caller/caller_server_test.cpp
+++ b/tests/caller/caller_server_test.cpp
@@ -381,6 +381,59 @@
     BOOST_TEST(next.status() == 200);
 }
 
+// Guards against a caller that keeps others out with connections that it does not use; one with a request in progress is never closed.
+BOOST_AUTO_TEST_CASE(unusedConnectionsMakeRoom)
+{
+    Loop loop;
+    CallerServerSettings settings;
+    settings.maxConnections = 3;
+    settings.evictableAfter = 0s;
+    TestServer test(loop, settings);
+    RawClient busy(loop, test.server->port());
+    busy.send(get("/busy"));
+    BOOST_TEST(loop.runUntil([&] { return test.received.size() == 1; }));
+    RawClient part(loop, test.server->port());
+    part.send("GET ");
+    RawClient unused(loop, test.server->port());
+    BOOST_TEST(loop.runUntil([&] { return test.server->connections() == 3; }));
+    RawClient next(loop, test.server->port());
+    next.send(get("/next"));
+    BOOST_TEST(loop.runUntil([&] { return unused.closed() && test.received.size() == 2; }));
+    BOOST_TEST(test.server->stats().evictedConnections == 1U);
+    RawClient surplus(loop, test.server->port());
+    BOOST_TEST(loop.runUntil([&] { return surplus.status() == 503; }));
+    part.send("/part HTTP/1.1\r\nHost: t\r\n\r\n");
+    BOOST_TEST(loop.runUntil([&] { return test.received.size() == 3; }));
+    for (const auto &it : test.received) {
+        it.reply.send(text("answer to " + it.request.path));
+    }
+    BOOST_TEST(loop.runUntil([&] { return busy.responses() == 1 && part.responses() == 1 && next.responses() == 1; }));
+}
+
+// Guards against limits above those of the HTTP parser, with which it would drop requests without an answer.
+BOOST_AUTO_TEST_CASE(largestLinesReachTheHook)
+{
+    Loop loop;
+    CallerServerSettings settings;
+    settings.limits.maxRequestLine = 1'000'000;
+    settings.limits.maxHeaderLine = 1'000'000;
+    settings.limits.maxHead = 1'000'000;
+    TestServer test(loop, settings, true);
+    RawClient fits(loop, test.server->port());
+    fits.send("GET /" + std::string(maxParsedLine - 14, 'a') + " HTTP/1.1\r\nHost: t\r\nA: " + std::string(maxParsedLine - 3, 'b')
+              + "\r\n\r\n");
+    BOOST_TEST(loop.runUntil([&] { return fits.responses() == 1; }));
+    BOOST_TEST(fits.status() == 200);
+    RawClient line(loop, test.server->port());
+    line.send("GET /" + std::string(maxParsedLine, 'a') + " HTTP/1.1\r\nHost: t\r\n\r\n");
+    BOOST_TEST(loop.runUntil([&] { return line.responses() == 1; }));
+    BOOST_TEST(line.status() == 414);
+    RawClient header(loop, test.server->port());
+    header.send(get("/").substr(0, 16) + "A: " + std::string(maxParsedLine, 'b') + "\r\n\r\n");
+    BOOST_TEST(loop.runUntil([&] { return header.responses() == 1; }));
+    BOOST_TEST(header.status() == 431);
+}
+
 // Guards against unfinished bodies that fill the memory or keep small requests out.
 BOOST_AUTO_TEST_CASE(unfinishedBodiesAreBounded)
 {
