--- a/tests/caller/caller_server_test.cpp
+++ b/tests/caller/caller_server_test.cpp
@@ -1,4 +1,5 @@
 #include "raw_client.h"
+#include "test_server.h"
 
 #include <acaciarail/caller/caller_server.h>
 #include <acaciarail/caller/problem.h>
@@ -8,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,41 +25,6 @@
 
 namespace {
 
-struct Received
-{
-    HttpRequest request;
-    ReplyHandle reply;
-};
-
-/// Server that keeps its requests for the test to answer.
-class TestServer
-{
-public:
-    explicit TestServer(Loop &loop, CallerServerSettings settings = {}, bool answerAtOnce = false)
-    {
-        // The clients of these tests do not close their side of a connection.
-        settings.lingerTimeout = 20ms;
-        CallerServerHooks hooks;
-        hooks.onRequest = [this, answerAtOnce](HttpRequest request, ReplyHandle reply) {
-            if (answerAtOnce) {
-                reply.send(makeResponse(200, "text/plain", "answer to " + request.path));
-            }
-            received.push_back({std::move(request), std::move(reply)});
-        };
-        hooks.onDisconnect = [this](RequestId id) { lost.push_back(id); };
-        hooks.onStopped = [this] { ++stopped; };
-        server = std::make_unique<CallerServer>(loop.base(), std::move(settings), std::move(hooks));
-        const auto ec = server->start();
-        BOOST_TEST_REQUIRE(!ec);
-        BOOST_TEST_REQUIRE(server->port() != 0);
-    }
-
-    std::vector<Received> received;
-    std::vector<RequestId> lost;
-    int stopped = 0;
-    std::unique_ptr<CallerServer> server;
-};
-
 auto get(const std::string &path) -> std::string
 {
     return "GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n";
@@ -682,3 +649,85 @@
     BOOST_TEST(test.server->stats().refused > 0U);
     BOOST_TEST(test.server->stats().answered > 0U);
 }
+
+// Guards against answers that are mixed up, lost or given twice when callers pipeline, vanish and are answered in any order, and against
+// a stop that interrupts one of them. The seed is the parameter.
+BOOST_DATA_TEST_CASE(randomCallersGetTheirOwnAnswers, data::xrange(1, 21), seed)
+{
+    constexpr std::size_t clientCount = 12;
+    constexpr std::size_t requestCount = 200;
+    std::mt19937 engine(static_cast<std::mt19937::result_type>(seed));
+    const auto pick = [&engine](std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(engine); };
+    Loop loop;
+    CallerServerSettings settings;
+    settings.stopGrace = 0s;
+    TestServer test(loop, settings);
+    std::vector<std::unique_ptr<RawClient>> clients(clientCount);
+    std::vector<std::vector<std::string>> expected(clientCount);
+    std::vector<Received> open;
+    std::size_t handled = 0;
+    std::size_t answered = 0;
+    const auto answerOne = [&] {
+        if (open.empty()) {
+            return;
+        }
+        std::swap(open[pick(open.size())], open.back());
+        const auto it = std::move(open.back());
+        open.pop_back();
+        const bool wasOpen = it.reply.isOpen();
+        BOOST_TEST(it.reply.send(text("answer to " + it.request.path + it.request.body)) == wasOpen);
+        answered += wasOpen ? 1 : 0;
+    };
+    const auto takeNew = [&] {
+        handled += test.received.size();
+        std::move(test.received.begin(), test.received.end(), std::back_inserter(open));
+        test.received.clear();
+    };
+    for (std::size_t sent = 0; sent < requestCount;) {
+        const auto i = pick(clientCount);
+        const auto action = pick(10);
+        if (!clients[i]) {
+            clients[i] = std::make_unique<RawClient>(loop, test.server->port());
+            expected[i].clear();
+        }
+        if (action < 5) {
+            const auto path = "/" + std::to_string(sent++);
+            const std::string body(pick(3) == 0 ? 100 : 0, 'b');
+            clients[i]->send("PUT " + path + " HTTP/1.1\r\nHost: t\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            expected[i].push_back("answer to " + path + body);
+        } else if (action == 5 && pick(4) == 0) {
+            clients[i].reset();
+        } else {
+            answerOne();
+        }
+        event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+        takeNew();
+    }
+    const auto allAnswered = [&] {
+        takeNew();
+        answerOne();
+        for (std::size_t i = 0; i < clientCount; ++i) {
+            if (clients[i] && clients[i]->responses() < expected[i].size()) {
+                return false;
+            }
+        }
+        return true;
+    };
+    BOOST_TEST_REQUIRE(loop.runUntil(allAnswered));
+    for (std::size_t i = 0; i < clientCount; ++i) {
+        for (std::size_t n = 0; clients[i] && n < expected[i].size(); ++n) {
+            BOOST_TEST(clients[i]->response(n).ends_with("\r\n\r\n" + expected[i][n]));
+        }
+    }
+    BOOST_TEST(test.server->stats().answered == answered);
+    BOOST_TEST(test.server->stats().disconnected == test.lost.size());
+    BOOST_TEST(handled == test.server->stats().requests);
+    test.server->stop();
+    const auto stopped = [&] {
+        takeNew();
+        answerOne();
+        return test.stopped == 1;
+    };
+    BOOST_TEST(loop.runUntil(stopped));
+    BOOST_TEST(test.server->requestsInProgress() == 0U);
+}
