--- a/tests/caller/caller_server_test.cpp
+++ b/tests/caller/caller_server_test.cpp
@@ -693,8 +693,12 @@
         if (action < 5) {
             const auto path = "/" + std::to_string(sent++);
             const std::string body(pick(3) == 0 ? 100 : 0, 'b');
-            clients[i]->send("PUT " + path + " HTTP/1.1\r\nHost: t\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-            expected[i].push_back("answer to " + path + body);
+            auto bytes = "PUT " + path + " HTTP/1.1\r\nHost: t\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+            bytes += body;
+            clients[i]->send(bytes);
+            auto whole = "answer to " + path;
+            whole += body;
+            expected[i].push_back(std::move(whole));
         } else if (action == 5 && pick(4) == 0) {
             clients[i].reset();
         } else {
--- a/tests/endpoint/endpoint_client_test.cpp
+++ b/tests/endpoint/endpoint_client_test.cpp
@@ -59,7 +59,7 @@
     BOOST_TEST(received.find("Host: " + endpoint.address() + "\r\n") != std::string::npos);
     BOOST_TEST(received.find("Content-Length: 4\r\n") != std::string::npos);
     BOOST_TEST(received.find("traceparent: 00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01\r\n") != std::string::npos);
-    for (const auto *absent : {"other", "close", "99", "traceparent: x", "Transfer-Encoding"}) {
+    for (const auto *absent : {"Host: other", "close", "Content-Length: 99", "traceparent: x", "Transfer-Encoding"}) {
         BOOST_TEST(received.find(absent) == std::string::npos, "found " << absent);
     }
     endpoint.connections[0]->send("HTTP/1.1 503 Busy\r\nContent-Length: 2\r\nAcaciarail-Execution: not-run\r\nacaciarail-leaving: "
--- a/tests/standins/endpoint_standin.cpp
+++ b/tests/standins/endpoint_standin.cpp
@@ -1,6 +1,6 @@
 // Many endpoints of one service in one process, each on a port of its own.
-// POST /control {"mode":"ok|fail|slow|silent|silent-open|lose-answers|leaving","slow_ms":N,"endpoint":NAME|"*"} at any port sets the
-// mode of that port's endpoint, of another one or of all; GET /control/counts and GET /control/values show what ran.
+// POST /control {"mode":"ok|fail|slow|silent|silent-open|lose-answers|truncate|leaving","slow_ms":N,"endpoint":NAME|"*"} at any port sets
+// the mode of that port's endpoint, of another one or of all; GET /control/counts and GET /control/values show what ran.
 
 #include "echo.h"
 
@@ -15,6 +15,8 @@
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -38,7 +40,7 @@
 DEFINE_uint32(count, 50, "number of endpoints");
 DEFINE_string(zones, "midwest/midwest-a", "REGION/ZONE list, separated by commas; endpoints are dealt out to them in turn");
 DEFINE_uint32(slots, 8, "requests that an endpoint works on at once");
-DEFINE_uint32(connections, 64, "connections that an endpoint states to accept");
+DEFINE_uint32(connections, 64, "connections that an endpoint accepts; requests on further ones are dropped with their connection");
 DEFINE_uint32(service_ms, 20, "service time unless the request states one");
 DEFINE_double(service_spread, 0.0, "service times vary uniformly by this fraction in both directions");
 DEFINE_string(platform, "", "ADDRESS:PORT of the platform stand-in; empty registers nowhere");
@@ -64,10 +66,12 @@
     SilentOpen,
     /// Runs requests and closes the connection instead of answering.
     LoseAnswers,
+    /// Runs requests and closes the connection in the middle of the answer.
+    Truncate,
     Leaving,
 };
 
-constexpr std::array<std::string_view, 7> modeNames{"ok", "fail", "slow", "silent", "silent-open", "lose-answers", "leaving"};
+constexpr std::array<std::string_view, 8> modeNames{"ok", "fail", "slow", "silent", "silent-open", "lose-answers", "truncate", "leaving"};
 
 auto parseMode(std::string_view text) -> std::optional<Mode>
 {
@@ -161,6 +165,8 @@
         evhttp_connection *connection = nullptr;
         std::string value;
         std::size_t fillSize = 0;
+        /// The connection is one too many and is closed without an answer.
+        bool surplus = false;
         EventHandle timer;
     };
 
@@ -173,6 +179,8 @@
     auto refuse(evhttp_request *request) -> void;
     auto startWork(evhttp_request *request, evhttp_connection *connection) -> void;
     auto finishWork(Work &work) -> void;
+    auto dropSurplus(evhttp_request *request, evhttp_connection *connection) -> void;
+    auto truncate(Work &work) -> void;
 
     Process &m_process;
     std::string m_name;
@@ -186,7 +194,10 @@
     std::size_t m_mostBusy = 0;
     std::uint64_t m_ran = 0;
     std::uint64_t m_refused = 0;
+    std::uint64_t m_surplus = 0;
     std::set<evhttp_connection *> m_open;
+    /// Connections within the limit.
+    std::set<evhttp_connection *> m_accepted;
     std::set<evhttp_connection *> m_silent;
     std::map<Work *, std::unique_ptr<Work>> m_work;
 };
@@ -286,6 +297,7 @@
             {"most_busy", m_mostBusy},
             {"ran", m_ran},
             {"refused", m_refused},
+            {"surplus_connections", m_surplus},
             {"connections", m_open.size()}};
 }
 
@@ -316,6 +328,7 @@
 {
     auto &self = *static_cast<EndpointStandin *>(arg);
     self.m_open.erase(connection);
+    self.m_accepted.erase(connection);
     self.m_silent.erase(connection);
     for (const auto &it : self.m_work) {
         if (it.first->connection == connection) {
@@ -330,9 +343,14 @@
     auto *connection = evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, &EndpointStandin::onClosed, this);
     m_open.insert(connection);
+    if (m_open.size() <= FLAGS_connections) {
+        m_accepted.insert(connection);
+    }
     const std::string_view uri = evhttp_request_get_uri(request);
     if (uri.starts_with("/control")) {
         control(request);
+    } else if (m_open.size() > FLAGS_connections && !m_accepted.contains(connection)) {
+        dropSurplus(request, connection);
     } else if (m_mode != Mode::Silent && !m_silent.contains(connection) && (m_mode == Mode::Leaving || m_busy >= FLAGS_slots)) {
         refuse(request);
     } else {
@@ -422,11 +440,14 @@
 {
     const auto owned = std::move(m_work.at(&work));
     m_work.erase(&work);
-    --m_busy;
+    m_busy -= work.surplus ? 0 : 1;
     if (work.request == nullptr) {
         return;
     }
-    if (m_mode == Mode::LoseAnswers) {
+    if (m_mode == Mode::Truncate && !work.surplus) {
+        truncate(work);
+    }
+    if (m_mode == Mode::LoseAnswers || m_mode == Mode::Truncate || work.surplus) {
         evhttp_connection_free(work.connection);
     } else if (m_mode == Mode::Fail) {
         reply(work.request, 500, "failed");
@@ -435,6 +456,32 @@
     }
 }
 
+auto EndpointStandin::truncate(Work &work) -> void
+{
+    const auto body = Standin::echoBody(work.value, readBody(work.request), work.fillSize);
+    auto text = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    text.resize(text.size() - body.size() / 2);
+    // Written past evhttp, which sends complete answers only.
+    const auto fd = bufferevent_getfd(evhttp_connection_get_bufferevent(work.connection));
+    [[maybe_unused]] const auto n = send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+}
+
+auto EndpointStandin::dropSurplus(evhttp_request *request, evhttp_connection *connection) -> void
+{
+    ++m_surplus;
+    auto work = std::make_unique<Work>();
+    work->endpoint = this;
+    work->request = request;
+    work->connection = connection;
+    work->surplus = true;
+    // evhttp does not allow a connection to be freed within the callback for its request.
+    work->timer.reset(event_new(m_process.base(), -1, 0, &EndpointStandin::onWorkDone, work.get()));
+    constexpr timeval now{0, 0};
+    event_add(work->timer.get(), &now);
+    auto *key = work.get();
+    m_work.emplace(key, std::move(work));
+}
+
 auto Process::countRun(const char *key, const std::string &value) -> void
 {
     if (key != nullptr) {
