--- a/packages/operator/src/command_documents.cpp
+++ b/packages/operator/src/command_documents.cpp
@@ -213,7 +213,7 @@
         if (it == fetched.documents.end()) {
             return change.text.empty();
         }
-        return it->second.text == change.text && it->second.version > change.baseVersion;
+        return it->second.text == change.text;
     };
     if (fetched.exitCode == ExitCode::Ok && std::all_of(changes.begin(), changes.end(), isInForce)) {
         context.out << "published: the answer was lost, but the documents are in force\n";
