--- a/packages/caller/src/connection.cpp
+++ b/packages/caller/src/connection.cpp
@@ -335,6 +335,12 @@
     if (!server || !isOpen(id)) {
         return false;
     }
+    constexpr std::uint16_t firstFinalStatus = 200;
+    constexpr std::uint16_t lastStatus = 599;
+    if (response.status < firstFinalStatus || response.status > lastStatus) {
+        response = renderProblemAs(
+            500, {Error::OutcomeUnknown, Execution::Unknown, "status: expected 200 to 599, found " + std::to_string(response.status)});
+    }
     m_openRequest.reset();
     m_mode = Mode::Answering;
     m_closeAfterAnswer = m_closeAfterAnswer || server->stopping();
--- a/packages/endpoint/src/pooled_connection.cpp
+++ b/packages/endpoint/src/pooled_connection.cpp
@@ -333,8 +333,11 @@
     const auto lengths = countHeaders(out.headers, "content-length");
     const auto encodings = countHeaders(out.headers, "transfer-encoding");
     constexpr int firstFinalStatus = 200;
-    if (out.status < firstFinalStatus) {
-        return failure(Error::EndpointFailed, "answer of " + m_attempt->address + ": expected a final status, found an interim one");
+    constexpr int lastStatus = 599;
+    const auto status = evhttp_request_get_response_code(&request);
+    if (status < firstFinalStatus || status > lastStatus) {
+        return failure(Error::EndpointFailed,
+                       "answer of " + m_attempt->address + ": expected a status from 200 to 599, found " + std::to_string(status));
     }
     // An answer that ends with the connection cannot be told from a truncated one, and two lengths leave its end in doubt.
     if (mayHaveBody(m_attempt->method, out.status) && lengths + encodings != 1) {
--- a/tests/caller/caller_server_test.cpp
+++ b/tests/caller/caller_server_test.cpp
@@ -469,6 +469,21 @@
     BOOST_TEST(client.received().ends_with("\r\n\r\nbody"));
 }
 
+// Guards against a status that is no final answer, after which the caller would wait for another one.
+BOOST_DATA_TEST_CASE(statusOutOfRangeIsReplaced, data::make({0, 100, 199, 600, 65535}), status)
+{
+    Loop loop;
+    TestServer test(loop);
+    RawClient client(loop, test.server->port());
+    client.send(get("/"));
+    BOOST_TEST(loop.runUntil([&] { return test.received.size() == 1; }));
+    auto response = text("body");
+    response.status = static_cast<std::uint16_t>(status);
+    test.received[0].reply.send(std::move(response));
+    BOOST_TEST(loop.runUntil([&] { return client.responses() == 1; }));
+    BOOST_TEST(client.status() == 500);
+}
+
 struct CloseCase
 {
     std::string name;
--- a/tests/caller/job_json_test.cpp
+++ b/tests/caller/job_json_test.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <ostream>
+#include <random>
 #include <string>
 
 using namespace Acaciarail;
@@ -186,3 +187,35 @@
     BOOST_TEST(nlohmann::json::parse(renderJobs({document, document}))["jobs"].size() == 2U);
     BOOST_TEST(nlohmann::json::parse(renderJobs({}))["jobs"].is_array());
 }
+
+// Guards against input that makes the parser throw, or accept a job that the scheduler would refuse. The seed is the parameter.
+BOOST_DATA_TEST_CASE(mutatedJobsAreRefusedOrValid, data::xrange(1, 6), seed)
+{
+    constexpr int rounds = 5000;
+    const std::string whole = R"({"name":"a","team":"b","priority":"urgent","run_time_ms":1000,"start_within_ms":5,"idempotent":true,)"
+                              R"("shape":{"tasks":2,"accelerators":1,"memory_mib":16,"adjacency":"rack"}})";
+    const std::string alphabet = "{}[]\",:-+.eE0123456789tfnul\\u \n\x80\xff";
+    std::mt19937 engine(static_cast<std::mt19937::result_type>(seed));
+    const auto pick = [&engine](std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(engine); };
+    int accepted = 0;
+    for (int i = 0; i < rounds; ++i) {
+        auto body = whole;
+        for (auto n = 1 + pick(3); n > 0; --n) {
+            const auto at = pick(body.size());
+            if (pick(2) == 0) {
+                body[at] = alphabet[pick(alphabet.size())];
+            } else {
+                body.insert(at, 1, alphabet[pick(alphabet.size())]);
+            }
+        }
+        const auto parsed = parseJobSpec(body);
+        if (const auto *spec = std::get_if<JobSpec>(&parsed)) {
+            ++accepted;
+            BOOST_TEST(!validateJobSpec(*spec), body);
+        } else {
+            BOOST_TEST(!std::get<Failure>(parsed).detail.empty(), body);
+        }
+    }
+    BOOST_TEST(accepted > 0);
+    BOOST_TEST(accepted < rounds);
+}
--- a/tests/endpoint/endpoint_client_test.cpp
+++ b/tests/endpoint/endpoint_client_test.cpp
@@ -129,6 +129,7 @@
     {"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n12", Error::EndpointFailed},
     {"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", Error::EndpointFailed},
     {"interim status", "HTTP/1.1 103 Early\r\n\r\n", Error::EndpointFailed},
+    {"status out of range", "HTTP/1.1 99999 Odd\r\nContent-Length: 0\r\n\r\n", Error::EndpointFailed},
     {"body too large", "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n", Error::TooLarge},
     {"chunks too large", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + std::string(2000, 'x') + "\r\n0\r\n\r\n",
      Error::TooLarge},
