--- a/benchmarks/gangs_bench.cpp
+++ b/benchmarks/gangs_bench.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t acceleratorCount = workerCount * 8;
 /// Part of the accelerator time that gangs ask for.
 constexpr double gangPart = 0.5;
+/// What it costs to continue from a checkpoint, so that moving work is not free.
+constexpr Duration resumeTime = 30s;
 const Resources largestShapeTask{1, 4, 8192};
 
 struct Deployment
@@ -113,7 +115,8 @@
 template<typename Scheduler>
 auto measure(Scheduler &scheduler, const Deployment &deployment, const std::vector<Arrival> &arrivals) -> Result
 {
-    Testing::JobDriver<Scheduler> driver(scheduler);
+    const Testing::DriverTimes times{20ms, 300ms, 30ms, resumeTime};
+    Testing::JobDriver<Scheduler> driver(scheduler, times);
     JobPolicy policy;
     policy.classLimits = {1.0, 1.0, 1.0};
     for (const auto *it : {"north", "south", "east", "west"}) {
@@ -132,7 +135,7 @@
         static_cast<void>(driver.submit(it.job, it.runTime));
         for (const auto &room : driver.freeRooms()) {
             freeSum += room.accelerators;
-            strandedSum += room.accelerators - tasksThatFit(times(room, 1), largestShapeTask, room.accelerators);
+            strandedSum += room.accelerators - tasksThatFit(Scheduling::times(room, 1), largestShapeTask, room.accelerators);
         }
     }
     driver.runFor(240h);
--- a/benchmarks/guarantee_bench.cpp
+++ b/benchmarks/guarantee_bench.cpp
@@ -94,7 +94,7 @@
 {
     std::mt19937_64 random(seed);
     // With every second seed no checkpoint completes within its grace period.
-    const Testing::DriverTimes times{20ms, seed % 2 == 0 ? Duration(10s) : Duration(300ms), 30ms};
+    const Testing::DriverTimes times{20ms, seed % 2 == 0 ? Duration(10s) : Duration(300ms), 30ms, 30s};
     Testing::JobDriver<Scheduler> driver(scheduler, times);
     const auto workers = Testing::makeWorkers(workerCount, workersPerRack, deployment.worker, deployment.zone);
     const auto organisations = drawGuarantees(deployment, workers, random);
--- a/packages/scheduling/src/zone_reservations.cpp
+++ b/packages/scheduling/src/zone_reservations.cpp
@@ -9,6 +9,8 @@
 /// Largest part of the capacity held by more than one reservation. Held capacity is partly idle: with 0.5 gangs waited longer
 /// than without reservations in ./bench gangs at 95% load, with 0.2 and less they waited least.
 constexpr double maxHeldFraction = 0.2;
+/// A gang may be moved for another one that is this many times larger.
+constexpr std::uint64_t gangSizeRatio = 4;
 /// Times that one job may be stopped and moved for the sake of gangs.
 constexpr std::uint32_t maxMoves = 4;
 } // namespace
@@ -19,7 +21,7 @@
         || 2 * std::int64_t{shape.perTask.cores} > m_largestCores;
 }
 
-auto ZoneState::expectedEnd(const JobRecord &job, TimePoint now) const -> TimePoint
+auto ZoneState::expectedEnd(const JobRecord &job, const Shape &gang, TimePoint now) const -> TimePoint
 {
     switch (job.attempt.phase) {
     case Phase::Checkpointing:
@@ -28,7 +30,7 @@
     case Phase::Planned:
         return now + job.attempt.estimate;
     default:
-        if (isMovable(job)) {
+        if (isMovableFor(job, gang)) {
             return now + m_settings.checkpointGrace;
         }
         return now + RunTimeEstimator::remaining(job.attempt.estimate, now - job.attempt.startedAt);
@@ -37,10 +39,16 @@
 
 auto ZoneState::isMovable(const JobRecord &job) const noexcept -> bool
 {
-    const auto isSmall = !isLarge(job.shape);
+    return !isLarge(job.shape) && isMovableFor(job, job.shape);
+}
+
+auto ZoneState::isMovableFor(const JobRecord &job, const Shape &gang) const noexcept -> bool
+{
     const auto phase = job.attempt.phase;
     const auto isStopped = phase == Phase::Checkpointing || phase == Phase::Stopping;
-    return isSmall && job.idempotent && job.checkpointable && job.moves < maxMoves && isBorrowed(job) && !isStopped;
+    const auto isMuchSmaller = gangSizeRatio * job.shape.accelerators() <= gang.accelerators();
+    return (!isLarge(job.shape) || isMuchSmaller) && job.idempotent && job.checkpointable && job.moves < maxMoves && isBorrowed(job)
+        && !isStopped;
 }
 
 auto ZoneState::planReservation(const JobRecord &job, TimePoint now) const -> std::optional<Reservation>
@@ -54,7 +62,7 @@
     std::vector<End> ends;
     for (const auto &it : m_jobs) {
         if (it.sequence != 0 && it.attempt.phase != Phase::None) {
-            const auto at = expectedEnd(it, now);
+            const auto at = expectedEnd(it, job.shape, now);
             for (const auto &member : it.attempt.members) {
                 ends.push_back({at, member.worker, amountOn(it, member)});
             }
@@ -232,7 +240,7 @@
     const auto isDue = now >= reservation.start;
     const auto mayStop = [&](const JobRecord &it) {
         const auto isLate = isDue && it.attempt.backfilled && it.idempotent;
-        return it.priority >= m_jobs[j].priority && (isLate || isMovable(it));
+        return it.priority >= m_jobs[j].priority && (isLate || isMovableFor(it, m_jobs[j].shape));
     };
     const auto victims = chooseVictims(reservation.places, m_jobs[j].shape.perTask, now, mayStop);
     if (!victims) {
--- a/packages/scheduling/src/zone_state.h
+++ b/packages/scheduling/src/zone_state.h
@@ -318,6 +318,8 @@
     auto dropReservation(JobIndex j) -> void;
     /// Small work that loses little when it is stopped, so that a gang need not wait for it.
     [[nodiscard]] auto isMovable(const JobRecord &job) const noexcept -> bool;
+    /// As isMovable(), or a much smaller gang than \a gang.
+    [[nodiscard]] auto isMovableFor(const JobRecord &job, const Shape &gang) const noexcept -> bool;
     /// Small work that cannot be moved; it is kept together on few racks, so that the others can be cleared for gangs.
     [[nodiscard]] auto isFixed(const JobRecord &job) const noexcept -> bool;
     [[nodiscard]] auto findAmongFixed(const JobRecord &job, Room room, const WorkerFilter &filter) const -> std::optional<Placement>;
@@ -326,7 +328,7 @@
     [[nodiscard]] auto findAwayFromFixed(const JobRecord &job, Room room, const WorkerFilter &filter) const -> std::optional<Placement>;
     auto countFixed(RackIndex rack, std::int64_t tasks) -> void;
     [[nodiscard]] auto isLarge(const Shape &shape) const noexcept -> bool;
-    [[nodiscard]] auto expectedEnd(const JobRecord &job, TimePoint now) const -> TimePoint;
+    [[nodiscard]] auto expectedEnd(const JobRecord &job, const Shape &gang, TimePoint now) const -> TimePoint;
 
     [[nodiscard]] auto isBorrowed(const JobRecord &job) const noexcept -> bool;
     [[nodiscard]] auto amountOn(const JobRecord &job, const PlacedTasks &it) const noexcept -> ResourceTotals;
--- a/tests/scheduling/job_driver.h
+++ b/tests/scheduling/job_driver.h
@@ -21,6 +21,8 @@
     Duration start = 20ms;
     Duration checkpoint = 300ms;
     Duration stop = 30ms;
+    /// Additional run time of an attempt that continues from a checkpoint.
+    Duration resume{};
 };
 
 /// One finished job as the driver saw it.
@@ -268,7 +270,8 @@
             }
         });
         const auto end = outcome ? outcome(it.job, start) : AttemptEnd{AttemptEndKind::Succeeded, {}, false};
-        const auto rest = end.kind == AttemptEndKind::Succeeded ? it.trueRunTime - it.progress : Duration(200ms);
+        const auto resume = it.progress > Duration::zero() ? m_times.resume : Duration::zero();
+        const auto rest = end.kind == AttemptEndKind::Succeeded ? it.trueRunTime - it.progress + resume : Duration(200ms);
         at(m_times.start + std::max(rest, Duration(1)), [this, start, end] { endAttempt(start.job, start.attempt, end); });
     }
 
@@ -321,7 +324,8 @@
         const auto elapsed = std::max(m_now - it.startedAt, Duration::zero());
         workedSeconds += std::chrono::duration<double>(elapsed).count() * static_cast<double>(it.job.spec.shape.accelerators());
         if (end.checkpointed) {
-            it.progress = std::min(it.progress + elapsed, it.trueRunTime);
+            const auto resume = it.progress > Duration::zero() ? m_times.resume : Duration::zero();
+            it.progress = std::min(it.progress + std::max(elapsed - resume, Duration::zero()), it.trueRunTime);
         }
         free(it.members, it.job);
         it.members.clear();
