Let new callers start level with their own class

Cause: callers started at the tag of the caller served last. While two classes are held back by their limits the third runs ahead, and a new caller waited until the flood had caught up with it. The new test requires that nobody of the class is served twice before a new caller. A caller that an instance has not seen before the flood has no credit there, so that its second request within a round waits.

--- a/packages/scheduling/src/admission.cpp
+++ b/packages/scheduling/src/admission.cpp
@@ -52,6 +52,8 @@
     Organisation *organisation = nullptr;
     std::uint64_t index = 0;
     double tag = 0.0;
+    /// Whether the tag has been set by a first request.
+    bool isKnown = false;
     /// Waiting requests of each class in order of arrival.
     std::array<std::map<std::uint64_t, RequestId>, priorityCount> queues;
     std::size_t length = 0;
@@ -149,6 +151,7 @@
     auto findCaller(const OrganisationName &organisation, const CallerName &caller) const -> Caller *;
     auto setCallerTag(Caller &caller, double tag) -> void;
     auto setOrganisationTag(Organisation &organisation, double tag) -> void;
+    auto startTag(const Organisation &organisation, std::size_t classIndex) const -> double;
     auto insert(Caller &caller, const QueuedRequest &request) -> void;
     auto erase(const Place &place, RequestId id) -> void;
     auto waiting() const -> ClassSet;
@@ -179,7 +182,6 @@
         slot->name = name;
         slot->organisation = &organisation;
         slot->index = nextIndex++;
-        slot->tag = organisation.virtualTime;
         callersByIndex.emplace(slot->index, slot.get());
     }
     return *slot;
@@ -218,6 +220,18 @@
     organisation.tag = tag;
 }
 
+auto Admission::State::startTag(const Organisation &organisation, std::size_t classIndex) const -> double
+{
+    // The virtual time follows the class that is served most. A class held back by its limit is behind it, and a caller that starts
+    // at the virtual time would wait there until all others of its class have caught up.
+    auto least = organisation.virtualTime;
+    for (const auto &it : organisation.turns) {
+        least = it.empty() ? least : std::min(least, it.begin()->tag);
+    }
+    const auto &own = organisation.turns[classIndex];
+    return std::max(least, own.empty() ? organisation.virtualTime - maxLag : own.begin()->tag - idleCredit);
+}
+
 auto Admission::State::insert(Caller &caller, const QueuedRequest &request) -> void
 {
     auto &organisation = *caller.organisation;
@@ -227,7 +241,9 @@
         activeShares += organisation.share;
     }
     if (caller.length == 0) {
-        caller.tag = std::max(caller.tag, organisation.virtualTime - idleCredit);
+        const auto start = startTag(organisation, i);
+        caller.tag = caller.isKnown ? std::max(caller.tag, start - idleCredit) : start;
+        caller.isKnown = true;
         ++organisation.activeCallers;
     }
     if (organisation.turns[i].empty()) {
--- a/tests/scheduling/admission_test.cpp
+++ b/tests/scheduling/admission_test.cpp
@@ -209,6 +209,30 @@
     }
 }
 
+// Guards against a new caller that waits until a flood held back by its class limit has caught up with another class.
+BOOST_DATA_TEST_CASE(newCallerIsNotBehindAFloodOfItsClass, data::xrange(priorityCount), classIndex)
+{
+    const auto priority = static_cast<Priority>(classIndex);
+    Fixture f({100'000, 1000, 100});
+    for (int n = 0; n < 40; ++n) {
+        f.pushMany(100, "a", "urgent-" + std::to_string(n), Priority::Urgent);
+        f.pushMany(100, "a", "background-" + std::to_string(n), Priority::Background);
+    }
+    f.pushMany(500, "a", "leader", Priority::Normal);
+    for (int n = 0; n < 400; ++n) {
+        f.serve(20);
+    }
+    static_cast<void>(f.push("a", "new", priority));
+    // At most one round over its class: nobody is served twice before it.
+    std::map<std::string, int> served;
+    for (bool done = false; !done;) {
+        const auto &request = f.serve(20);
+        done = request.caller.str() == "new";
+        const auto times = ++served[request.caller.str()];
+        BOOST_REQUIRE((request.priority != priority || times <= 1));
+    }
+}
+
 // Guards against a caller whose requests take long and who so gets more than its part of the slots.
 BOOST_AUTO_TEST_CASE(longRequestsAreCharged)
 {
