--- /dev/null
+++ b/tests/process/connection_test.cpp
@@ -0,0 +1,1 @@
+#include "deployment.h"
