--- a/apps/acaciaraild/main.cpp
+++ b/apps/acaciaraild/main.cpp
@@ -2,7 +2,7 @@
 
 #include <gflags/gflags.h>
 
-#include <cstdio>
+#include <csignal>
 #include <iostream>
 #include <random>
 #include <vector>
@@ -61,6 +61,8 @@
 
 auto main(int argc, char **argv) -> int
 {
+    // A write to a connection that the other side closed is reported as an error.
+    std::signal(SIGPIPE, SIG_IGN);
     gflags::SetUsageMessage("acaciaraild --config FILE [--KEY VALUE ...]: an entry instance of acaciarail");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto parsed = Operator::loadSettings(FLAGS_config, overridesFromFlags());
--- a/apps/acaciaraild/service_gateway.cpp
+++ b/apps/acaciaraild/service_gateway.cpp
@@ -147,6 +147,8 @@
     attempt.headers = open.headers;
     attempt.body = open.body;
     attempt.timeout = command.timeout;
+    // On a connection used before, a lost answer could not be told apart from a request that was never read.
+    attempt.freshConnection = !open.request.idempotent;
     attempt.progressTimeout = std::min(command.timeout, m_settings.progressTimeout);
     attempt.traceparent = Telemetry::formatTraceparent({open.trace.trace, opened.span, open.trace.sampled});
     m_client.send(std::move(attempt));
--- a/packages/instance/include/acaciarail/instance/instance.h
+++ b/packages/instance/include/acaciarail/instance/instance.h
@@ -43,6 +43,8 @@
     std::uint64_t snapshotEvery = 50'000;
     /// A log that does not answer reads for this long counts as unavailable.
     Duration logSilence = 1s;
+    /// Without a read for this long, which is more than a read waits for a record, the instance also asks peers that are ahead.
+    Duration askPeersAfter = 700ms;
     /// Changes of the configuration that arrive within this time are put into force together.
     Duration configurationDelay = 50ms;
     /// A job that no holder has assigned for this long is moved to another zone, if its caller named none.
@@ -153,6 +155,8 @@
 
     /// Whether the instance has caught up with the log, or with a peer, and serves. \pre none.
     [[nodiscard]] auto isReady() const noexcept -> bool;
+    /// Version of the configuration that decisions are based on. \pre none.
+    [[nodiscard]] auto versionInForce() const noexcept -> std::uint64_t;
     /// Whether the configuration of the log is in force here. \pre none.
     [[nodiscard]] auto hasConfiguration() const noexcept -> bool;
     [[nodiscard]] auto isLogAvailable(TimePoint now) const -> bool;
@@ -235,9 +239,11 @@
     bool m_ready = false;
     bool m_draining = false;
     std::optional<TimePoint> m_logFailingSince;
+    TimePoint m_lastLogRead;
     std::optional<TimePoint> m_configurationChangedAt;
     TimePoint m_configuredAt;
     bool m_hasConfiguration = false;
+    std::uint64_t m_versionInForce = 0;
     TimePoint m_nextHeartbeat;
     TimePoint m_nextHousekeeping;
     std::optional<LogOffset> m_snapshotProposedAt;
--- a/packages/instance/src/instance.cpp
+++ b/packages/instance/src/instance.cpp
@@ -75,6 +75,7 @@
 {
     m_now = now;
     m_logFailingSince.reset();
+    m_lastLogRead = now;
     applyEntries(entries, now);
     if (!m_ready && m_replica.nextOffset() >= end) {
         becomeReady(now);
@@ -429,6 +430,11 @@
     return m_ready && !m_draining;
 }
 
+auto Instance::versionInForce() const noexcept -> std::uint64_t
+{
+    return m_versionInForce;
+}
+
 auto Instance::hasConfiguration() const noexcept -> bool
 {
     return m_hasConfiguration;
--- a/packages/instance/src/instance_tick.cpp
+++ b/packages/instance/src/instance_tick.cpp
@@ -72,6 +72,7 @@
     m_configuration = m_hooks.readConfiguration(m_replica.documents());
     m_configuration.shards = std::max(m_configuration.shards, 1U);
     m_hasConfiguration = true;
+    m_versionInForce = m_replica.configVersion();
     m_router.setPolicy(m_configuration.requests, now);
     updateShards(now);
     for (auto &it : m_shards) {
@@ -153,7 +154,7 @@
 auto Instance::tickSync(TimePoint now) -> void
 {
     // With the log at hand it is read from there; peers help while it cannot be reached or this instance is new.
-    const auto needsPeers = m_logFailingSince || !m_ready;
+    const auto needsPeers = m_logFailingSince || !m_ready || now - m_lastLogRead > m_settings.askPeersAfter;
     if (!needsPeers) {
         return;
     }
--- a/tests/fuzz/world.cpp
+++ b/tests/fuzz/world.cpp
@@ -23,6 +23,8 @@
 constexpr Duration leavingLimit = 3s;
 constexpr Duration drainLimit = 70s;
 constexpr std::uint32_t endpointSlots = 8;
+/// Length that precedes each frame between processes.
+constexpr std::uint64_t frameHeaderBytes = 4;
 
 auto workerName(const ZoneName &zone, std::uint32_t i) -> WorkerName
 {
@@ -123,8 +125,8 @@
     settings.info = {workerName(zoneName(zone), i),
                      RegionName("region-" + std::to_string(zone)),
                      zoneName(zone),
-                     RackName("rack-" + std::to_string(i / 2)),
-                     i / 2,
+                     RackName("rack-" + std::to_string(i / m_settings.workersPerRack)),
+                     i / m_settings.workersPerRack,
                      {8, 32, 65536},
                      "-"};
     settings.initialTaskLease = m_settings.taskLease;
@@ -135,7 +137,7 @@
         m_oracle.jobStarted(report.job, report.id.attempt, m_now);
         // All members of a gang run equally long.
         const auto hash = std::hash<std::string>{}(report.id.job.str()) + report.id.attempt;
-        const auto runTime = std::chrono::milliseconds(500 + hash % 6000);
+        const auto runTime = m_settings.minRunTime + std::chrono::milliseconds(hash % 6000);
         const auto fails = m_workers.at(name).failsAll || report.job.spec.kind == "bad";
         return Standins::TaskPlan{fails ? Duration(50ms) : Duration(runTime), fails};
     };
@@ -222,6 +224,8 @@
     settings.shard.taskLease = m_settings.taskLease;
     settings.snapshotEvery = m_settings.snapshotEvery;
     settings.moveJobsAfter = 20s;
+    // Long enough that deadlines fall between two attempts of an append.
+    settings.outbox.minBackoff = 400ms;
     if (m_settings.mutation == Mutation::LongLease) {
         settings.shard.lease.lease = 10s;
     }
@@ -283,8 +287,10 @@
         it.inbox.push_back(std::move(action));
         return;
     }
+    const auto start = std::chrono::steady_clock::now();
     action();
     scheduleTick(node);
+    it.cost.processorTime += std::chrono::steady_clock::now() - start;
 }
 
 auto World::scheduleTick(std::size_t node) -> void
@@ -307,10 +313,17 @@
 {
     const auto incarnation = m_nodes[node].incarnation;
     const auto zone = m_nodes[node].info.zone;
+    for (const auto &record : records) {
+        m_nodes[node].cost.logBytesWritten += record.size();
+    }
     const auto fail = [this, node, incarnation](State::AppendFailure failure) {
         const auto shown = m_settings.mutation == Mutation::LostAnswerAsNotAppended ? State::AppendFailure::NotAppended : failure;
         deliver(node, incarnation, [this, node, shown] { m_nodes[node].instance->logAppendFailed(shown, m_now); });
     };
+    if (m_nodes[node].cutFromPlatform) {
+        after(logTimeout, [fail] { fail(State::AppendFailure::Unknown); });
+        return;
+    }
     if (m_lateAppends && !m_platform.isCut(zone)) {
         after(lateAppendDelay, [this, records, zone] { (void)m_platform.append(records, zone); });
         after(logTimeout, [fail] { fail(State::AppendFailure::Unknown); });
@@ -341,6 +354,13 @@
         return;
     }
     auto answer = m_platform.read(it.instance->nextOffset(), 1000, it.info.zone);
+    if (it.cutFromPlatform) {
+        answer = {};
+        answer.kind = Standins::AnswerKind::Lost;
+    }
+    for (const auto &entry : answer.entries) {
+        it.cost.logBytesRead += entry.bytes.size();
+    }
     if (answer.kind == Standins::AnswerKind::NotRetained) {
         State::SnapshotScanner scanner(answer.earliest);
         for (auto found = m_platform.read(answer.earliest, 100'000, it.info.zone); !found.entries.empty();
@@ -375,7 +395,7 @@
     if (!it.instance || it.incarnation != incarnation) {
         return;
     }
-    if (const auto listed = m_platform.list(it.info.zone, m_now)) {
+    if (const auto listed = it.cutFromPlatform ? std::nullopt : m_platform.list(it.info.zone, m_now)) {
         Instance::PlatformList list;
         for (const auto &entry : *listed) {
             const RegionName region(entry.region);
@@ -409,6 +429,9 @@
 auto World::sendToWorker(std::size_t node, const WorkerName &worker, const Worker::Request &request) -> void
 {
     const auto incarnation = m_nodes[node].incarnation;
+    if (m_settings.countBytes) {
+        m_nodes[node].cost.workerBytesSent += encodeMessage(request).size() + frameHeaderBytes;
+    }
     after(nearLatency, [this, node, incarnation, worker, request] {
         const auto it = m_workers.find(worker);
         if (it == m_workers.end() || !it->second.reachable) {
@@ -427,6 +450,9 @@
         }
         scheduleWorkerTick(worker);
         for (const auto &reply : replies) {
+            if (m_settings.countBytes) {
+                m_nodes[node].cost.workerBytesReceived += encodeMessage(reply).size() + frameHeaderBytes;
+            }
             after(nearLatency, [this, node, incarnation, worker, reply] {
                 if (m_workers.at(worker).reachable) {
                     deliver(node, incarnation, [this, node, worker, reply] { m_nodes[node].instance->workerReply(worker, reply, m_now); });
@@ -459,6 +485,9 @@
             continue;
         }
         for (const auto &reply : replies) {
+            if (m_settings.countBytes) {
+                m_nodes[i].cost.workerBytesReceived += encodeMessage(reply).size() + frameHeaderBytes;
+            }
             after(nearLatency, [this, i, incarnation = term.incarnation, worker, reply] {
                 deliver(i, incarnation, [this, i, worker, reply] { m_nodes[i].instance->workerReply(worker, reply, m_now); });
             });
@@ -474,6 +503,9 @@
         return;
     }
     const auto i = static_cast<std::size_t>(target - m_nodes.begin());
+    if (m_settings.countBytes) {
+        m_nodes[node].cost.peerBytesSent += encodeMessage(message).size() + frameHeaderBytes;
+    }
     after(from.zone == target->info.zone ? nearLatency : farLatency,
           [this, i, incarnation = target->incarnation, name = from.name, message] {
               deliver(i, incarnation, [this, i, name, message] { m_nodes[i].instance->peerMessage(name, message, m_now); });
@@ -573,6 +605,9 @@
 
 auto World::checkStep() -> void
 {
+    if (!m_settings.checkSteps) {
+        return;
+    }
     for (std::uint32_t zone = 0; zone < m_settings.zones; ++zone) {
         if (holdersOf(zone) > 1) {
             m_oracle.fail(Invariant::OneHolder, "two instances hold " + zoneName(zone).str(), m_now);
@@ -580,7 +615,7 @@
     }
     for (auto &it : m_nodes) {
         if (it.instance && it.instance->hasConfiguration()) {
-            auto version = it.instance->replica().configVersion();
+            auto version = it.instance->versionInForce();
             if (m_settings.mutation == Mutation::RevertVersion && version > 1 && m_now.time_since_epoch() / 10s % 2 == 0) {
                 --version;
             }
@@ -791,7 +826,10 @@
     spec.checkpointable = m_lastJob % 2 == 0;
     const Instance::OperationId id = m_lastJob;
     it.jobNames[id] = spec.name;
-    deliver(i, it.incarnation, [this, i, id, spec] { m_nodes[i].instance->submitJob(id, spec, m_now + 3s, m_now); });
+    deliver(i, it.incarnation, [this, i, id, spec] {
+        const auto timeout = std::chrono::milliseconds(500 + id * 997 % 5000);
+        m_nodes[i].instance->submitJob(id, spec, m_now + timeout, m_now);
+    });
 }
 
 auto World::publish(std::size_t i, const std::string &document) -> void
@@ -981,7 +1019,7 @@
     const auto &first = m_nodes.front().instance->replica();
     for (const auto &it : m_nodes) {
         const auto &replica = it.instance->replica();
-        if (replica.configVersion() != first.configVersion()) {
+        if (it.instance->versionInForce() != first.configVersion()) {
             m_oracle.fail(Invariant::ConfigurationInForce,
                           it.info.name.str() + " has another version than " + m_nodes.front().info.name.str(), m_now);
         }
@@ -1031,6 +1069,22 @@
     return m_answerTimes;
 }
 
+auto World::cost(std::size_t i) const -> const Cost &
+{
+    return m_nodes[i].cost;
+}
+
+auto World::cutFromPlatform(std::size_t i, bool cut) -> void
+{
+    m_nodes[i].cutFromPlatform = cut;
+    noteFault();
+}
+
+auto World::clearAnswerTimes() -> void
+{
+    m_answerTimes.clear();
+}
+
 auto randomSequence(std::uint64_t seed, std::size_t length) -> std::vector<Command>
 {
     std::mt19937_64 random(seed);
--- a/tests/fuzz/world.h
+++ b/tests/fuzz/world.h
@@ -108,6 +108,13 @@
     /// Log records between two snapshots, and records that the log keeps once the retention passes.
     std::uint64_t snapshotEvery = 150;
     std::uint64_t retention = 400;
+    /// Encodes messages to workers and peers to count their bytes.
+    bool countBytes = false;
+    /// Checks the invariants at each step; without it only the end state is checked.
+    bool checkSteps = true;
+    std::uint32_t workersPerRack = 2;
+    /// Shortest run time of a task; the longest is 6 s more.
+    Duration minRunTime = 500ms;
 };
 
 /// Instances with the real decision and state code over in-process stand-ins and simulated time.
@@ -138,6 +145,20 @@
     [[nodiscard]] auto startedAttempts() const noexcept -> std::uint64_t;
     /// Requests that were answered by an endpoint, and time from submission to answer of each.
     [[nodiscard]] auto answerTimes() const noexcept -> const std::vector<Duration> &;
+    /// Bytes and processor time of the control traffic of one instance so far.
+    struct Cost
+    {
+        std::uint64_t workerBytesSent = 0;
+        std::uint64_t workerBytesReceived = 0;
+        std::uint64_t peerBytesSent = 0;
+        std::uint64_t logBytesWritten = 0;
+        std::uint64_t logBytesRead = 0;
+        std::chrono::nanoseconds processorTime{};
+    };
+    [[nodiscard]] auto cost(std::size_t i) const -> const Cost &;
+    /// Cuts one instance off from the platform; its peers stay reachable.
+    auto cutFromPlatform(std::size_t i, bool cut) -> void;
+    auto clearAnswerTimes() -> void;
 
     auto crash(std::size_t i) -> void;
     auto restart(std::size_t i) -> void;
@@ -155,6 +176,8 @@
         std::unique_ptr<Instance::Instance> instance;
         bool paused = false;
         bool draining = false;
+        bool cutFromPlatform = false;
+        Cost cost;
         std::deque<std::function<void()>> inbox;
         TimePoint tickAt;
         std::map<std::uint64_t, TimePoint> openRequests;
