--- a/packages/scheduling/src/zone_queue.cpp
+++ b/packages/scheduling/src/zone_queue.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Rounds of one decision; what is left is done in the next one.
+constexpr std::size_t maxRounds = 3;
+
 auto combine(std::size_t seed, std::uint64_t value) noexcept -> std::size_t
 {
     constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15ULL;
@@ -102,15 +105,16 @@
 auto ZoneState::refreshReady(GroupIndex g) -> void
 {
     auto &group = m_groups[g];
-    const auto priority = static_cast<std::size_t>(group.key.priority);
-    auto &ready = m_organisations[group.key.organisation].ready[priority];
     std::optional<std::int64_t> first;
     if (!group.blocked && !group.waiting.empty()) {
         first = group.waiting.begin()->first;
     }
+    // Also the case for the number of a group that is no longer in use.
     if (first == group.readyAs) {
         return;
     }
+    const auto priority = static_cast<std::size_t>(group.key.priority);
+    auto &ready = m_organisations[group.key.organisation].ready[priority];
     if (group.readyAs) {
         ready.erase({*group.readyAs, g});
     }
@@ -146,10 +150,22 @@
 
 auto ZoneState::decide(TimePoint now) -> std::vector<JobCommand>
 {
+    m_lastDecision = now;
     fireTimers(now);
     updateBars(m_health.expire(now));
     relocateGuarantees();
     startPlanned(now);
+    // A round may give capacity back, for example the reservation of a gang that started elsewhere.
+    for (std::size_t round = 0; round < maxRounds && (round == 0 || m_unblock); ++round) {
+        runRound(now);
+    }
+    startPlanned(now);
+    m_seenGrowth = m_fleet.growthCount();
+    return std::exchange(m_commands, {});
+}
+
+auto ZoneState::runRound(TimePoint now) -> void
+{
     const auto grew = m_unblock || m_seenGrowth != m_fleet.growthCount();
     if (grew) {
         unblockAll();
@@ -161,17 +177,15 @@
     std::vector<GroupIndex> limited;
     std::copy_if(m_blocked.begin(), m_blocked.end(), std::back_inserter(limited),
                  [this](GroupIndex g) { return m_groups[g].blocked && m_groups[g].reason == WaitReason::ClassLimit; });
-    if (!limited.empty()) {
-        // What the other classes could not use may go beyond the class limits, so that capacity is not left idle.
-        for (const auto g : limited) {
-            m_groups[g].blocked = false;
-            refreshReady(g);
-        }
-        runPass(now, true);
+    if (limited.empty()) {
+        return;
     }
-    startPlanned(now);
-    m_seenGrowth = m_fleet.growthCount();
-    return std::exchange(m_commands, {});
+    // What the other classes could not use may go beyond the class limits, so that capacity is not left idle.
+    for (const auto g : limited) {
+        m_groups[g].blocked = false;
+        refreshReady(g);
+    }
+    runPass(now, true);
 }
 
 auto ZoneState::startGuaranteed(TimePoint now) -> void
--- a/packages/scheduling/src/zone_records.cpp
+++ b/packages/scheduling/src/zone_records.cpp
@@ -364,6 +364,10 @@
     for (const auto &it : m_reservations) {
         consider(it.start);
     }
+    if (m_unblock) {
+        constexpr Duration nextRound = 100ms;
+        consider(m_lastDecision + nextRound);
+    }
     return next;
 }
 
--- a/packages/scheduling/src/zone_reservations.cpp
+++ b/packages/scheduling/src/zone_reservations.cpp
@@ -230,6 +230,7 @@
         reservation.start = now + m_settings.restartCost;
     }
     hold(reservation, 1);
+    m_unblock = m_unblock || reservation.places != before;
     updateHeldUntil(before);
     updateHeldUntil(reservation.places);
 }
--- a/packages/scheduling/src/zone_state.h
+++ b/packages/scheduling/src/zone_state.h
@@ -245,6 +245,7 @@
     auto block(GroupIndex g, WaitReason reason) -> void;
     auto unblockAll() -> void;
     auto startGuaranteed(TimePoint now) -> void;
+    auto runRound(TimePoint now) -> void;
     auto runPass(TimePoint now, bool ignoreLimits) -> void;
     auto runClass(Priority priority, TimePoint now, bool ignoreLimits) -> void;
     auto tryStart(JobIndex j, TimePoint now, bool ignoreLimits) -> TryResult;
@@ -375,6 +376,7 @@
     std::uint32_t m_waiting = 0;
     std::int64_t m_largestAccelerators = 0;
     std::int64_t m_largestCores = 0;
+    TimePoint m_lastDecision{};
     bool m_unblock = false;
     bool m_relocate = false;
     bool m_loggedShortfall = false;
