--- a/benchmarks/placement_bench.cpp
+++ b/benchmarks/placement_bench.cpp
@@ -30,6 +30,7 @@
     double scanMicroseconds = 0;
     double gangMilliseconds = 0;
     std::uint32_t gangsStarted = 0;
+    double waitingGangMilliseconds = 0;
 };
 
 auto microsecondsOf(const std::function<void()> &work) -> double
@@ -169,7 +170,15 @@
             settle(scheduler, now);
         }
     }
-    return {median(submits), ends.empty() ? 0.0 : median(ends), median(scans), median(gangTimes), gangsStarted};
+    // The first gang takes the accelerators, so that the second one has to plan a reservation.
+    static_cast<void>(scheduler.submit(makeJob("gang-first", random, {largestGang, {1, 2, 2048}, Adjacency::Any}), now));
+    settle(scheduler, now);
+    const auto waiting = makeJob("gang-second", random, {largestGang, {1, 2, 2048}, Adjacency::Any});
+    const auto waitingTime = microsecondsOf([&] {
+        static_cast<void>(scheduler.submit(waiting, now));
+        settle(scheduler, now);
+    });
+    return {median(submits), ends.empty() ? 0.0 : median(ends), median(scans), median(gangTimes), gangsStarted, waitingTime / 1000.0};
 }
 
 auto run(const Options &options, Report &report) -> void
@@ -185,6 +194,7 @@
     std::vector<double> ratios;
     std::vector<double> endRatios;
     std::vector<double> scanRatios;
+    std::vector<double> waitingTimes;
     std::uint32_t gangsStarted = 0;
     for (std::uint32_t i = 0; i < seeds; ++i) {
         const auto small = measure(1, options.seed + i, rounds, gangs);
@@ -194,6 +204,7 @@
         scans.push_back(small.scanMicroseconds);
         gangTimes.push_back(small.gangMilliseconds);
         gangsStarted += small.gangsStarted;
+        waitingTimes.push_back(small.waitingGangMilliseconds);
         ratios.push_back(large.submitMicroseconds / small.submitMicroseconds);
         endRatios.push_back(large.endMicroseconds / small.endMicroseconds);
         scanRatios.push_back(large.scanMicroseconds / small.scanMicroseconds);
@@ -202,6 +213,7 @@
     report.figure("single task, attempt end and decide, us", medianWithSpread(ends));
     report.check("gang of 1024, submit and decide, ms", "<= 10", medianWithSpread(gangTimes), median(gangTimes) <= 10);
     report.check("gangs of 1024 started", std::to_string(gangs * seeds), std::to_string(gangsStarted), gangsStarted == gangs * seeds);
+    report.figure("gang of 1024 that must wait, reservation planned, ms", medianWithSpread(waitingTimes));
     const auto ratioName = options.quick ? "single task, cost at 2 times the workers" : "single task, cost at 10 times the workers";
     report.check(ratioName, "<= 2", medianWithSpread(ratios), median(ratios) <= 2);
     report.figure("attempt end, cost ratio at the larger size", medianWithSpread(endRatios));
