--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <numeric>
+#include <tuple>
 
 namespace Acaciarail::Scheduling {
 
@@ -51,17 +52,22 @@
     }
 
     /// Takes tasks from the workers in the order given. Workers with the least room come first, so that the others stay whole.
-    [[nodiscard]] auto take(std::vector<WorkerIndex> workers) const -> Placement
+    [[nodiscard]] auto take(const std::vector<WorkerIndex> &workers) const -> Placement
     {
-        const auto tighter = [this](WorkerIndex a, WorkerIndex b) {
-            const auto &x = roomOf(a);
-            const auto &y = roomOf(b);
-            return std::tuple(preferredFits(b), x.accelerators, x.cores, a) < std::tuple(preferredFits(a), y.accelerators, y.cores, b);
-        };
-        std::sort(workers.begin(), workers.end(), tighter);
+        using Key = std::tuple<std::int64_t, std::int64_t, std::int64_t, WorkerIndex>;
+        std::vector<Key> keys;
+        keys.reserve(workers.size());
+        for (const auto it : workers) {
+            const auto &room = roomOf(it);
+            if (tasksThatFit(room, shape.perTask, 1) > 0) {
+                keys.emplace_back(-std::int64_t{preferredFits(it)}, room.accelerators, room.cores, it);
+            }
+        }
+        std::sort(keys.begin(), keys.end());
         Placement placement;
         auto rest = shape.tasks;
-        for (const auto it : workers) {
+        for (const auto &key : keys) {
+            const auto it = std::get<WorkerIndex>(key);
             const auto n = std::min(fits(it), rest);
             if (n > 0) {
                 placement.push_back({it, n});
@@ -242,7 +248,7 @@
             return std::nullopt;
         }
     }
-    auto placement = search.take(std::move(workers));
+    auto placement = search.take(workers);
     const auto add = [](std::uint64_t n, const PlacedTasks &it) { return n + it.tasks; };
     const auto placed = std::accumulate(placement.begin(), placement.end(), std::uint64_t{0}, add);
     return placed == shape.tasks ? std::optional(std::move(placement)) : std::nullopt;
