Measure unlike endpoints, and drop the min-max step rule

Cause: the min-max step rule was to be tried for spreading load among unlike endpoints. Change: ./bench flood has figures for endpoints of which a quarter each are 0.5, 1, 2 and 4 times as slow. The rule was tried in place of the better of two random endpoints: every 200 ms each endpoint's share steps towards the largest one that keeps its latency below the worst, with the risk-averse step size, at least 0.002, and the slowest gives up the sum; endpoints are drawn by share. Conclusion: the rule loses at every load and is not kept. The latency of an endpoint that answers busy instead of queueing hardly depends on its share.

--- a/benchmarks/flood_bench.cpp
+++ b/benchmarks/flood_bench.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <string>
 
 namespace Acaciarail::Bench {
@@ -295,6 +296,48 @@
     }
 }
 
+/// Endpoints of which a quarter each are 0.5, 1, 2 and 4 times as slow, without a flood.
+auto reportUnlikeEndpoints(Report &report, const Phases &phases, const Options &options, std::size_t seeds) -> void
+{
+    constexpr std::array<double, 4> slowness{0.5, 1.0, 2.0, 4.0};
+    double capacity = 0.0;
+    ModelSettings settings;
+    settings.policy = policyOfModel();
+    settings.length = phases.end;
+    for (std::size_t n = 0; n < modelEndpoints; ++n) {
+        settings.slowness.push_back(slowness[n % slowness.size()]);
+        capacity += modelSlots / (modelMeanServiceSeconds * settings.slowness.back());
+    }
+    for (const auto load : {0.5, 0.7, 0.9}) {
+        settings.groups = {{OrganisationName("a"), callersOfGroup, Priority::Normal, capacity * load, {}, phases.end, 0.1}};
+        for (const auto &policy : {routerPolicy(), roundRobinPolicy(), randomOfTwoPolicy()}) {
+            std::vector<double> mean(seeds);
+            std::vector<double> slowest(seeds);
+            std::vector<double> good(seeds);
+            runInParallel(seeds, [&](std::size_t n) {
+                std::vector<double> latency;
+                double offered = 0.0;
+                for (const auto &it : runRequestModel(settings, policy, options.seed + n).requests) {
+                    if (it.submittedAt < TimePoint(phases.warm) || it.submittedAt >= TimePoint(phases.end - settings.deadline)) {
+                        continue;
+                    }
+                    ++offered;
+                    if (it.outcome == RequestOutcome::Good) {
+                        latency.push_back(std::chrono::duration<double, std::milli>(it.endedAt - it.submittedAt).count());
+                    }
+                }
+                mean[n] = std::accumulate(latency.begin(), latency.end(), 0.0) / static_cast<double>(latency.size());
+                slowest[n] = quantile(latency, 0.99);
+                good[n] = static_cast<double>(latency.size()) / offered;
+            });
+            const auto name = "unlike endpoints, load " + decimal(load, 1) + " [" + std::string(policy.name) + "]: ";
+            report.figure(name + "good", medianWithSpread(good, 4));
+            report.figure(name + "mean ms", medianWithSpread(mean, 0));
+            report.figure(name + "p99 ms", medianWithSpread(slowest, 0));
+        }
+    }
+}
+
 auto flood(const Options &options, Report &report) -> void
 {
     const auto phases = options.quick ? Phases{1s, 3s, 6s} : Phases{2s, 6s, 12s};
@@ -321,6 +364,7 @@
         }
     }
     reportClassParts(report, phases, options, seeds);
+    reportUnlikeEndpoints(report, phases, options, seeds);
     report.note("seeds " + std::to_string(options.seed) + ".." + std::to_string(options.seed + seeds - 1)
                 + "; 8 instances, 50 endpoints of 8 slots, service time log-normal with mean 100 ms, deadline 2 s");
     report.note("capacity is slots / mean service time; goodput counts answers within the deadline, from 0.5 s after the flood began");
