Wait until the initial configuration is in force in the process tests

An accepted configuration comes into force up to configurationDelay later, so that a caller's token is refused for a moment after the answer to its publication.

--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -74,7 +74,9 @@
     BOOST_REQUIRE(waitUntil([&] {
         return std::all_of(settings.entries.begin(), settings.entries.end(), [&](const auto &it) {
             const auto now = status(it.first);
-            return now.value("ready", false) && now.value("config_version", 0) >= 1 && now.value("endpoints", 0U) >= settings.endpoints;
+            // An accepted configuration comes into force a moment later; its tokens show when.
+            return now.value("ready", false) && now.value("endpoints", 0U) >= settings.endpoints
+                && call(it.first, "GET", "/v1/jobs", lakeviewToken).status == 200;
         });
     }));
     BOOST_REQUIRE(waitUntil([&] { return !holder(midwest).empty() && (settings.southeastWorkers == 0 || !holder(southeast).empty()); }));
