--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -321,6 +321,18 @@
             {"zone", zone}};
 }
 
+auto submit(Deployment &deployment, const std::string &entry, const nlohmann::json &job) -> std::string
+{
+    const auto answer = deployment.call(entry, "POST", "/v1/jobs", lakeviewToken, job);
+    BOOST_REQUIRE_MESSAGE(answer.status == 201, answer.json.dump());
+    return answer.text("id");
+}
+
+auto outcomeOf(Deployment &deployment, const std::string &entry, const std::string &job) -> std::string
+{
+    return deployment.call(entry, "GET", "/v1/jobs/" + job, lakeviewToken).text("outcome");
+}
+
 auto initialDocuments() -> std::map<std::string, std::string>
 {
     return {{"deployment.acaciarail.toml", "[deployment.shards]\nmidwest-a = 1\nsoutheast-a = 1\n"},
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -135,6 +135,12 @@
 [[nodiscard]] auto jobOf(const std::string &name, std::uint32_t accelerators, Duration runTime, bool idempotent,
                          const std::string &zone = midwest) -> nlohmann::json;
 
+/// Submits a job as a caller of Lakeview and returns its id. Fails the test when it is not accepted. \pre none.
+[[nodiscard]] auto submit(Deployment &deployment, const std::string &entry, const nlohmann::json &job) -> std::string;
+
+/// Returns the outcome of a job of Lakeview; empty while it has none. \pre none.
+[[nodiscard]] auto outcomeOf(Deployment &deployment, const std::string &entry, const std::string &job) -> std::string;
+
 /// Returns the documents that every deployment starts with. \pre none.
 [[nodiscard]] auto initialDocuments() -> std::map<std::string, std::string>;
 
--- a/tests/process/failover_test.cpp
+++ b/tests/process/failover_test.cpp
@@ -9,19 +9,6 @@
 
 namespace {
 
-/// Submits a job and returns its id.
-auto submit(Deployment &deployment, const std::string &entry, const nlohmann::json &job) -> std::string
-{
-    const auto answer = deployment.call(entry, "POST", "/v1/jobs", lakeviewToken, job);
-    BOOST_REQUIRE_MESSAGE(answer.status == 201, answer.json.dump());
-    return answer.text("id");
-}
-
-auto outcomeOf(Deployment &deployment, const std::string &entry, const std::string &job) -> std::string
-{
-    return deployment.call(entry, "GET", "/v1/jobs/" + job, lakeviewToken).text("outcome");
-}
-
 auto otherEntry(Deployment &deployment, const std::string &entry) -> std::string
 {
     const auto names = deployment.entryNames();
--- a/tests/process/log_test.cpp
+++ b/tests/process/log_test.cpp
@@ -1,1 +1,131 @@
 #include "deployment.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace Acaciarail::ProcessTest {
+
+namespace {
+
+auto isLogAvailable(Deployment &deployment, const std::string &entry, bool expected) -> bool
+{
+    const auto now = deployment.status(entry);
+    return now.contains("log_available") && now.at("log_available") == expected;
+}
+
+/// Publishes a change of one document and returns its new text.
+auto changeService(Deployment &deployment, const std::string &entry) -> std::string
+{
+    const std::string name = "retake.acaciarail.toml";
+    const auto text = initialDocuments().at(name) + "# changed\n";
+    const auto answer = deployment.publish(entry, {{name, text}});
+    BOOST_REQUIRE_MESSAGE(answer.status == 200, answer.json.dump());
+    return text;
+}
+
+auto documentsAt(Deployment &deployment, const std::string &entry) -> nlohmann::json
+{
+    const auto answer = deployment.call(entry, "GET", "/v1/config", operatorToken);
+    return answer.status == 200 ? answer.json : nlohmann::json();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_log)
+
+/// Guards against an outage of the log that stops what needs no log, untrue refusals during it, and accepted work that is forgotten.
+BOOST_AUTO_TEST_CASE(stopped_log)
+{
+    DeploymentSettings settings;
+    settings.midwestWorkers = 1;
+    settings.endpoints = 4;
+    Deployment deployment(settings);
+    const auto holder = deployment.holder(midwest);
+    const auto other = holder == "entry-0" ? "entry-1" : "entry-0";
+    // Takes the only worker, so that the next jobs wait until there is a second one.
+    const auto blocker = submit(deployment, other, jobOf("blocker", 8, 120s, true));
+    BOOST_REQUIRE(deployment.waitUntil([&] { return deployment.startsOfJob(blocker) == 1; }));
+    const auto waiting = submit(deployment, other, jobOf("waiting", 8, 100ms, true));
+    const auto waitingOnce = submit(deployment, other, jobOf("waiting-once", 8, 100ms, false));
+
+    deployment.platform().setMode(Standins::LogMode::Down);
+    BOOST_REQUIRE(deployment.waitUntil([&] { return isLogAvailable(deployment, other, false); }));
+    const auto idempotent = deployment.callRaw(other, serviceRequest("log-down", 10ms, true));
+    BOOST_TEST(idempotent.status == 200, idempotent.json.dump());
+    const auto order = deployment.callRaw(other, serviceRequest("log-down-once", 10ms, false));
+    BOOST_TEST(order.isRefusal("log-unavailable", "not-run"), order.status << order.json.dump());
+    BOOST_TEST(deployment.runsOfValue("log-down-once") == 0U);
+    const auto refused = deployment.call(other, "POST", "/v1/jobs", lakeviewToken, jobOf("refused", 1, 100ms, true));
+    BOOST_TEST(refused.isRefusal("log-unavailable", "not-run"), refused.status << refused.json.dump());
+
+    deployment.killEntry(holder);
+    BOOST_REQUIRE(deployment.waitUntil([&] { return deployment.isHolder(other, midwest); }));
+    deployment.addWorker(midwest);
+    BOOST_TEST(deployment.waitUntil([&] { return deployment.startsOfJob(waiting) == 1; }), "the accepted job did not start");
+    BOOST_TEST(deployment.startsOfJob(waitingOnce) == 0U);
+    BOOST_TEST(deployment.call(other, "GET", "/v1/jobs/" + blocker, lakeviewToken).text("outcome").empty());
+
+    deployment.platform().setMode(Standins::LogMode::Up);
+    BOOST_TEST(deployment.waitUntil([&] { return outcomeOf(deployment, other, waiting) == "succeeded"; }));
+    BOOST_TEST(deployment.waitUntil([&] { return outcomeOf(deployment, other, waitingOnce) == "succeeded"; }));
+    BOOST_TEST(deployment.call(other, "DELETE", "/v1/jobs/" + blocker, lakeviewToken).status == 202);
+    BOOST_TEST(deployment.waitUntil([&] { return outcomeOf(deployment, other, blocker) == "cancelled"; }));
+    BOOST_TEST(deployment.startsOfJob(waitingOnce) == 1U);
+    const auto jobs = deployment.call(other, "GET", "/v1/jobs", operatorToken);
+    BOOST_TEST(jobs.json.at("jobs").size() == 3U, "a refused job is in the log: " << jobs.json.dump());
+    BOOST_TEST(deployment.firstWrongStart().value_or("") == "");
+}
+
+/// Guards against a zone that keeps an old configuration because only the platform, but not its peers, is unreachable.
+BOOST_AUTO_TEST_CASE(configuration_reaches_a_cut_off_zone)
+{
+    Deployment deployment;
+    deployment.platform().cutZone(ZoneName(southeast));
+    BOOST_REQUIRE(deployment.waitUntil([&] { return isLogAvailable(deployment, "entry-2", false); }));
+    const auto text = changeService(deployment, "entry-0");
+    BOOST_TEST(deployment.waitUntil([&] {
+        const auto documents = documentsAt(deployment, "entry-2");
+        return documents.is_object() && documents == documentsAt(deployment, "entry-0");
+    }));
+    BOOST_TEST(documentsAt(deployment, "entry-2").dump().find("# changed") != std::string::npos);
+    BOOST_TEST(deployment.platform().isCut(ZoneName(southeast)));
+    BOOST_TEST(isLogAvailable(deployment, "entry-2", false), "the platform was reachable after all");
+    deployment.platform().healZones();
+    BOOST_TEST(deployment.waitUntil([&] { return isLogAvailable(deployment, "entry-2", true); }));
+    BOOST_TEST((documentsAt(deployment, "entry-2") == documentsAt(deployment, "entry-0")));
+}
+
+/// Guards against accepted jobs and a configuration that existed only in the memory of the instances.
+BOOST_AUTO_TEST_CASE(all_instances_replaced)
+{
+    Deployment deployment;
+    changeService(deployment, "entry-0");
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 6; ++i) {
+        jobs.push_back(submit(deployment, "entry-0", jobOf("job-" + std::to_string(i), 8, 1s, i % 2 == 0)));
+    }
+    BOOST_REQUIRE(deployment.waitUntil([&] { return !deployment.starts().empty(); }));
+    const auto documents = documentsAt(deployment, "entry-0");
+    for (const auto &it : deployment.entryNames()) {
+        deployment.killEntry(it);
+    }
+    deployment.startEntry("entry-3", midwest);
+    deployment.startEntry("entry-4", midwest);
+    deployment.startEntry("entry-5", southeast);
+    for (const auto &it : deployment.entryNames()) {
+        BOOST_TEST(deployment.waitUntil([&] { return documentsAt(deployment, it) == documents; }), "another configuration at " << it);
+    }
+    for (const auto &it : jobs) {
+        BOOST_TEST(deployment.waitUntil([&] { return !outcomeOf(deployment, "entry-3", it).empty(); }), "no outcome of " << it);
+    }
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        const auto outcome = outcomeOf(deployment, "entry-3", jobs[i]);
+        const auto starts = deployment.startsOfJob(jobs[i]);
+        BOOST_TEST((outcome == "succeeded" || (i % 2 == 1 && outcome == "lost")), jobs[i] << ": " << outcome);
+        BOOST_TEST((i % 2 == 0 || starts <= 1));
+    }
+    BOOST_TEST(deployment.firstWrongStart().value_or("") == "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Acaciarail::ProcessTest
