--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -74,7 +74,9 @@
     BOOST_REQUIRE(waitUntil([&] {
         return std::all_of(settings.entries.begin(), settings.entries.end(), [&](const auto &it) {
             const auto now = status(it.first);
-            return now.value("ready", false) && now.value("config_version", 0) >= 1 && now.value("endpoints", 0U) >= settings.endpoints;
+            // An accepted configuration comes into force a moment later; its tokens show when.
+            return now.value("ready", false) && now.value("endpoints", 0U) >= settings.endpoints
+                && call(it.first, "GET", "/v1/jobs", lakeviewToken).status == 200;
         });
     }));
     BOOST_REQUIRE(waitUntil([&] { return !holder(midwest).empty() && (settings.southeastWorkers == 0 || !holder(southeast).empty()); }));
@@ -319,6 +321,18 @@
             {"zone", zone}};
 }
 
+auto submit(Deployment &deployment, const std::string &entry, const nlohmann::json &job) -> std::string
+{
+    const auto answer = deployment.call(entry, "POST", "/v1/jobs", lakeviewToken, job);
+    BOOST_REQUIRE_MESSAGE(answer.status == 201, answer.json.dump());
+    return answer.text("id");
+}
+
+auto outcomeOf(Deployment &deployment, const std::string &entry, const std::string &job) -> std::string
+{
+    return deployment.call(entry, "GET", "/v1/jobs/" + job, lakeviewToken).text("outcome");
+}
+
 auto initialDocuments() -> std::map<std::string, std::string>
 {
     return {{"deployment.acaciarail.toml", "[deployment.shards]\nmidwest-a = 1\nsoutheast-a = 1\n"},
