--- a/tests/process/failover_test.cpp
+++ b/tests/process/failover_test.cpp
@@ -27,6 +27,7 @@
     const auto killed = deployment.holder(midwest);
     const auto survivor = otherEntry(deployment, killed);
     std::vector<std::string> jobs;
+    jobs.reserve(7);
     for (int i = 0; i < 6; ++i) {
         jobs.push_back(submit(deployment, survivor, jobOf("before-" + std::to_string(i), 8, 1s, i % 2 == 0)));
     }
--- a/tests/process/log_test.cpp
+++ b/tests/process/log_test.cpp
@@ -16,7 +16,7 @@
 auto changeService(Deployment &deployment, const std::string &entry) -> std::string
 {
     const std::string name = "retake.acaciarail.toml";
-    const auto text = initialDocuments().at(name) + "# changed\n";
+    auto text = initialDocuments().at(name) + "# changed\n";
     const auto answer = deployment.publish(entry, {{name, text}});
     BOOST_REQUIRE_MESSAGE(answer.status == 200, answer.json.dump());
     return text;
@@ -79,12 +79,13 @@
     Deployment deployment(settings);
     const auto blocker = submit(deployment, "entry-0", jobOf("blocker", 8, 120s, true));
     BOOST_REQUIRE(deployment.waitUntil([&] { return deployment.startsOfJob(blocker) == 1; }));
-    const auto waiting = submit(deployment, "entry-0", jobOf("waiting", 8, 100ms, true));
+    // The idempotent job is behind the other one, so that its start shows that the other one had its turn.
     const auto once = submit(deployment, "entry-0", jobOf("once", 8, 100ms, false));
+    const auto later = submit(deployment, "entry-0", jobOf("later", 8, 100ms, true));
     deployment.platform().setMode(Standins::LogMode::Down);
     BOOST_REQUIRE(deployment.waitUntil([&] { return isLogAvailable(deployment, deployment.holder(midwest), false); }));
     deployment.addWorker(midwest);
-    BOOST_TEST(deployment.waitUntil([&] { return deployment.startsOfJob(waiting) == 1; }));
+    BOOST_TEST(deployment.waitUntil([&] { return deployment.startsOfJob(later) == 1; }));
     BOOST_TEST(deployment.startsOfJob(once) == 0U);
     deployment.platform().setMode(Standins::LogMode::Up);
     BOOST_TEST(deployment.waitUntil([&] { return !outcomeOf(deployment, "entry-0", once).empty(); }));
@@ -118,6 +119,7 @@
     Deployment deployment;
     changeService(deployment, "entry-0");
     std::vector<std::string> jobs;
+    jobs.reserve(6);
     for (int i = 0; i < 6; ++i) {
         jobs.push_back(submit(deployment, "entry-0", jobOf("job-" + std::to_string(i), 8, 1s, i % 2 == 0)));
     }
