--- a/apps/acaciarail/command_line.cpp
+++ b/apps/acaciarail/command_line.cpp
@@ -42,7 +42,7 @@
 DEFINE_bool(checkpointable, false, "The job can be stopped and continued from a checkpoint.");
 DEFINE_string(zone, "", "Availability zone. Default: any.");
 
-DEFINE_string(state, "", "List only jobs in this state, for example accepted or finished.");
+DEFINE_string(state, "", "List only jobs in this state, for example queued or finished.");
 
 DEFINE_string(export, "", "Write the events to this file as JSON lines instead of auditing them.");
 DEFINE_string(file, "", "Audit this archive instead of the deployment; the arguments after it are further archives.");
--- a/apps/acaciarail/help.cpp
+++ b/apps/acaciarail/help.cpp
@@ -47,7 +47,7 @@
     {"", "Show the state of an instance and its zone.", "Shows the instance that answers, the shards, the log and the configuration.",
      "acaciarail status --server 127.0.0.1:8480,127.0.0.1:8481"},
     {"", "List jobs.", "Lists the jobs of the caller's organisation; an operator sees those of all organisations.",
-     "acaciarail jobs --state accepted"},
+     "acaciarail jobs --state queued"},
     {"ID...", "Cancel jobs.", "Records a cancellation for each job. A job that finishes first keeps its outcome.",
      "acaciarail cancel job-17"},
     {"ID", "Explain why a job is where it is.",
--- a/apps/acaciaraild/audit_source.cpp
+++ b/apps/acaciaraild/audit_source.cpp
@@ -51,7 +51,8 @@
 
 auto auditBody(const OrderClaimed &body, const Record &record, const Replica &) -> std::optional<Op::AuditBody>
 {
-    return Op::AuditOrderClaimed{body.organisation, body.key, {}, std::to_string(body.fingerprint), body.claimant, record.id.incarnation};
+    return Op::AuditOrderClaimed{body.organisation,    body.key, body.service, std::to_string(body.fingerprint), body.claimant,
+                                 record.id.incarnation};
 }
 
 auto auditBody(const OrderFinished &body, const Record &record, const Replica &before) -> std::optional<Op::AuditBody>
--- a/apps/acaciaraild/control_gateway.cpp
+++ b/apps/acaciaraild/control_gateway.cpp
@@ -33,7 +33,7 @@
     reply.send(Caller::renderProblem({error, Execution::NotRun, std::move(detail)}));
 }
 
-auto problemJson(std::uint16_t status, const Failure &failure, Json extra) -> Caller::HttpResponse
+auto problemJson(std::uint16_t status, const Failure &failure, const Json &extra) -> Caller::HttpResponse
 {
     auto response = Caller::renderProblemAs(status, failure);
     auto body = Json::parse(response.body, nullptr, false);
@@ -107,7 +107,7 @@
     m_instance = &instance;
 }
 
-auto ControlGateway::handle(const Caller::HttpRequest &request, Caller::ReplyHandle reply) -> void
+auto ControlGateway::handle(const Caller::HttpRequest &request, const Caller::ReplyHandle &reply) -> void
 {
     if (handleProbe(request, reply)) {
         return;
@@ -274,6 +274,11 @@
     for (const auto &it : workers) {
         zones.insert(it.zone);
     }
+    for (const auto &organisation : build.config.organisations()) {
+        for (const auto &it : organisation.guarantees) {
+            zones.insert(it.zone);
+        }
+    }
     for (const auto &zone : zones) {
         const auto check = Scheduling::checkGuarantees(workers, build.config.organisations(), zone);
         if (!check.fits) {
@@ -398,12 +403,12 @@
         const Telemetry::Labels labels{{"zone", it.key.zone.str()}, {"shard", std::to_string(it.key.shard)}};
         metrics.gauge("acaciarail_shard_holder", "1 when this instance holds the shard", labels).set(it.isHolder ? 1 : 0);
         metrics.gauge("acaciarail_shard_running", "Attempts that run", labels).set(static_cast<double>(it.launches));
-        if (it.summary) {
-            metrics.gauge("acaciarail_guarantee_shortfalls", "Guarantees that cannot be met", labels)
-                .set(static_cast<double>(it.summary->shortfall.size()));
-            metrics.gauge("acaciarail_accelerators_free", "Accelerators that are not in use", labels)
-                .set(static_cast<double>(it.summary->free.accelerators));
-        }
+        // An instance that does not hold the shard shows zero, so that sums over instances are right.
+        const auto summary = it.summary.value_or(Scheduling::ZoneSummary{});
+        metrics.gauge("acaciarail_guarantee_shortfalls", "Guarantees that cannot be met", labels)
+            .set(static_cast<double>(summary.shortfall.size()));
+        metrics.gauge("acaciarail_accelerators_free", "Accelerators that are not in use", labels)
+            .set(static_cast<double>(summary.free.accelerators));
     }
 }
 
--- a/apps/acaciaraild/control_gateway.h
+++ b/apps/acaciaraild/control_gateway.h
@@ -31,7 +31,7 @@
     auto setInstance(Instance::Instance &instance) -> void;
 
     /// Takes a request whose path does not start with `/services/`. \pre setInstance() was called.
-    auto handle(const Caller::HttpRequest &request, Caller::ReplyHandle reply) -> void;
+    auto handle(const Caller::HttpRequest &request, const Caller::ReplyHandle &reply) -> void;
 
     /// Hook of the instance: an operation ended.
     auto answer(Instance::OperationId id, const Instance::OperationResult &result) -> void;
--- a/apps/acaciaraild/daemon.cpp
+++ b/apps/acaciaraild/daemon.cpp
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr Duration drainCheckInterval = 20ms;
+/// A read of the log takes this much longer than the time for which the log may hold it open.
+constexpr Duration logReadMargin = 200ms;
+/// A silent connection to a witness costs the holder lease, so it is replaced within about the time of that lease.
+constexpr Duration workerProgressTimeout = 1s;
 /// Shortest time between two ticks, so that a deadline in the past cannot keep the loop busy.
 constexpr Duration minTickInterval = 1ms;
 
@@ -70,7 +74,9 @@
     workerHooks.down = [this](const WorkerName &worker, const Runtime::CloseInfo &) {
         m_instance->workerDisconnected(worker, m_loop.now());
     };
-    m_workerLinks = std::make_unique<Worker::WorkerLinks>(m_loop, Worker::WorkerLinksSettings{}, std::move(workerHooks), m_seed);
+    Worker::WorkerLinksSettings workers;
+    workers.frames.progressTimeout = workerProgressTimeout;
+    m_workerLinks = std::make_unique<Worker::WorkerLinks>(m_loop, workers, std::move(workerHooks), m_seed);
 
     Peer::PeerLinksSettings peers;
     peers.self = m_settings.name;
@@ -101,10 +107,12 @@
     settings.membership.heartbeatInterval = m_settings.timeouts.heartbeatInterval;
     settings.router.zone = m_settings.zone;
     settings.router.region = m_settings.region;
+    settings.router.admission.maxQueued = m_settings.limits.maxQueuedRequests;
+    settings.askPeersAfter = m_settings.timeouts.logReadWait + logReadMargin;
     m_instance = std::make_unique<Instance::Instance>(settings, instanceHooks());
     m_services->setInstance(*m_instance);
     m_control->setInstance(*m_instance);
-    m_follower = std::make_unique<LogFollower>(m_loop, *m_readClient, *m_instance);
+    m_follower = std::make_unique<LogFollower>(m_loop, *m_readClient, *m_instance, m_settings.timeouts.logReadWait);
 }
 
 auto Daemon::instanceHooks() -> Instance::InstanceHooks
@@ -144,7 +152,7 @@
         if (request.path.starts_with("/services/")) {
             m_services->handle(std::move(request), std::move(reply));
         } else {
-            m_control->handle(request, std::move(reply));
+            m_control->handle(request, reply);
         }
         scheduleTick();
     };
@@ -166,6 +174,7 @@
     }
     logEvent(LogLevel::Info, "started",
              {{"instance", m_settings.name.str()},
+              {"advertised", m_settings.advertisedAddress},
               {"zone", m_settings.zone.str()},
               {"caller_port", m_server->port()},
               {"peer_port", m_peerLinks->address().port}});
@@ -241,6 +250,13 @@
     Instance::PlatformList out;
     out.endpoints = list.endpoints;
     out.instances = list.instances;
+    for (const auto &it : m_workers) {
+        const auto isListed =
+            std::any_of(list.workers.begin(), list.workers.end(), [&it](const auto &w) { return w.info.name == it.name; });
+        if (!isListed) {
+            m_workerLinks->removeWorker(it.name);
+        }
+    }
     m_workers.clear();
     for (const auto &it : list.workers) {
         out.workers.push_back({it.info, it.leaving});
--- a/apps/acaciaraild/log_follower.cpp
+++ b/apps/acaciaraild/log_follower.cpp
@@ -6,16 +6,15 @@
 
 namespace {
 
-/// A log that goes down is noticed within this time plus the answer's way.
-constexpr Duration readWait = 500ms;
 constexpr Duration retryDelay = 200ms;
 
 } // namespace
 
-LogFollower::LogFollower(Runtime::EventLoop &loop, Platform::LogClient &client, Instance::Instance &instance)
+LogFollower::LogFollower(Runtime::EventLoop &loop, Platform::LogClient &client, Instance::Instance &instance, Duration readWait)
     : m_loop(loop)
     , m_client(client)
     , m_instance(instance)
+    , m_readWait(readWait)
     , m_retryTimer(loop, [this] { read(); })
 {
 }
@@ -29,7 +28,7 @@
 {
     Platform::ReadRequest request;
     request.from = m_instance.nextOffset();
-    request.wait = readWait;
+    request.wait = m_readWait;
     m_client.read(request, [this](const Platform::ReadResult &result) { handleRead(result); });
 }
 
@@ -37,7 +36,7 @@
 {
     switch (result.status) {
     case Platform::ReadStatus::Ok:
-        m_instance.logRead(result.entries, result.next, m_loop.now());
+        m_instance.logRead(result.entries, {result.earliest, result.next}, m_loop.now());
         read();
         return;
     case Platform::ReadStatus::NotRetained:
--- a/apps/acaciaraild/log_follower.h
+++ b/apps/acaciaraild/log_follower.h
@@ -16,7 +16,7 @@
 {
 public:
     /// \pre all arguments outlive the follower.
-    LogFollower(Runtime::EventLoop &loop, Platform::LogClient &client, Instance::Instance &instance);
+    LogFollower(Runtime::EventLoop &loop, Platform::LogClient &client, Instance::Instance &instance, Duration readWait);
 
     /// Starts to read, and goes on until the follower is destroyed. \pre called once.
     auto start() -> void;
@@ -31,6 +31,8 @@
     Runtime::EventLoop &m_loop;
     Platform::LogClient &m_client;
     Instance::Instance &m_instance;
+    /// Time for which the log may hold a read open.
+    Duration m_readWait;
     Runtime::Timer m_retryTimer;
     std::optional<State::SnapshotScanner> m_scanner;
 };
--- a/apps/acaciaraild/service_gateway.cpp
+++ b/apps/acaciaraild/service_gateway.cpp
@@ -190,7 +190,9 @@
 
 auto ServiceGateway::refuse(RequestId id, const Failure &failure) -> void
 {
-    finish(id, Caller::renderProblem(failure, retryAfter), Telemetry::SpanStatus::Failed, errorName(failure.error));
+    const auto mayRepeat = failure.error != Error::KeyReused && failure.error != Error::OutcomeUnknown;
+    finish(id, Caller::renderProblem(failure, mayRepeat ? std::optional(retryAfter) : std::nullopt), Telemetry::SpanStatus::Failed,
+           errorName(failure.error));
 }
 
 auto ServiceGateway::deliver(RequestId id, std::uint32_t attempt) -> Instance::StoredResponse
--- a/benchmarks/recovery_bench.cpp
+++ b/benchmarks/recovery_bench.cpp
@@ -343,7 +343,8 @@
     constexpr Duration stretch = 60s;
     world.advance(stretch);
     const auto &after = world.cost(0);
-    const auto perSecond = [](std::uint64_t a, std::uint64_t b) { return static_cast<double>(b - a) / seconds(stretch); };
+    const auto length = seconds(stretch);
+    const auto perSecond = [length](std::uint64_t a, std::uint64_t b) { return static_cast<double>(b - a) / length; };
     const auto name = std::to_string(workers) + " workers, " + std::to_string(world.startedAttempts()) + " gang members: ";
     const auto sent = perSecond(before.workerBytesSent, after.workerBytesSent);
     const auto received = perSecond(before.workerBytesReceived, after.workerBytesReceived);
--- a/packages/core/include/acaciarail/core/job.h
+++ b/packages/core/include/acaciarail/core/job.h
@@ -70,7 +70,8 @@
     Stopped,
     /// Its worker was lost, or its lease lapsed.
     Lost,
-    /// The gang could not be reserved or started as a whole.
+    /// The gang could not be reserved or started as a whole. For a non-idempotent job it also means that no task ran,
+    /// so that another attempt is allowed.
     NotStarted,
 };
 
--- a/packages/core/src/logging.cpp
+++ b/packages/core/src/logging.cpp
@@ -43,7 +43,7 @@
 
 auto configureLogging(LogLevel minimum) -> void
 {
-    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p %m%n"));
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n"));
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
--- a/packages/instance/include/acaciarail/instance/instance.h
+++ b/packages/instance/include/acaciarail/instance/instance.h
@@ -39,8 +39,10 @@
     PeerSyncSettings sync;
     /// Appends a second of all instances together; each takes its part.
     double appendsPerSecond = 240;
-    /// Log records after which the first live instance writes a snapshot.
+    /// Log records after which the first live instance writes a snapshot, at the latest.
     std::uint64_t snapshotEvery = 50'000;
+    /// Time after which it writes one when there are new records. The log must keep records for at least twice this long.
+    Duration snapshotInterval = 5min;
     /// A log that does not answer reads for this long counts as unavailable.
     Duration logSilence = 1s;
     /// Without a read for this long, which is more than a read waits for a record, the instance also asks peers that are ahead.
@@ -81,6 +83,15 @@
     std::vector<InstanceInfo> instances;
 };
 
+/// What the platform's log has at the time of a read.
+struct LogRange
+{
+    /// Oldest record that is retained.
+    LogOffset earliest = 0;
+    /// Offset of the next record.
+    LogOffset end = 0;
+};
+
 /// Figures for status pages and metrics.
 struct InstanceStatus
 {
@@ -132,9 +143,9 @@
     auto logAppended(TimePoint now) -> void;
     auto logAppendFailed(State::AppendFailure failure, TimePoint now) -> void;
 
-    /// Applies entries read from the log, which may overlap what is known. \a end is the end of the log at that time.
+    /// Applies entries read from the log, which may overlap what is known. \a range is what the log has at that time.
     /// \pre entries are in order without gaps.
-    auto logRead(const std::vector<LogEntry> &entries, LogOffset end, TimePoint now) -> void;
+    auto logRead(const std::vector<LogEntry> &entries, const LogRange &range, TimePoint now) -> void;
     auto logReadFailed(TimePoint now) -> void;
     /// The log no longer has nextOffset(): continue from this snapshot. Error: MalformedInput. \pre parts are in order.
     [[nodiscard]] auto restoreSnapshot(LogOffset asOf, const std::vector<std::string> &parts, TimePoint now) -> std::error_code;
@@ -244,9 +255,15 @@
     TimePoint m_configuredAt;
     bool m_hasConfiguration = false;
     std::uint64_t m_versionInForce = 0;
+    /// Accepted publications whose operators are answered once the change is in force here.
+    std::vector<State::ConfigApplied> m_unansweredChanges;
     TimePoint m_nextHeartbeat;
     TimePoint m_nextHousekeeping;
     std::optional<LogOffset> m_snapshotProposedAt;
+    std::optional<LogOffset> m_lastSnapshot;
+    TimePoint m_lastSnapshotAt;
+    LogRange m_logRange;
+    bool m_wasLogAvailable = true;
     /// Since when a job of a zone without a holder waits.
     std::map<JobId, TimePoint> m_unassignedSince;
 };
--- a/packages/instance/src/instance.cpp
+++ b/packages/instance/src/instance.cpp
@@ -46,7 +46,7 @@
 auto Instance::shardHooks() -> ShardHooks
 {
     ShardHooks hooks;
-    hooks.send = [this](const WorkerName &worker, Worker::Request request) { m_hooks.sendToWorker(worker, request); };
+    hooks.send = [this](const WorkerName &worker, const Worker::Request &request) { m_hooks.sendToWorker(worker, request); };
     hooks.append = [this](State::RecordBody body) { return append(std::move(body)); };
     hooks.withdraw = [this](const State::RecordId &id) { return m_outbox.withdraw(id); };
     hooks.isLogAvailable = [this](TimePoint now) { return isLogAvailable(now); };
@@ -71,13 +71,14 @@
     m_outbox.appendFailed(failure, now);
 }
 
-auto Instance::logRead(const std::vector<LogEntry> &entries, LogOffset end, TimePoint now) -> void
+auto Instance::logRead(const std::vector<LogEntry> &entries, const LogRange &range, TimePoint now) -> void
 {
     m_now = now;
+    m_logRange = range;
     m_logFailingSince.reset();
     m_lastLogRead = now;
     applyEntries(entries, now);
-    if (!m_ready && m_replica.nextOffset() >= end) {
+    if (!m_ready && m_replica.nextOffset() >= range.end) {
         becomeReady(now);
     }
     tick(now);
@@ -98,6 +99,7 @@
 auto Instance::becomeReady(TimePoint now) -> void
 {
     m_ready = true;
+    m_lastSnapshotAt = now;
     m_configurationChangedAt = now;
     logEvent(LogLevel::Info, "instance-ready", {{"offset", m_replica.nextOffset()}, {"version", m_replica.configVersion()}});
 }
@@ -169,7 +171,11 @@
 
 auto Instance::appliedConfig(const State::ConfigApplied &effect) -> void
 {
-    answer(effect.record, ConfigPublished{effect});
+    if (effect.accepted && effect.version > m_versionInForce) {
+        m_unansweredChanges.push_back(effect);
+    } else {
+        answer(effect.record, ConfigPublished{effect});
+    }
 }
 
 auto Instance::appliedJob(const State::JobApplied &effect, TimePoint now) -> void
--- a/packages/instance/src/instance_tick.cpp
+++ b/packages/instance/src/instance_tick.cpp
@@ -3,6 +3,7 @@
 #include <acaciarail/instance/explanation_json.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Acaciarail::Instance {
 
@@ -10,6 +11,8 @@
 
 constexpr Duration housekeepingInterval = 1s;
 constexpr std::size_t maxOrphansPerPass = 200;
+/// Fewer new records, such as those of the last snapshot itself, are not worth another snapshot.
+constexpr std::uint64_t minRecordsForSnapshot = 64;
 
 } // namespace
 
@@ -78,6 +81,9 @@
     for (auto &it : m_shards) {
         it->setPolicy(m_configuration.jobs, now);
     }
+    for (const auto &it : std::exchange(m_unansweredChanges, {})) {
+        answer(it.record, ConfigPublished{it});
+    }
     logEvent(LogLevel::Info, "configuration-in-force", {{"version", m_replica.configVersion()}, {"offset", m_replica.nextOffset()}});
 }
 
@@ -198,6 +204,11 @@
     for (auto &it : m_shards) {
         it->setRank(m_membership.rankInZone(now));
     }
+    if (m_ready && m_wasLogAvailable != isLogAvailable(now)) {
+        m_wasLogAvailable = !m_wasLogAvailable;
+        logEvent(m_wasLogAvailable ? LogLevel::Info : LogLevel::Warning, m_wasLogAvailable ? "log-available" : "log-unavailable",
+                 {{"offset", m_replica.nextOffset()}, {"pending", m_outbox.pendingCount()}});
+    }
     if (!m_ready || m_draining || !isLogAvailable(now)) {
         return;
     }
@@ -210,9 +221,17 @@
 
 auto Instance::tickSnapshot(TimePoint now) -> void
 {
-    const auto last = std::max(m_replica.lastSnapshot().value_or(0), m_snapshotProposedAt.value_or(0));
+    if (m_lastSnapshot != m_replica.lastSnapshot()) {
+        m_lastSnapshot = m_replica.lastSnapshot();
+        m_lastSnapshotAt = now;
+    }
+    const auto last = std::max(m_lastSnapshot.value_or(0), m_snapshotProposedAt.value_or(0));
     const auto asOf = m_replica.nextOffset();
-    if (asOf - last < m_settings.snapshotEvery || m_outbox.pendingCount() > 0) {
+    const auto added = asOf - last;
+    const auto middle = m_logRange.earliest + (m_logRange.end - m_logRange.earliest) / 2;
+    const auto isLeavingLog = m_logRange.earliest > 0 && last < middle;
+    const auto isOld = now - m_lastSnapshotAt >= m_settings.snapshotInterval && added >= minRecordsForSnapshot;
+    if (m_outbox.pendingCount() > 0 || (added < m_settings.snapshotEvery && !isLeavingLog && !isOld)) {
         return;
     }
     const auto parts = m_replica.snapshot();
@@ -220,6 +239,7 @@
         append(State::SnapshotRecord{asOf, static_cast<std::uint32_t>(i), static_cast<std::uint32_t>(parts.size()), parts[i]});
     }
     m_snapshotProposedAt = asOf;
+    m_lastSnapshotAt = now;
     logEvent(LogLevel::Info, "snapshot-written", {{"offset", asOf}, {"parts", parts.size()}});
     flushOutbox(now);
 }
--- a/packages/instance/src/order_book.cpp
+++ b/packages/instance/src/order_book.cpp
@@ -23,7 +23,8 @@
                        {Error::LogUnavailable, Execution::NotRun, "the platform's log is not available; the request was not sent"});
         return;
     }
-    const auto claim = m_hooks.append(State::OrderClaimed{order.key.organisation, order.key.key, order.fingerprint, m_self});
+    const auto claim =
+        m_hooks.append(State::OrderClaimed{order.key.organisation, order.key.key, order.fingerprint, m_self, order.request.service});
     m_claims[claim] = order.request.id;
     m_open[order.request.id] = {order, claim, false};
 }
--- a/packages/instance/src/shard_launch.cpp
+++ b/packages/instance/src/shard_launch.cpp
@@ -62,10 +62,11 @@
     const auto mayStartBeforeLog = job.launch.job().spec.idempotent && !m_hooks.isLogAvailable(now);
     if (isAssigned || mayStartBeforeLog) {
         job.launch.begin(now, sender(now));
-    } else if (!m_hooks.isLogAvailable(now) && m_hooks.withdraw(job.assignment)) {
-        // A non-idempotent job waits for the log without holding capacity.
-        job.launch.stop(now);
-    } else if (state && state->attempt >= id.attempt && state->term > m_lease.term()) {
+        return;
+    }
+    const auto isSuperseded = state && state->attempt >= id.attempt && state->term > m_lease.term();
+    // A non-idempotent job waits for the log without holding capacity.
+    if (isSuperseded || (!m_hooks.isLogAvailable(now) && m_hooks.withdraw(job.assignment))) {
         job.launch.stop(now);
     }
 }
--- a/packages/instance/src/shard_recovery.cpp
+++ b/packages/instance/src/shard_recovery.cpp
@@ -90,10 +90,11 @@
         }
     }
     for (auto &[id, job] : m_running) {
-        const auto isReported = std::any_of(reports.begin(), reports.end(), [&job](const auto &it) { return it.id == job.launch.id(); });
-        const auto isActive = job.launch.phase() == LaunchPhase::Running || job.launch.phase() == LaunchPhase::Stopping;
-        if (isActive && !isReported && job.launch.hasMember(worker)) {
-            job.launch.memberLost(worker);
+        auto &launch = job.launch;
+        const auto isReported = std::any_of(reports.begin(), reports.end(), [&launch](const auto &it) { return it.id == launch.id(); });
+        const auto isActive = launch.phase() == LaunchPhase::Running || launch.phase() == LaunchPhase::Stopping;
+        if (isActive && !isReported && launch.hasMember(worker)) {
+            launch.memberLost(worker);
         }
     }
 }
--- a/packages/instance/src/witness_planner.cpp
+++ b/packages/instance/src/witness_planner.cpp
@@ -44,7 +44,8 @@
 {
     std::vector<WorkerName> chosen;
     while (chosen.size() < std::min(maxWitnesses, workers.size())) {
-        chosen = withAdded(std::move(chosen), bestAddition(chosen, workers)->name);
+        const auto &addition = bestAddition(chosen, workers)->name;
+        chosen = withAdded(std::move(chosen), addition);
     }
     return chosen;
 }
--- a/packages/operator/include/acaciarail/operator/settings.h
+++ b/packages/operator/include/acaciarail/operator/settings.h
@@ -24,7 +24,7 @@
     /// Spans in the ring buffer of traces.
     std::uint32_t maxTraceSpans = 8192;
     /// Connections to one endpoint.
-    std::uint32_t maxEndpointConnections = 16;
+    std::uint32_t maxEndpointConnections = 8;
 };
 
 struct InstanceTimeouts
@@ -41,7 +41,7 @@
     Duration callerIdleTimeout = std::chrono::seconds(60);
     Duration logAppendTimeout = std::chrono::seconds(2);
     /// Time that the platform may hold an empty log read open.
-    Duration logReadWait = std::chrono::seconds(5);
+    Duration logReadWait = std::chrono::milliseconds(500);
     Duration instanceListInterval = std::chrono::seconds(1);
     Duration heartbeatInterval = std::chrono::milliseconds(500);
     /// Longest graceful shutdown; at least maxDeadline, so that it interrupts no request in progress.
--- a/packages/operator/src/audit.cpp
+++ b/packages/operator/src/audit.cpp
@@ -82,6 +82,8 @@
     std::string claimant;
     std::string fingerprint;
     Execution execution = Execution::Unknown;
+    /// Instance and incarnation that recorded the outcome.
+    std::string recorder;
 };
 
 class Auditor
@@ -259,10 +261,19 @@
         progress.path.state = AuditState::Finished;
         progress.path.outcome = outcome;
         progress.execution = finished.execution;
+        progress.recorder = recorder;
     }
 
     auto checkSecondOutcome(Progress &progress, const AuditEvent &event, const AuditOrderFinished &finished) -> void
     {
+        const auto recorder = incarnationText(finished.claimant, finished.incarnation);
+        // An instance may close a request of one that seems gone as unknown; the claimant's own word then replaces that.
+        if (progress.execution == Execution::Unknown && progress.recorder != progress.claimant && recorder == progress.claimant) {
+            progress.path.outcome = outcomeText(finished);
+            progress.execution = finished.execution;
+            progress.recorder = recorder;
+            return;
+        }
         fault(AuditFaultKind::SeveralOutcomes, progress,
               "expected one outcome, found " + progress.path.outcome + " and, at offset " + std::to_string(event.offset) + ", "
                   + outcomeText(finished));
--- a/packages/scheduling/src/zone_attempts.cpp
+++ b/packages/scheduling/src/zone_attempts.cpp
@@ -117,11 +117,8 @@
     if (culprit != noIndex) {
         blameWorker(j, culprit, now);
     }
-    if (!job.idempotent) {
-        const auto failed = end.kind == AttemptEndKind::Failed;
-        finishJob(j, failed ? JobOutcome::Failed : JobOutcome::Lost, failed ? JobReason::TaskFailed : JobReason::WorkerLost,
-                  failed ? "a task of the non-idempotent job failed; it is not started again"
-                         : "the start of the non-idempotent job was not completed; it is not started again");
+    if (!job.idempotent && end.kind == AttemptEndKind::Failed) {
+        finishJob(j, JobOutcome::Failed, JobReason::TaskFailed, "a task of the non-idempotent job failed; it is not started again");
         return;
     }
     if (end.kind == AttemptEndKind::Failed) {
--- a/packages/state/include/acaciarail/state/record.h
+++ b/packages/state/include/acaciarail/state/record.h
@@ -103,6 +103,7 @@
     std::string key;
     std::uint64_t fingerprint = 0;
     InstanceName claimant;
+    ServiceName service;
 };
 
 /// Outcome of a claimed request. NotRun is written by the claimant only, and only when it has not sent the request.
@@ -171,7 +172,7 @@
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::AttemptAbandoned, v.job, v.attempt, v.zone, v.shard, v.term);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::CancelRequested, v.job, v.caller);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::JobMoved, v.job, v.from, v.to);
-ACACIARAIL_WIRE_STRUCT(Acaciarail::State::OrderClaimed, v.organisation, v.key, v.fingerprint, v.claimant);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::State::OrderClaimed, v.organisation, v.key, v.fingerprint, v.claimant, v.service);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::OrderFinished, v.organisation, v.key, v.execution, v.httpStatus, v.contentType, v.body);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::HolderChanged, v.zone, v.shard, v.term, v.instance);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::State::WitnessesChanged, v.zone, v.shard, v.version, v.workers);
