--- a/tests/fuzz/world.cpp
+++ b/tests/fuzz/world.cpp
@@ -478,7 +478,7 @@
     });
 }
 
-auto World::sendToHolder(const WorkerName &worker, std::vector<Worker::Reply> replies) -> void
+auto World::sendToHolder(const WorkerName &worker, const std::vector<Worker::Reply> &replies) -> void
 {
     const auto term = m_workers.at(worker).model->term();
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
@@ -784,8 +784,10 @@
     });
 }
 
-auto World::submitRequest(std::size_t i, std::string orderKey) -> void
+auto World::submitRequest(std::size_t i, std::string_view key) -> void
 {
+    // A copy, since the key may be one of the list that grows below.
+    const std::string orderKey(key);
     const auto content = ++m_lastContent;
     auto &it = m_nodes[i];
     m_oracle.requestSent(content, orderKey);
@@ -804,11 +806,11 @@
     }
     m_orderKeys[content] = orderKey;
     m_usedKeys.push_back(orderKey);
-    auto key = orderKey;
+    auto claimedKey = orderKey;
     if (m_settings.mutation == Mutation::ForgetKeys) {
-        key += std::to_string(content);
+        claimedKey += std::to_string(content);
     }
-    const Instance::OrderRequest order{request, {OrganisationName("large"), key}, 1};
+    const Instance::OrderRequest order{request, {OrganisationName("large"), claimedKey}, 1};
     deliver(i, it.incarnation, [this, i, order] { m_nodes[i].instance->submitOrder(order, m_now); });
 }
 
@@ -1004,7 +1006,7 @@
             restart(i);
         }
     }
-    const auto isOpen = [this](const Node &node) {
+    const auto isOpen = [](const Node &node) {
         const auto &replica = node.instance->replica();
         return std::any_of(replica.jobs().begin(), replica.jobs().end(),
                            [](const auto &it) { return it.second.phase != State::JobPhase::Finished; })
--- a/tests/fuzz/world.h
+++ b/tests/fuzz/world.h
@@ -15,6 +15,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Acaciarail::Fuzz {
@@ -164,7 +165,7 @@
     auto restart(std::size_t i) -> void;
     auto setPaused(std::size_t i, bool paused) -> void;
     auto drain(std::size_t i) -> void;
-    auto submitRequest(std::size_t i, std::string orderKey) -> void;
+    auto submitRequest(std::size_t i, std::string_view key) -> void;
     auto submitJob(std::size_t i, std::uint32_t tasks, bool idempotent) -> void;
     auto publish(std::size_t i, const std::string &document) -> void;
 
@@ -228,7 +229,7 @@
     auto readLog(std::size_t node, std::uint64_t incarnation) -> void;
     auto fetchList(std::size_t node, std::uint64_t incarnation) -> void;
     auto sendToWorker(std::size_t node, const WorkerName &worker, const Worker::Request &request) -> void;
-    auto sendToHolder(const WorkerName &worker, std::vector<Worker::Reply> replies) -> void;
+    auto sendToHolder(const WorkerName &worker, const std::vector<Worker::Reply> &replies) -> void;
     auto sendToPeer(std::size_t node, const InstanceName &peer, const Peer::Message &message) -> void;
     auto sendAttempt(std::size_t node, const Scheduling::SendAttempt &attempt) -> void;
     auto endAttempt(std::size_t node, std::uint64_t incarnation, RequestId id, std::uint32_t attempt, Scheduling::AttemptResultKind kind,
