Look at workers and launches in steps instead of at every message

Change: workers are passed every 100 ms, witnesses every second, and only launches with something to do are ticked.

--- a/packages/instance/include/acaciarail/instance/shard_controller.h
+++ b/packages/instance/include/acaciarail/instance/shard_controller.h
@@ -190,6 +190,7 @@
     auto acknowledge(const Worker::AttemptId &id, const std::vector<GangMember> &members, TimePoint now) -> void;
     auto dropJob(const JobId &id, TimePoint now) -> void;
     [[nodiscard]] auto isOwnShard(const State::JobState &state) const -> bool;
+    /// Returns the launch of a current attempt for a change, or null.
     [[nodiscard]] auto findLaunch(const Worker::AttemptId &id) -> GangLaunch *;
 
     ShardControllerSettings m_settings;
@@ -207,6 +208,10 @@
     bool m_recovered = false;
     std::uint64_t m_takeovers = 0;
     std::map<JobId, RunningJob> m_running;
+    /// Jobs of m_running whose launch has something to do; the others only wait for their end.
+    std::set<JobId> m_active;
+    TimePoint m_nextWorkerPass;
+    TimePoint m_nextWitnessPass;
     std::map<JobId, std::uint32_t> m_attemptBase;
     /// Ended attempts whose workers are told once the outcome is in the log.
     std::map<JobId, std::pair<Worker::AttemptId, std::vector<GangMember>>> m_unacknowledged;
--- a/packages/instance/src/shard_controller.cpp
+++ b/packages/instance/src/shard_controller.cpp
@@ -7,6 +7,14 @@
 
 namespace Acaciarail::Instance {
 
+namespace {
+
+/// Workers and witnesses are looked at in steps: a pass at each of a worker's messages would cost time with the square of their number.
+constexpr Duration workerPassInterval = 100ms;
+constexpr Duration witnessPassInterval = 1s;
+
+} // namespace
+
 ShardController::ShardController(ShardControllerSettings settings, ShardHooks hooks, const State::Replica &replica, std::uint64_t seed)
     : m_settings(std::move(settings))
     , m_hooks(std::move(hooks))
@@ -109,11 +117,17 @@
 auto ShardController::tick(TimePoint now) -> void
 {
     perform(m_lease.tick(now), now);
-    tickWitnesses(now);
+    if (now >= m_nextWitnessPass) {
+        m_nextWitnessPass = now + witnessPassInterval;
+        tickWitnesses(now);
+    }
     if (!m_scheduler) {
         return;
     }
-    tickWorkers(now);
+    if (now >= m_nextWorkerPass) {
+        m_nextWorkerPass = now + workerPassInterval;
+        tickWorkers(now);
+    }
     tickRecovery(now);
     tickLaunches(now);
     tickScheduler(now);
@@ -121,11 +135,10 @@
 
 auto ShardController::nextDeadline(TimePoint now) const -> TimePoint
 {
-    // Workers and witnesses are looked at in steps, so that the deadline does not cost a pass over all of them.
-    constexpr Duration workerStep = 100ms;
-    auto deadline = std::min(m_lease.nextDeadline(), now + workerStep);
-    for (const auto &[id, it] : m_running) {
-        deadline = std::min(deadline, it.launch.nextDeadline());
+    auto deadline = std::min(m_lease.nextDeadline(), now + workerPassInterval);
+    for (const auto &id : m_active) {
+        const auto it = m_running.find(id);
+        deadline = it == m_running.end() ? deadline : std::min(deadline, it->second.launch.nextDeadline());
     }
     if (m_scheduler && mayDecide(now)) {
         deadline = std::min(deadline, m_scheduler->nextDeadline().value_or(TimePoint::max()));
@@ -191,6 +204,7 @@
     m_scheduler.emplace(settings, m_seed + term.number);
     m_scheduler->setPolicy(m_policy, now);
     m_holderSince = now;
+    m_nextWorkerPass = now;
     m_recovered = false;
     for (auto &[name, state] : m_workers) {
         state.joined = false;
@@ -209,6 +223,7 @@
     m_scheduler.reset();
     m_recovered = false;
     m_running.clear();
+    m_active.clear();
     m_attemptBase.clear();
     m_unacknowledged.clear();
     m_finishing.clear();
@@ -371,7 +386,10 @@
     if (state.joined && !state.attached && now - state.lastLeaseSent > withDriftMargin(m_settings.taskLease)) {
         state.joined = false;
         for (auto &[id, it] : m_running) {
-            it.launch.memberLost(name);
+            if (it.launch.hasMember(name)) {
+                it.launch.memberLost(name);
+                m_active.insert(id);
+            }
         }
         m_scheduler->workerLost(name, now);
     }
@@ -426,7 +444,11 @@
 auto ShardController::findLaunch(const Worker::AttemptId &id) -> GangLaunch *
 {
     const auto it = m_running.find(id.job);
-    return it == m_running.end() || it->second.launch.id() != id ? nullptr : &it->second.launch;
+    if (it == m_running.end() || it->second.launch.id() != id) {
+        return nullptr;
+    }
+    m_active.insert(id.job);
+    return &it->second.launch;
 }
 
 auto ShardController::isOwnShard(const State::JobState &state) const -> bool
--- a/packages/instance/src/shard_launch.cpp
+++ b/packages/instance/src/shard_launch.cpp
@@ -1,6 +1,7 @@
 #include <acaciarail/instance/shard_controller.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace Acaciarail::Instance {
 
@@ -8,7 +9,14 @@
 {
     std::vector<JobId> ended;
     const auto sendNow = sender(now);
-    for (auto &[id, job] : m_running) {
+    for (auto active = m_active.begin(); active != m_active.end();) {
+        const auto it = m_running.find(*active);
+        if (it == m_running.end()) {
+            active = m_active.erase(active);
+            continue;
+        }
+        const auto &id = it->first;
+        auto &job = it->second;
         if (job.launch.phase() == LaunchPhase::WaitingForLog) {
             beginIfAssigned(job, now);
         }
@@ -20,6 +28,8 @@
         if (job.launch.phase() == LaunchPhase::Ended) {
             ended.push_back(id);
         }
+        const auto isQuiet = job.launch.phase() == LaunchPhase::Running && job.launch.nextDeadline() == TimePoint::max();
+        active = isQuiet ? m_active.erase(active) : std::next(active);
     }
     for (const auto &it : ended) {
         finishAttempt(it, now);
@@ -50,6 +60,7 @@
     job.assignment = m_hooks.append(
         State::JobAssigned{command.job, id.attempt, m_settings.key.zone, m_settings.key.shard, m_lease.term(), command.members});
     const auto it = m_running.insert_or_assign(command.job, std::move(job)).first;
+    m_active.insert(command.job);
     beginIfAssigned(it->second, now);
 }
 
@@ -76,6 +87,7 @@
     const auto it = m_running.find(command.job);
     if (it != m_running.end()) {
         it->second.launch.checkpoint(command.grace, sender(now));
+        m_active.insert(command.job);
     }
 }
 
@@ -84,6 +96,7 @@
     const auto it = m_running.find(command.job);
     if (it != m_running.end()) {
         it->second.launch.stop(now);
+        m_active.insert(command.job);
     }
 }
 
@@ -103,6 +116,7 @@
     const auto base = it->second.attemptBase;
     const auto assignment = it->second.assignment;
     m_running.erase(it);
+    m_active.erase(id);
     const auto result = launch.result();
     if (!launch.mayHaveStarted() && !m_hooks.withdraw(assignment)) {
         m_hooks.append(State::AttemptAbandoned{id, launch.id().attempt, m_settings.key.zone, m_settings.key.shard, m_lease.term()});
--- a/packages/instance/src/shard_recovery.cpp
+++ b/packages/instance/src/shard_recovery.cpp
@@ -69,6 +69,7 @@
 {
     const Worker::AttemptId id{job.id, attempt};
     m_running.insert_or_assign(job.id, RunningJob{GangLaunch::adopt(m_settings.launch, id, job, members, m_lease.term()), 0, {}, true});
+    m_active.insert(job.id);
     m_attemptBase[job.id] = 0;
     m_scheduler->adopt({job, attempt, members, startedAt}, now);
     m_hooks.append(State::JobAssigned{job.id, attempt, m_settings.key.zone, m_settings.key.shard, m_lease.term(), members});
@@ -95,6 +96,7 @@
         const auto isActive = launch.phase() == LaunchPhase::Running || launch.phase() == LaunchPhase::Stopping;
         if (isActive && !isReported && launch.hasMember(worker)) {
             launch.memberLost(worker);
+            m_active.insert(id);
         }
     }
 }
