--- a/packages/instance/include/acaciarail/instance/shard_controller.h
+++ b/packages/instance/include/acaciarail/instance/shard_controller.h
@@ -26,8 +26,11 @@
     GangLaunchSettings launch;
     /// A worker stops all tasks when it hears from no holder for this long.
     Duration taskLease = 60s;
-    /// Interval at which task leases are renewed at each worker.
+    /// Shortest interval at which task leases are renewed at each worker.
     Duration taskRenewInterval = 5s;
+    /// Renewals of all workers together are spread so that they follow each other no faster than this, up to half a task lease
+    /// for each worker; the bytes of the holder then do not grow with its workers.
+    Duration renewSpacing = 20ms;
     /// A worker that does not answer a renewal for this long gets no new work.
     Duration workerTimeout = 2s;
     /// A new holder waits at most this long for its workers' reports before it decides.
@@ -170,6 +173,7 @@
     auto tickRecovery(TimePoint now) -> void;
     auto tickLaunches(TimePoint now) -> void;
     auto tickScheduler(TimePoint now) -> void;
+    [[nodiscard]] auto renewInterval() const -> Duration;
     [[nodiscard]] auto mayDecide(TimePoint now) const -> bool;
     [[nodiscard]] auto allWorkersAccountedFor(TimePoint now) const -> bool;
 
--- a/packages/instance/src/shard_controller.cpp
+++ b/packages/instance/src/shard_controller.cpp
@@ -368,11 +368,11 @@
     if (!state.attached && state.isListed && now - state.lastAttachSent >= attachInterval) {
         sendAttach(name, m_lease.term(), now);
     }
-    if (state.attached && now - state.lastRenewSent >= m_settings.taskRenewInterval) {
+    const auto interval = renewInterval();
+    if (state.attached && now - state.lastRenewSent >= interval) {
         sendRenew(name, m_lease.term(), 0, now);
     }
-    if (state.attached && state.lastRenewSent > state.lastHeard
-        && now - state.lastHeard > m_settings.taskRenewInterval + m_settings.workerTimeout) {
+    if (state.attached && state.lastRenewSent > state.lastHeard && now - state.lastHeard > interval + m_settings.workerTimeout) {
         workerDisconnected(name, now);
     }
     if (!m_recovered) {
@@ -395,6 +395,12 @@
     }
 }
 
+auto ShardController::renewInterval() const -> Duration
+{
+    const auto spread = m_settings.renewSpacing * static_cast<Duration::rep>(m_workers.size());
+    return std::clamp(spread, m_settings.taskRenewInterval, std::max(m_settings.taskRenewInterval, m_settings.taskLease / 2));
+}
+
 auto ShardController::tickWitnesses(TimePoint now) -> void
 {
     const auto *shard = m_replica.shard(m_settings.key);
--- a/packages/state/include/acaciarail/state/replica.h
+++ b/packages/state/include/acaciarail/state/replica.h
@@ -134,7 +134,7 @@
 /// Limits on what a replica remembers; the same on every instance, since they are part of the fold.
 struct ReplicaLimits
 {
-    std::size_t finishedJobs = 40'000;
+    std::size_t finishedJobs = 20'000;
     std::size_t finishedOrders = 50'000;
     std::size_t incarnations = 16'384;
 };
