End a non-idempotent job whose assignment the log refused

Change: a refused assignment ends the launch; a non-idempotent job that an earlier holder may have started ends as lost, since a running attempt would have been adopted from the workers' reports.

--- a/packages/instance/src/shard_launch.cpp
+++ b/packages/instance/src/shard_launch.cpp
@@ -75,6 +75,15 @@
         job.launch.begin(now, sender(now));
         return;
     }
+    if (state && m_replica.isApplied(job.assignment)) {
+        // The log refused the assignment, because a late record of an earlier holder came first.
+        if (state->mayHaveStarted && !state->job.spec.idempotent) {
+            writeOutcome(id.job, JobOutcome::Lost, JobReason::WorkerLost, "an attempt of an earlier holder may have started");
+            m_scheduler->cancel(id.job, now);
+        }
+        job.launch.stop(now);
+        return;
+    }
     const auto isSuperseded = state && state->attempt >= id.attempt && state->term > m_lease.term();
     // A non-idempotent job waits for the log without holding capacity.
     if (isSuperseded || (!m_hooks.isLogAvailable(now) && m_hooks.withdraw(job.assignment))) {
