--- a/apps/acaciaraild/daemon.cpp
+++ b/apps/acaciaraild/daemon.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
-#include <random>
+#include <set>
 
 namespace Acaciarail::Daemon {
 
@@ -250,10 +250,12 @@
     Instance::PlatformList out;
     out.endpoints = list.endpoints;
     out.instances = list.instances;
+    std::set<WorkerName> listed;
+    for (const auto &it : list.workers) {
+        listed.insert(it.info.name);
+    }
     for (const auto &it : m_workers) {
-        const auto isListed =
-            std::any_of(list.workers.begin(), list.workers.end(), [&it](const auto &w) { return w.info.name == it.name; });
-        if (!isListed) {
+        if (!listed.contains(it.name)) {
             m_workerLinks->removeWorker(it.name);
         }
     }
