--- a/packages/instance/include/acaciarail/instance/instance.h
+++ b/packages/instance/include/acaciarail/instance/instance.h
@@ -190,7 +190,8 @@
         OperationId id = 0;
         TimePoint deadline;
         JobId job;
-        JobSpec spec;
+        /// Set for the submission of a job only.
+        std::optional<JobSpec> submitted;
     };
 
     auto append(State::RecordBody body) -> State::RecordId;
@@ -202,7 +203,6 @@
     auto stateRestored(TimePoint now) -> void;
     auto answer(const State::RecordId &record, const OperationResult &result) -> void;
     auto failOperation(OperationId id, Failure failure, JobId job = {}) -> void;
-    auto startOperation(const State::RecordId &record, PendingOperation operation) -> void;
     [[nodiscard]] auto chooseZone(const JobSpec &spec) const -> ZoneName;
     [[nodiscard]] auto canFit(const JobSpec &spec, const ZoneName &zone) const -> bool;
     [[nodiscard]] auto refusal(TimePoint now) const -> std::optional<Failure>;
--- a/packages/instance/src/instance.cpp
+++ b/packages/instance/src/instance.cpp
@@ -141,7 +141,7 @@
     for (const auto &it : done) {
         // The effect of the single record was not seen, so only a submitted job can be told apart from a refused one.
         const auto operation = m_operations.at(it);
-        if (!operation.job.empty() && m_replica.job(operation.job)) {
+        if (operation.submitted && m_replica.job(operation.job)) {
             answer(it, JobSubmitted{operation.job, true});
         } else {
             answer(it,
@@ -181,7 +181,7 @@
 auto Instance::appliedJob(const State::JobApplied &effect, TimePoint now) -> void
 {
     const auto operation = m_operations.find(effect.record);
-    if (operation != m_operations.end() && operation->second.spec.name.empty()) {
+    if (operation != m_operations.end() && !operation->second.submitted) {
         const auto result = effect.accepted
             ? OperationResult(CancelAccepted{effect.job})
             : OperationResult(OperationFailed{{Error::UnknownJob, Execution::NotRun, "the job is unknown or has ended"}, effect.job});
@@ -190,7 +190,7 @@
         answer(effect.record, JobSubmitted{effect.job, true});
     } else if (operation != m_operations.end()) {
         const auto *existing = m_replica.job(effect.existing);
-        const auto isSame = existing && encode(existing->job.spec) == encode(operation->second.spec);
+        const auto isSame = existing && encode(existing->job.spec) == encode(*operation->second.submitted);
         const auto result = isSame ? OperationResult(JobSubmitted{effect.existing, false})
                                    : OperationResult(OperationFailed{
                                        {Error::DuplicateName, Execution::NotRun, "the organisation has another job with this name"}, {}});
@@ -216,11 +216,6 @@
     m_hooks.answerOperation(id, OperationFailed{std::move(failure), std::move(job)});
 }
 
-auto Instance::startOperation(const State::RecordId &record, PendingOperation operation) -> void
-{
-    m_operations.emplace(record, std::move(operation));
-}
-
 auto Instance::refusal(TimePoint now) const -> std::optional<Failure>
 {
     if (m_draining) {
@@ -319,7 +314,7 @@
                   static_cast<std::size_t>(++m_lastNumber));
     job.id = JobId(std::string(buf));
     const auto record = append(State::JobAccepted{job});
-    startOperation(record, {id, deadline, job.id, spec});
+    m_operations.emplace(record, PendingOperation{id, deadline, job.id, spec});
     flushOutbox(now);
 }
 
@@ -330,7 +325,7 @@
         failOperation(id, *failure, job);
         return;
     }
-    startOperation(append(State::CancelRequested{job, caller}), {id, deadline, job, {}});
+    m_operations.emplace(append(State::CancelRequested{job, caller}), PendingOperation{id, deadline, job, {}});
     flushOutbox(now);
 }
 
@@ -341,7 +336,7 @@
         failOperation(id, *failure);
         return;
     }
-    startOperation(append(change), {id, deadline, {}, {}});
+    m_operations.emplace(append(change), PendingOperation{id, deadline, {}, {}});
     flushOutbox(now);
 }
 
