--- a/apps/acaciaraild/audit_source.cpp
+++ b/apps/acaciaraild/audit_source.cpp
@@ -109,8 +109,8 @@
     if (result.status == Platform::ReadStatus::NotRetained) {
         m_events.complete = false;
         m_events.events.clear();
-        m_scanner.emplace(result.earliest);
-        scanNext();
+        SnapshotSearch::start(m_client, result.earliest,
+                              [self = shared_from_this()](const SnapshotSearchResult &found) { self->handleSearch(found); });
         return;
     }
     for (const auto &entry : result.entries) {
@@ -131,28 +131,13 @@
     }
 }
 
-auto AuditSource::scanNext() -> void
+auto AuditSource::handleSearch(const SnapshotSearchResult &result) -> void
 {
-    Platform::ReadRequest request;
-    request.from = m_scanner->nextOffset();
-    request.wait = Duration::zero();
-    m_client.read(request, [self = shared_from_this()](const Platform::ReadResult &result) { self->handleScan(result); });
-}
-
-auto AuditSource::handleScan(const Platform::ReadResult &result) -> void
-{
-    if (result.status != Platform::ReadStatus::Ok) {
-        finish(Failure{Error::LogUnavailable, Execution::NotRun, "the platform's log could not be read: " + result.detail});
-        return;
-    }
-    for (const auto &it : result.entries) {
-        m_scanner->read(it);
-    }
-    if (!result.entries.empty() && m_scanner->nextOffset() < result.next) {
-        scanNext();
+    if (!result.isRead) {
+        finish(Failure{Error::LogUnavailable, Execution::NotRun, "the platform's log could not be read to its end"});
         return;
     }
-    const auto found = m_scanner->found();
+    const auto &found = result.snapshot;
     if (!found || m_replica.restore(found->asOf, found->parts)) {
         finish(Failure{Error::LogUnavailable, Execution::NotRun, "the log has neither its first record nor a complete snapshot"});
         return;
--- a/apps/acaciaraild/audit_source.h
+++ b/apps/acaciaraild/audit_source.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "snapshot_search.h"
+
 #include <acaciarail/operator/audit.h>
 #include <acaciarail/platform/log_client.h>
 #include <acaciarail/state/replica.h>
-#include <acaciarail/state/snapshot_scanner.h>
 
 #include <functional>
 #include <memory>
@@ -36,14 +37,12 @@
 private:
     auto readNext() -> void;
     auto handle(const Platform::ReadResult &result) -> void;
-    auto scanNext() -> void;
-    auto handleScan(const Platform::ReadResult &result) -> void;
+    auto handleSearch(const SnapshotSearchResult &result) -> void;
     auto finish(std::optional<Failure> failure) -> void;
 
     Platform::LogClient &m_client;
     std::function<void(AuditEvents)> m_done;
     State::Replica m_replica;
-    std::optional<State::SnapshotScanner> m_scanner;
     AuditEvents m_events;
 };
 
--- a/apps/acaciaraild/log_follower.cpp
+++ b/apps/acaciaraild/log_follower.cpp
@@ -41,8 +41,7 @@
         return;
     case Platform::ReadStatus::NotRetained:
         logEvent(LogLevel::Warning, "log-scan", {{"offset", m_instance.nextOffset()}, {"earliest", result.earliest}});
-        m_scanner.emplace(result.earliest);
-        scan();
+        SnapshotSearch::start(m_client, result.earliest, [this](const SnapshotSearchResult &found) { handleSearch(found); });
         return;
     case Platform::ReadStatus::Failed:
         break;
@@ -51,39 +50,14 @@
     m_retryTimer.start(retryDelay);
 }
 
-auto LogFollower::scan() -> void
+auto LogFollower::handleSearch(const SnapshotSearchResult &result) -> void
 {
-    Platform::ReadRequest request;
-    request.from = m_scanner->nextOffset();
-    request.wait = Duration::zero();
-    m_client.read(request, [this](const Platform::ReadResult &result) { handleScan(result); });
-}
-
-auto LogFollower::handleScan(const Platform::ReadResult &result) -> void
-{
-    if (result.status != Platform::ReadStatus::Ok) {
-        m_scanner.reset();
-        m_instance.logReadFailed(m_loop.now());
-        m_retryTimer.start(retryDelay);
-        return;
-    }
-    for (const auto &it : result.entries) {
-        m_scanner->read(it);
-    }
-    if (result.entries.empty() || m_scanner->nextOffset() >= result.next) {
-        finishScan();
-    } else {
-        scan();
-    }
-}
-
-auto LogFollower::finishScan() -> void
-{
-    const auto found = m_scanner->found();
-    m_scanner.reset();
+    const auto &found = result.snapshot;
     const auto isRestored = found && !m_instance.restoreSnapshot(found->asOf, found->parts, m_loop.now());
-    if (!isRestored) {
+    if (result.isRead && !isRestored) {
         logEvent(LogLevel::Error, "no-snapshot", {{"offset", m_instance.nextOffset()}});
+    }
+    if (!isRestored) {
         m_instance.logReadFailed(m_loop.now());
     }
     m_retryTimer.start(isRestored ? Duration::zero() : retryDelay);
--- a/apps/acaciaraild/log_follower.h
+++ b/apps/acaciaraild/log_follower.h
@@ -1,12 +1,11 @@
 #pragma once
 
+#include "snapshot_search.h"
+
 #include <acaciarail/instance/instance.h>
 #include <acaciarail/platform/log_client.h>
 #include <acaciarail/runtime/event_loop.h>
 #include <acaciarail/runtime/timer.h>
-#include <acaciarail/state/snapshot_scanner.h>
-
-#include <optional>
 
 namespace Acaciarail::Daemon {
 
@@ -24,9 +23,7 @@
 private:
     auto read() -> void;
     auto handleRead(const Platform::ReadResult &result) -> void;
-    auto scan() -> void;
-    auto handleScan(const Platform::ReadResult &result) -> void;
-    auto finishScan() -> void;
+    auto handleSearch(const SnapshotSearchResult &result) -> void;
 
     Runtime::EventLoop &m_loop;
     Platform::LogClient &m_client;
@@ -34,7 +31,6 @@
     /// Time for which the log may hold a read open.
     Duration m_readWait;
     Runtime::Timer m_retryTimer;
-    std::optional<State::SnapshotScanner> m_scanner;
 };
 
 } // namespace Acaciarail::Daemon
