Use the runtime's event loop in the HTTP tests

Change: one small wrapper in tests/support on top of Runtime::EventLoop; the guard of 60 s and all assertions stay.

--- a/tests/endpoint/fake_endpoint.h
+++ b/tests/endpoint/fake_endpoint.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../support/test_loop.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -16,45 +18,6 @@
 #include <string_view>
 #include <vector>
 
-/// Event loop of a test.
-class Loop
-{
-public:
-    Loop()
-        : m_base(event_base_new())
-    {
-    }
-    Loop(const Loop &) = delete;
-    auto operator=(const Loop &) -> Loop & = delete;
-    ~Loop()
-    {
-        event_base_free(m_base);
-    }
-
-    [[nodiscard]] auto base() const noexcept -> event_base *
-    {
-        return m_base;
-    }
-
-    /// Runs the loop until \a condition holds. Returns false after a guard time, which no passing test reaches.
-    [[nodiscard]] auto runUntil(const std::function<bool()> &condition) -> bool
-    {
-        constexpr timeval guard{60, 0};
-        bool expired = false;
-        event *timer = event_new(
-            m_base, -1, 0, [](evutil_socket_t, short, void *arg) { *static_cast<bool *>(arg) = true; }, &expired);
-        event_add(timer, &guard);
-        while (!condition() && !expired) {
-            event_base_loop(m_base, EVLOOP_ONCE);
-        }
-        event_free(timer);
-        return !expired;
-    }
-
-private:
-    event_base *m_base;
-};
-
 /// Listens on a port and lets the test decide every byte of the answers.
 class FakeEndpoint
 {
