--- a/apps/acaciaraild/daemon.cpp
+++ b/apps/acaciaraild/daemon.cpp
@@ -247,9 +247,6 @@
 
 auto Daemon::takeList(const Platform::InstanceList &list) -> void
 {
-    Instance::PlatformList out;
-    out.endpoints = list.endpoints;
-    out.instances = list.instances;
     std::set<WorkerName> listed;
     for (const auto &it : list.workers) {
         listed.insert(it.info.name);
@@ -261,7 +258,6 @@
     }
     m_workers.clear();
     for (const auto &it : list.workers) {
-        out.workers.push_back({it.info, it.leaving});
         m_workers.push_back(it.info);
         if (it.info.zone == m_settings.zone) {
             (void)m_workerLinks->setWorker(it.info.name, it.info.address);
@@ -272,7 +268,7 @@
             (void)m_peerLinks->setPeer(it.name, it.address);
         }
     }
-    m_instance->setPlatformList(out, m_loop.now());
+    m_instance->setPlatformList({list.workers, list.endpoints, list.instances}, m_loop.now());
     scheduleTick();
 }
 
--- a/packages/core/include/acaciarail/core/fleet_info.h
+++ b/packages/core/include/acaciarail/core/fleet_info.h
@@ -8,7 +8,7 @@
 
 namespace Acaciarail {
 
-/// A worker as the platform lists it.
+/// Place, size and address of a worker.
 struct WorkerInfo
 {
     WorkerName name;
@@ -24,6 +24,15 @@
     friend auto operator==(const WorkerInfo &, const WorkerInfo &) noexcept -> bool = default;
 };
 
+/// A worker and whether the platform says that it is leaving.
+struct ListedWorker
+{
+    WorkerInfo info;
+    bool leaving = false;
+
+    friend auto operator==(const ListedWorker &, const ListedWorker &) noexcept -> bool = default;
+};
+
 /// An endpoint of a service as the platform lists it.
 struct EndpointInfo
 {
--- a/packages/instance/include/acaciarail/instance/shard_controller.h
+++ b/packages/instance/include/acaciarail/instance/shard_controller.h
@@ -41,13 +41,6 @@
     Duration witnessReplaceAfter = 30s;
 };
 
-/// A worker as the platform lists it.
-struct ListedWorker
-{
-    WorkerInfo info;
-    bool leaving = false;
-};
-
 /// Effects of a shard controller.
 struct ShardHooks
 {
--- a/packages/instance/src/instance_tick.cpp
+++ b/packages/instance/src/instance_tick.cpp
@@ -201,8 +201,9 @@
     const auto perInstance = m_settings.appendsPerSecond / static_cast<double>(m_membership.liveCount(now));
     const auto interval = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1.0 / perInstance));
     m_outbox.setInterval(std::max(interval, m_settings.outbox.interval));
+    const auto rank = m_membership.rankInZone(now);
     for (auto &it : m_shards) {
-        it->setRank(m_membership.rankInZone(now));
+        it->setRank(rank);
     }
     if (m_ready && m_wasLogAvailable != isLogAvailable(now)) {
         m_wasLogAvailable = !m_wasLogAvailable;
--- a/packages/platform/include/acaciarail/platform/instance_list_client.h
+++ b/packages/platform/include/acaciarail/platform/instance_list_client.h
@@ -16,14 +16,6 @@
 
 namespace Acaciarail::Platform {
 
-struct ListedWorker
-{
-    WorkerInfo info;
-    bool leaving = false;
-
-    friend auto operator==(const ListedWorker &, const ListedWorker &) noexcept -> bool = default;
-};
-
 /// The platform's list, divided by kind. Entries of an unknown kind are ignored.
 struct InstanceList
 {
