--- a/apps/acaciaraild/main.cpp
+++ b/apps/acaciaraild/main.cpp
@@ -1,8 +1,10 @@
 #include "daemon.h"
+#include "instance_process.h"
 
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <random>
 #include <vector>
@@ -80,6 +82,9 @@
 {
     // A write to a connection that the other side closed is reported as an error.
     std::signal(SIGPIPE, SIG_IGN);
+    if (const auto *path = std::getenv(Adapter::settingsVariable); path != nullptr && argc == 1) {
+        return Adapter::runInstance(path);
+    }
     gflags::SetUsageMessage("acaciaraild --config FILE [--KEY VALUE ...]: an entry instance of acaciarail");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto parsed = Operator::loadSettings(FLAGS_config, overridesFromFlags());
--- a/packages/core/include/acaciarail/core/logging.h
+++ b/packages/core/include/acaciarail/core/logging.h
@@ -38,14 +38,23 @@
     }
 };
 
-/// Configures the process-wide logger to write to standard error.
+enum class LogOutput {
+    StandardError,
+    StandardOutput,
+};
+
+/// Configures the process-wide logger.
 /// \pre called once, before the first event is logged. Not thread-safe.
-auto configureLogging(LogLevel minimum) -> void;
+auto configureLogging(LogLevel minimum, LogOutput output = LogOutput::StandardError) -> void;
 
 /// Writes one line `event=NAME key=value ...`.
 /// \pre none. Thread-safe.
 auto logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) -> void;
 
+/// Writes such a line with \a details, already `key=value` pairs, at its end.
+/// \pre \a details holds no line break. Thread-safe.
+auto logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields, std::string_view details) -> void;
+
 /// Returns \a value unchanged when it is a plain word, and quoted with escapes otherwise,
 /// so that no input can end the line or forge another field.
 /// \pre none. Thread-safe.
--- a/packages/core/include/acaciarail/core/time.h
+++ b/packages/core/include/acaciarail/core/time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace Acaciarail {
 
@@ -16,11 +17,14 @@
     using time_point = std::chrono::time_point<MonotonicClock>;
     static constexpr bool is_steady = true;
 
-    /// Returns the current time of the steady clock of this process.
+    /// Returns the time since the machine started, including the time that it was suspended, which std::chrono::steady_clock leaves out:
+    /// a lease that ran out during a suspension is seen to have ended.
     /// \pre none. Thread-safe.
     [[nodiscard]] static auto now() noexcept -> time_point
     {
-        return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+        timespec t{};
+        clock_gettime(CLOCK_BOOTTIME, &t);
+        return time_point(std::chrono::seconds(t.tv_sec) + std::chrono::duration_cast<duration>(std::chrono::nanoseconds(t.tv_nsec)));
     }
 };
 
--- a/packages/core/src/logging.cpp
+++ b/packages/core/src/logging.cpp
@@ -41,16 +41,21 @@
 
 } // namespace
 
-auto configureLogging(LogLevel minimum) -> void
+auto configureLogging(LogLevel minimum, LogOutput output) -> void
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n"));
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, output == LogOutput::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(toLog4cxx(minimum));
 }
 
 auto logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) -> void
+{
+    logEvent(level, event, fields, {});
+}
+
+auto logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields, std::string_view details) -> void
 {
     const auto target = toLog4cxx(level);
     if (!logger()->isEnabledFor(target)) {
@@ -63,6 +68,10 @@
         line += '=';
         line += quoteLogValue(it.value);
     }
+    if (!details.empty()) {
+        line += ' ';
+        line += details;
+    }
     logger()->forcedLog(target, line, log4cxx::spi::LocationInfo::getLocationUnavailable());
 }
 
--- a/packages/platform/src/instance_list_client.cpp
+++ b/packages/platform/src/instance_list_client.cpp
@@ -1,4 +1,4 @@
-#include "http_client.h"
+#include "http_settings.h"
 
 #include <acaciarail/platform/instance_list_client.h>
 
@@ -174,7 +174,7 @@
     return {std::nullopt, {error, Execution::Unknown, std::move(detail)}};
 }
 
-auto interpret(const Detail::HttpResult &http) -> InstanceListResult
+auto interpret(const Runtime::HttpResult &http) -> InstanceListResult
 {
     if (http.error) {
         return failedList(static_cast<Error>(http.error.value()), "instance list: expected an answer, found " + http.error.message());
@@ -209,11 +209,11 @@
 {
     State(Runtime::EventLoop &loop, PlatformSettings s)
         : timeout(s.requestTimeout)
-        , http(loop, std::move(s))
+        , http(loop, Detail::httpSettings(s))
     {
     }
     Duration timeout;
-    Detail::HttpClient http;
+    Runtime::HttpClient http;
 };
 
 InstanceListClient::InstanceListClient(Runtime::EventLoop &loop, PlatformSettings settings)
@@ -226,7 +226,7 @@
 auto InstanceListClient::fetch(std::function<void(InstanceListResult)> done) -> void
 {
     m_state->http.start({"/v1/instances", std::nullopt, m_state->timeout},
-                        [hook = std::move(done)](const Detail::HttpResult &http) { hook(interpret(http)); });
+                        [hook = std::move(done)](const Runtime::HttpResult &http) { hook(interpret(http)); });
 }
 
 } // namespace Acaciarail::Platform
--- a/packages/platform/src/log_client.cpp
+++ b/packages/platform/src/log_client.cpp
@@ -1,4 +1,4 @@
-#include "http_client.h"
+#include "http_settings.h"
 
 #include <acaciarail/core/error.h>
 #include <acaciarail/platform/log_client.h>
@@ -70,7 +70,7 @@
     return status == statusUnavailable || (status >= statusBadRequest && status < statusServerError && status != statusRequestTimeout);
 }
 
-auto interpretAppend(const Detail::HttpResult &http, std::size_t count) -> AppendResult
+auto interpretAppend(const Runtime::HttpResult &http, std::size_t count) -> AppendResult
 {
     if (http.error && !http.maybeSent) {
         return notAppended(Error::LogUnavailable, "append: expected a connection to the log, found " + http.error.message());
@@ -96,7 +96,7 @@
     return {ReadStatus::NotRetained, {}, "read: the requested offset is no longer retained", *earliest, 0, {}};
 }
 
-auto interpretRead(const Detail::HttpResult &http, LogOffset from) -> ReadResult
+auto interpretRead(const Runtime::HttpResult &http, LogOffset from) -> ReadResult
 {
     if (http.error) {
         return failedRead(http.maybeSent ? http.error : make_error_code(Error::LogUnavailable),
@@ -199,11 +199,11 @@
 {
     State(Runtime::EventLoop &loop, PlatformSettings s)
         : settings(s)
-        , http(loop, std::move(s))
+        , http(loop, Detail::httpSettings(s))
     {
     }
     PlatformSettings settings;
-    Detail::HttpClient http;
+    Runtime::HttpClient http;
 };
 
 LogClient::LogClient(Runtime::EventLoop &loop, PlatformSettings settings)
@@ -217,7 +217,7 @@
 {
     m_state->http.start(
         {"/v1/log/append", encodeRecords(records), m_state->settings.requestTimeout},
-        [count = records.size(), hook = std::move(done)](const Detail::HttpResult &http) { hook(interpretAppend(http, count)); });
+        [count = records.size(), hook = std::move(done)](const Runtime::HttpResult &http) { hook(interpretAppend(http, count)); });
 }
 
 auto LogClient::read(const ReadRequest &request, std::function<void(ReadResult)> done) -> void
@@ -227,7 +227,7 @@
     auto target = "/v1/log/read?from=" + std::to_string(request.from) + "&max=" + std::to_string(request.maxRecords)
         + "&wait_ms=" + std::to_string(waitMs);
     m_state->http.start({std::move(target), std::nullopt, m_state->settings.requestTimeout + wait},
-                        [from = request.from, hook = std::move(done)](const Detail::HttpResult &http) { hook(interpretRead(http, from)); });
+                        [from = request.from, hook = std::move(done)](const Runtime::HttpResult &http) { hook(interpretRead(http, from)); });
 }
 
 } // namespace Acaciarail::Platform
--- a/packages/platform/src/http_client.h
+++ b/packages/runtime/include/acaciarail/runtime/http_client.h
@@ -1,16 +1,37 @@
 #pragma once
 
-#include <acaciarail/platform/platform_settings.h>
+#include <acaciarail/core/time.h>
 #include <acaciarail/runtime/event_loop.h>
+#include <acaciarail/runtime/socket_address.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <system_error>
+#include <utility>
+#include <vector>
 
-namespace Acaciarail::Platform::Detail {
+namespace Acaciarail::Runtime {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+struct HttpClientSettings
+{
+    SocketAddress address;
+    /// Sent with every request, beside `Host`.
+    HttpHeaders headers;
+    /// `Content-Type` of every request that has a body.
+    std::string contentType = "application/json";
+    /// Larger answers are refused with Error::TooLarge.
+    std::size_t maxAnswerBytes = std::size_t{16} * 1024 * 1024;
+    /// Idle connections that are kept for reuse.
+    std::size_t maxIdleConnections = 4;
+    /// Further requests are refused, so that a silent server cannot use up the descriptors of the process.
+    std::size_t maxBusyConnections = 256;
+};
 
 struct HttpRequest
 {
@@ -19,6 +40,8 @@
     /// A POST when set, a GET otherwise.
     std::optional<std::string> body;
     Duration timeout{};
+    /// Sent beside those of the client.
+    HttpHeaders headers = {};
 };
 
 struct HttpResult
@@ -38,7 +61,7 @@
 {
 public:
     /// \pre \a loop outlives the client.
-    HttpClient(Runtime::EventLoop &loop, PlatformSettings settings);
+    HttpClient(EventLoop &loop, HttpClientSettings settings);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     auto operator=(const HttpClient &) -> HttpClient & = delete;
@@ -51,4 +74,4 @@
     std::shared_ptr<State> m_state;
 };
 
-} // namespace Acaciarail::Platform::Detail
+} // namespace Acaciarail::Runtime
--- a/packages/platform/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -1,6 +1,5 @@
-#include "http_client.h"
-
 #include <acaciarail/core/error.h>
+#include <acaciarail/runtime/http_client.h>
 #include <acaciarail/runtime/timer.h>
 
 #include <event2/buffer.h>
@@ -14,13 +13,10 @@
 #include <utility>
 #include <vector>
 
-namespace Acaciarail::Platform::Detail {
+namespace Acaciarail::Runtime {
 
 namespace {
 
-constexpr std::size_t maxIdleConnections = 4;
-/// Further requests are refused, so that a silent platform cannot use up the descriptors of the process.
-constexpr std::size_t maxBusyConnections = 256;
 constexpr std::size_t maxHeaderBytes = 16384;
 /// evhttp's own timeout in seconds; the timer of each request, which has a finer resolution, ends it earlier.
 constexpr int fallbackTimeoutSeconds = 3600;
@@ -28,7 +24,7 @@
 /// One connection and the request in progress on it.
 struct Connection
 {
-    Connection(Runtime::EventLoop &loop, const PlatformSettings &settings)
+    Connection(EventLoop &loop, const HttpClientSettings &settings)
         : timer(loop, [this] { abandon(); })
     {
         http = evhttp_connection_base_new(loop.base(), nullptr, settings.address.host.c_str(), settings.address.port);
@@ -81,7 +77,7 @@
     }
 
     evhttp_connection *http = nullptr;
-    Runtime::Timer timer;
+    Timer timer;
     bool maybeSent = false;
     std::error_code failure;
     std::error_code timerError;
@@ -92,7 +88,7 @@
 
 struct HttpClient::State
 {
-    State(Runtime::EventLoop &l, PlatformSettings s)
+    State(EventLoop &l, HttpClientSettings s)
         : loop(l)
         , settings(std::move(s))
     {
@@ -111,18 +107,18 @@
     auto release(const std::shared_ptr<Connection> &connection, bool reusable) -> void
     {
         busy.erase(connection.get());
-        if (reusable && idle.size() < maxIdleConnections) {
+        if (reusable && idle.size() < settings.maxIdleConnections) {
             idle.push_back(connection);
         }
     }
 
-    Runtime::EventLoop &loop;
-    PlatformSettings settings;
+    EventLoop &loop;
+    HttpClientSettings settings;
     std::map<Connection *, std::shared_ptr<Connection>> busy;
     std::vector<std::shared_ptr<Connection>> idle;
 };
 
-HttpClient::HttpClient(Runtime::EventLoop &loop, PlatformSettings settings)
+HttpClient::HttpClient(EventLoop &loop, HttpClientSettings settings)
     : m_state(std::make_shared<State>(loop, std::move(settings)))
 {
 }
@@ -135,7 +131,7 @@
 
 auto HttpClient::start(HttpRequest request, std::function<void(HttpResult)> done) -> void
 {
-    if (m_state->busy.size() >= maxBusyConnections) {
+    if (m_state->busy.size() >= m_state->settings.maxBusyConnections) {
         m_state->loop.post([weak = std::weak_ptr<State>(m_state), hook = std::move(done)] {
             if (!weak.expired()) {
                 hook({Error::Overloaded, false, 0, {}});
@@ -175,11 +171,13 @@
     evhttp_request_set_error_cb(r, failed);
     auto *headers = evhttp_request_get_output_headers(r);
     evhttp_add_header(headers, "Host", m_state->settings.address.str().c_str());
-    if (!m_state->settings.zone.empty()) {
-        evhttp_add_header(headers, "Acaciarail-Zone", m_state->settings.zone.str().c_str());
+    for (const auto *list : {&m_state->settings.headers, &request.headers}) {
+        for (const auto &[key, value] : *list) {
+            evhttp_add_header(headers, key.c_str(), value.c_str());
+        }
     }
     if (request.body) {
-        evhttp_add_header(headers, "Content-Type", "application/msgpack");
+        evhttp_add_header(headers, "Content-Type", m_state->settings.contentType.c_str());
         evbuffer_add(evhttp_request_get_output_buffer(r), request.body->data(), request.body->size());
     }
     connection->timer.start(request.timeout);
@@ -190,4 +188,4 @@
     }
 }
 
-} // namespace Acaciarail::Platform::Detail
+} // namespace Acaciarail::Runtime
--- /dev/null
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <acaciarail/workflow/configuration.h>
+#include <acaciarail/workflow/records.h>
+#include <acaciarail/workflow/worker.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Acaciarail::Workflow {
+
+struct DispatcherSettings
+{
+    /// Longest lease that a worker grants; from the platform's bounds.
+    Duration lease = 6s;
+    /// Time within which a worker ends a run that it was told to stop; from the platform's bounds.
+    Duration stopTime = 200ms;
+    /// An order without an answer may be carried out this much later; from the platform's description of late orders.
+    Duration lateOrder = 12s;
+    /// An earlier holder may go on extending leases for this long after its own lease has ended; see HolderLease.
+    Duration renewalOverrun = 4s;
+    /// Relative error of a worker's clock; stated by the platform.
+    double workerClockDrift = 0.02;
+    /// How long an answer about runs may wait for an end; an upper bound for the age of what is known of progress.
+    Duration activeLook = 1s;
+    Duration idleLook = 2s;
+    /// Pause before a worker that did not answer is asked again.
+    Duration lookRetry = 300ms;
+    /// Pause before a stop that has had no effect is repeated; several round trips between regions and the stop itself.
+    Duration stopRetry = 500ms;
+    /// A run without progress for this long is started elsewhere; several looks.
+    Duration stallTimeout = 2s;
+    /// A worker is avoided for this long after a run failed or stood still there; about the length of the users' disruptions of workers.
+    Duration avoidTime = 6s;
+    /// A preemption that has not made room for this long is planned anew; the stop, two looks and their round trips.
+    Duration reservationTimeout = 1200ms;
+    /// Urgent work may throw away this many times its own core-seconds.
+    double preemptionCap = 3.0;
+};
+
+/// A decision worth a log line.
+struct DispatchEvent
+{
+    std::string_view name;
+    JobId job;
+    /// Details as `key=value` pairs.
+    std::string details;
+};
+
+/// What a holder has to do next.
+struct Decisions
+{
+    /// To be appended as one batch, followed by Dispatcher::recordsStored(); empty while a batch is in progress.
+    std::vector<KeyedRecord> records;
+    /// Outcomes among the records.
+    std::vector<OutcomeEntry> outcomes;
+    std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
+    std::vector<LookOrder> looks;
+};
+
+struct DispatcherStats
+{
+    std::size_t jobs = 0;
+    std::size_t waitingUnits = 0;
+    std::size_t activeUnits = 0;
+    std::size_t workers = 0;
+    std::size_t unreachableWorkers = 0;
+    std::int64_t freeAccelerators = 0;
+    std::uint64_t preemptions = 0;
+    /// Core-seconds that preemption threw away.
+    double preemptedWork = 0;
+};
+
+/// Decides what runs where, for one holder during one term. Has no input or output of its own: it is told what happened, and decide()
+/// returns what to do. Every assignment is recorded before its start is ordered and every end before it is acknowledged, so that a later
+/// holder knows where each task may run. Not thread-safe.
+class Dispatcher
+{
+public:
+    /// Internal.
+    struct State;
+
+    /// \pre none. \a now is the time at which the holder's term began.
+    Dispatcher(DispatcherSettings settings, std::function<void(const DispatchEvent &)> observe, TimePoint now);
+    ~Dispatcher();
+    Dispatcher(const Dispatcher &) = delete;
+    auto operator=(const Dispatcher &) -> Dispatcher & = delete;
+
+    /// \pre none.
+    auto setConfiguration(std::shared_ptr<const Configuration> configuration) -> void;
+
+    /// Adds a job; one that is known already is left as it is. \a unixNow is the time since 1970. \pre none.
+    auto accept(const JobSpec &spec, TimePoint now, std::chrono::milliseconds unixNow) -> void;
+    /// The job has ended in an earlier term; accept() ignores it. \pre none.
+    auto markEnded(const JobId &job) -> void;
+    /// Cancels a job; an unknown or ended one is ignored. \pre none.
+    auto cancel(const JobId &job, TimePoint now) -> void;
+    /// Restores a unit from its record. A unit of an unknown job is ignored. \pre before the first decide().
+    auto restore(const UnitId &unit, const UnitRecord &state, TimePoint now) -> void;
+
+    /// A worker is listed, or its entry has changed. \pre none.
+    auto workerListed(const WorkerInfo &worker, TimePoint now) -> void;
+    /// A worker is no longer listed; it may still run what it was told to. \pre none.
+    auto workerUnlisted(const WorkerName &worker, TimePoint now) -> void;
+
+    /// A look that was sent at \a sentAt was answered, or was not. \pre none.
+    auto lookAnswered(const WorkerName &worker, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now) -> void;
+    /// \pre none.
+    auto startAnswered(const StartOrder &order, StartOutcome outcome, TimePoint now) -> void;
+    /// \pre none.
+    auto stopAnswered(const StopOrder &order, bool answered, TimePoint now) -> void;
+    /// The records of the last batch are stored. \pre a batch is in progress.
+    auto recordsStored(TimePoint now) -> void;
+
+    /// Returns what to do next. With \a mayStart false, nothing new is placed or recorded, and only leases are extended and stops sent.
+    /// \pre none.
+    [[nodiscard]] auto decide(TimePoint now, std::chrono::milliseconds unixNow, bool mayStart) -> Decisions;
+
+    /// \pre none.
+    [[nodiscard]] auto stats() const -> DispatcherStats;
+
+private:
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace Acaciarail::Workflow
--- /dev/null
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <acaciarail/workflow/configuration.h>
+#include <acaciarail/workflow/dispatcher.h>
+#include <acaciarail/workflow/log_lease.h>
+#include <acaciarail/workflow/store.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace Acaciarail::Workflow {
+
+struct EngineSettings
+{
+    InstanceName instance;
+    /// Differs between two lives of the instance.
+    std::uint64_t incarnation = 0;
+    DispatcherSettings dispatcher;
+    LogLeaseSettings lease;
+    /// Pace at which an instance that is not the holder reads the state topic; a third of the holder's time to live at most.
+    Duration statePace = 500ms;
+    /// Pace at which an instance that is not the holder reads the intake topic; the queue lengths shown are at most this old.
+    Duration intakePace = 1s;
+    /// How long the holder's reads of the intake topic wait.
+    Duration intakeWait = 1s;
+    /// Time for an append that a caller waits for.
+    Duration submitTimeout = 800ms;
+    /// Time for an append of the holder.
+    Duration appendTimeout = 1s;
+    /// Pause before the holder repeats an append that failed.
+    Duration appendRetry = 100ms;
+    /// Pace of the holder's decisions when nothing happens.
+    Duration holderTick = 50ms;
+    /// Events this close together are decided upon at once; bounds the processor time of a burst.
+    Duration gatherTime = 2ms;
+    /// A key is trusted for this long after the configuration was last confirmed; below the platform's bound for withdrawn keys.
+    Duration keyTrust = 4300ms;
+    /// An instance without contact to the store for this long takes no new connections; the platform's own patience with a check is two
+    /// seconds.
+    Duration readyTrust = 2500ms;
+};
+
+/// Orders to workers. Each hook calls back once, never from inside the call.
+struct WorkerHooks
+{
+    struct LookAnswer
+    {
+        /// The worker has seen a higher term.
+        bool fenced = false;
+        /// Empty when there was no usable answer.
+        std::optional<WorkerReport> report;
+    };
+    struct StopAnswer
+    {
+        bool fenced = false;
+        bool answered = false;
+    };
+    std::function<void(const StartOrder &, std::uint64_t term, std::function<void(StartOutcome)>)> start;
+    std::function<void(const StopOrder &, std::uint64_t term, std::function<void(StopAnswer)>)> stop;
+    std::function<void(const LookOrder &, std::uint64_t term, std::function<void(LookAnswer)>)> look;
+    /// Starts or ends the reports of listed workers through Engine::workerListed() and Engine::workerUnlisted().
+    std::function<void(bool)> watch;
+};
+
+struct EngineHooks
+{
+    StoreHooks store;
+    WorkerHooks workers;
+    ClockHooks clock;
+};
+
+enum class Admission : std::uint8_t {
+    Admitted,
+    /// No configuration has been read yet, or the keys may be out of date.
+    Unready,
+    UnknownQueue,
+    UnknownKey,
+};
+
+struct AdmissionResult
+{
+    Admission status = Admission::Unready;
+    /// Set when admitted.
+    const Queue *queue = nullptr;
+    OrganisationName organisation;
+};
+
+enum class SubmitOutcome : std::uint8_t {
+    /// The request is stored.
+    Accepted,
+    /// The request is not stored and never will be.
+    Refused,
+    /// There is no such job.
+    NoSuchJob,
+    /// The request may be stored.
+    Unknown,
+};
+
+struct LookupResult
+{
+    /// Empty when the job is not known.
+    std::optional<JobPhase> phase;
+    /// Whether the store could be asked; without it, an unknown job may exist.
+    bool certain = false;
+};
+
+/// An instance: it accepts jobs, answers questions about them, and, while it holds the lease, runs them. Everything durable is in the
+/// store; an instance that starts anew knows nothing. Not thread-safe.
+class Engine
+{
+public:
+    /// \pre the hooks stay callable until the engine is destroyed.
+    Engine(EngineSettings settings, EngineHooks hooks);
+    ~Engine();
+    Engine(const Engine &) = delete;
+    auto operator=(const Engine &) -> Engine & = delete;
+
+    /// Starts to follow the store. \pre not started.
+    auto start() -> void;
+
+    /// Puts a configuration into force unless it is older than the present one. \pre none.
+    auto setConfiguration(Configuration configuration) -> void;
+    /// The configuration was known to be the newest at \a at. \pre none.
+    auto configurationConfirmed(TimePoint at) -> void;
+    /// A call to the store succeeded or failed. \pre none.
+    auto storeContact(bool ok) -> void;
+
+    /// Finds the queue of a request and checks its key. The queue is valid until the next configuration. \pre none.
+    [[nodiscard]] auto admit(std::string_view host, std::string_view path, std::string_view key) const -> AdmissionResult;
+
+    /// Accepts a job. \a done may be called from inside. \pre none.
+    auto submit(const JobSpec &spec, std::function<void(SubmitOutcome)> done) -> void;
+    /// Cancels a job. \a done may be called from inside. \pre none.
+    auto cancel(const JobId &job, std::function<void(SubmitOutcome)> done) -> void;
+    /// Looks a job up as of now; as of the last contact when the store cannot be reached. \pre none.
+    auto lookup(const JobId &job, std::function<void(const LookupResult &)> done) -> void;
+    /// Returns the accepted jobs of a queue that have not begun. \pre none.
+    [[nodiscard]] auto waiting(const QueueName &queue) const -> std::size_t;
+
+    /// \pre none.
+    auto workerListed(const WorkerInfo &worker) -> void;
+    /// \pre none.
+    auto workerUnlisted(const WorkerName &worker) -> void;
+
+    /// Whether new connections are welcome. \pre none.
+    [[nodiscard]] auto ready() const -> bool;
+    [[nodiscard]] auto holds() const -> bool;
+
+    /// Hands the holder's role over and calls \a done; requests are still served. \pre none.
+    auto leave(std::function<void()> done) -> void;
+
+    /// \pre none.
+    [[nodiscard]] auto stats() const -> DispatcherStats;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace Acaciarail::Workflow
--- /dev/null
+++ b/packages/workflow/include/acaciarail/workflow/store.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <acaciarail/workflow/records.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Acaciarail::Workflow {
+
+enum class AppendStatus : std::uint8_t {
+    Stored,
+    /// The store did nothing, and will not do it later.
+    Refused,
+    /// A holder of a higher term has written.
+    Fenced,
+    /// The topic did not end where the append was conditioned on.
+    Conflict,
+    /// The store expected another sequence number; see AppendResult::expectedSequence.
+    OutOfSequence,
+    /// No answer; the records may be stored, or be stored later.
+    Unknown,
+};
+
+/// Returns a kebab-case name of \a status. \pre none. Thread-safe.
+[[nodiscard]] auto appendStatusName(AppendStatus status) noexcept -> const char *;
+
+struct AppendRequest
+{
+    std::string topic;
+    std::vector<KeyedRecord> records;
+    /// The append succeeds only while the topic ends here.
+    std::optional<std::uint64_t> at;
+    /// Fences the append: it fails once a higher term has written.
+    std::optional<std::uint64_t> term;
+    /// Number of the append within its term; a repeated number is stored once.
+    std::uint64_t sequence = 0;
+    Duration timeout{};
+};
+
+struct AppendResult
+{
+    AppendStatus status = AppendStatus::Unknown;
+    std::uint64_t expectedSequence = 0;
+};
+
+enum class ReadStatus : std::uint8_t {
+    Ok,
+    /// Records from the requested offset on are no longer retained.
+    NotRetained,
+    Failed,
+};
+
+struct ReadResult
+{
+    ReadStatus status = ReadStatus::Failed;
+    /// Offset of the first of the records.
+    std::uint64_t first = 0;
+    /// End of the topic.
+    std::uint64_t end = 0;
+    /// Consecutive records; a damaged one has an empty key.
+    std::vector<KeyedRecord> records;
+};
+
+struct NewestResult
+{
+    bool ok = false;
+    /// End of the topic.
+    std::uint64_t end = 0;
+    std::vector<KeyedRecord> records;
+    /// Further keys follow the last one of this page.
+    bool more = false;
+};
+
+/// Calls to the platform's store. Each hook calls back once, never from inside the call.
+struct StoreHooks
+{
+    std::function<void(AppendRequest, std::function<void(AppendResult)>)> append;
+    /// Reads a topic from an offset; waits up to the given time for a record.
+    std::function<void(const std::string &topic, std::uint64_t from, Duration wait, std::function<void(ReadResult)>)> read;
+    /// Reads a page of the newest records of each key, after the given key.
+    std::function<void(const std::string &topic, const std::string &after, std::function<void(NewestResult)>)> newest;
+};
+
+/// Time and delayed calls of the process.
+struct ClockHooks
+{
+    std::function<TimePoint()> now;
+    /// Since 1970.
+    std::function<std::chrono::milliseconds()> unixNow;
+    /// Calls a function after a delay, on the same thread.
+    std::function<void(Duration, std::function<void()>)> schedule;
+};
+
+} // namespace Acaciarail::Workflow
--- /dev/null
+++ b/packages/workflow/src/dispatcher.cpp
@@ -0,0 +1,348 @@
+#include "dispatcher_state.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Acaciarail::Workflow {
+
+namespace {
+
+auto isActive(const Unit &unit) -> bool
+{
+    return unit.stage == UnitStage::Active || !unit.allGone();
+}
+
+auto detail(std::string_view key, std::uint64_t value) -> std::string
+{
+    return std::string(key) + '=' + std::to_string(value);
+}
+
+} // namespace
+
+auto Unit::allGone() const -> bool
+{
+    return std::all_of(members.begin(), members.end(), [](const Member &m) { return m.phase == MemberPhase::Gone; });
+}
+
+Dispatcher::Dispatcher(DispatcherSettings settings, std::function<void(const DispatchEvent &)> observe, TimePoint now)
+    : m_state(std::make_unique<State>(settings, std::move(observe), now))
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+
+auto Dispatcher::setConfiguration(std::shared_ptr<const Configuration> configuration) -> void
+{
+    m_state->configuration = std::move(configuration);
+}
+
+auto Dispatcher::accept(const JobSpec &spec, TimePoint now, std::chrono::milliseconds unixNow) -> void
+{
+    if (m_state->endedJobs.contains(spec.id)) {
+        return;
+    }
+    auto &slot = m_state->jobs[spec.id];
+    if (slot) {
+        return;
+    }
+    slot = std::make_unique<Job>();
+    slot->spec = spec;
+    // The accepting instance's clock may be ahead of this one's.
+    slot->acceptedAt = now - std::max(unixNow - spec.acceptedAt, std::chrono::milliseconds::zero());
+    if (spec.occurrences == 0) {
+        m_state->createOccurrence(*slot, 0, now);
+    }
+}
+
+auto Dispatcher::markEnded(const JobId &job) -> void
+{
+    m_state->endedJobs.insert(job);
+}
+
+auto Dispatcher::cancel(const JobId &job, TimePoint now) -> void
+{
+    const auto it = m_state->jobs.find(job);
+    if (it == m_state->jobs.end() || it->second->cancelled || it->second->ended) {
+        return;
+    }
+    it->second->cancelled = true;
+    m_state->event("job-cancelling", job, detail("units", it->second->units.size()));
+    for (auto &[id, unit] : it->second->units) {
+        m_state->release(*unit);
+        m_state->beginEnding(*unit, "cancelled");
+        m_state->settle(*unit, now);
+    }
+}
+
+auto Dispatcher::restore(const UnitId &id, const UnitRecord &record, TimePoint now) -> void
+{
+    const auto it = m_state->jobs.find(id.job);
+    if (it == m_state->jobs.end()) {
+        return;
+    }
+    auto &job = *it->second;
+    while (job.spec.occurrences > id.occurrence && job.nextOccurrence <= id.occurrence) {
+        m_state->createOccurrence(job, job.nextOccurrence, now);
+    }
+    const auto found = job.units.find(id);
+    if (found == job.units.end()) {
+        return;
+    }
+    auto &unit = *found->second;
+    unit.record = record;
+    if (record.phase == UnitPhase::Done) {
+        m_state->setDone(unit, now);
+        unit.dirty = false;
+        return;
+    }
+    if (record.phase != UnitPhase::Assigned) {
+        return;
+    }
+    unit.stage = UnitStage::Active;
+    unit.runStartedAt = now;
+    unit.members.assign(unit.tasks(), Member{});
+    for (std::size_t i = 0; i < unit.members.size() && i < record.workers.size(); ++i) {
+        auto &member = unit.members[i];
+        member.worker = &m_state->worker(record.workers[i]);
+        member.phase = MemberPhase::Restored;
+        member.startedAt = now;
+        member.lastProgress = now;
+        member.provableSince = now;
+        m_state->occupy(unit, member);
+    }
+}
+
+auto Dispatcher::State::event(std::string_view name, const JobId &job, std::string details) const -> void
+{
+    if (observe) {
+        observe({name, job, std::move(details)});
+    }
+}
+
+auto Dispatcher::State::createOccurrence(Job &job, std::uint32_t occurrence, TimePoint now) -> void
+{
+    for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+        const auto &step = job.spec.steps[s];
+        const auto n = step.gang ? 1U : step.count;
+        for (std::uint32_t i = 0; i < n; ++i) {
+            auto unit = std::make_unique<Unit>();
+            unit->id = {job.spec.id, occurrence, s, i};
+            unit->job = &job;
+            unit->step = &step;
+            job.units.emplace(unit->id, std::move(unit));
+        }
+        if (n > 0) {
+            job.open[{occurrence, s}] = n;
+        }
+    }
+    job.nextOccurrence = std::max(job.nextOccurrence, occurrence + 1);
+    unblock(job, occurrence, now);
+}
+
+auto Dispatcher::State::unblock(Job &job, std::uint32_t occurrence, TimePoint now) -> void
+{
+    const auto isOpen = [&](std::uint32_t step) { return job.open.contains({occurrence, step}); };
+    const UnitId first{job.spec.id, occurrence, 0, 0};
+    for (auto it = job.units.lower_bound(first); it != job.units.end() && it->first.occurrence == occurrence; ++it) {
+        auto &unit = *it->second;
+        const auto &needs = unit.step->dependsOn;
+        if (unit.stage == UnitStage::Blocked && std::none_of(needs.begin(), needs.end(), isOpen)) {
+            unit.stage = UnitStage::Waiting;
+            unit.readySince = occurrence == 0 && needs.empty() && job.spec.occurrences == 0 ? job.acceptedAt : now;
+        }
+    }
+}
+
+auto Dispatcher::State::startDueOccurrences(TimePoint now, std::chrono::milliseconds unixNow) -> void
+{
+    for (auto &[id, job] : jobs) {
+        const auto &spec = job->spec;
+        while (!job->cancelled && !job->failed && job->nextOccurrence < spec.occurrences
+               && unixNow >= spec.firstRun + job->nextOccurrence * spec.interval) {
+            createOccurrence(*job, job->nextOccurrence, now);
+        }
+    }
+}
+
+auto Dispatcher::State::policy(const Job &job) const -> QueuePolicy
+{
+    const auto *queue = configuration ? configuration->queue(job.spec.queue) : nullptr;
+    return queue != nullptr ? queue->policy : job.spec.policy;
+}
+
+auto Dispatcher::State::findUnit(const TaskId &task) -> Unit *
+{
+    const auto it = jobs.find(task.job);
+    if (it == jobs.end() || task.step >= it->second->spec.steps.size()) {
+        return nullptr;
+    }
+    const bool gang = it->second->spec.steps[task.step].gang;
+    const auto found = it->second->units.find(UnitId{task.job, task.occurrence, task.step, gang ? 0 : task.index});
+    return found == it->second->units.end() ? nullptr : found->second.get();
+}
+
+auto Dispatcher::State::setDone(Unit &unit, TimePoint now) -> void
+{
+    if (unit.stage == UnitStage::Done) {
+        return;
+    }
+    unit.stage = UnitStage::Done;
+    unit.record.phase = UnitPhase::Done;
+    unit.record.checkpoint.clear();
+    unit.dirty = true;
+    auto &job = *unit.job;
+    const std::pair key{unit.id.occurrence, unit.id.step};
+    if (--job.open[key] == 0) {
+        job.open.erase(key);
+        unblock(job, unit.id.occurrence, now);
+    }
+}
+
+auto Dispatcher::State::beginEnding(Unit &unit, std::string_view reason) -> void
+{
+    if (unit.stage != UnitStage::Active || unit.ending) {
+        return;
+    }
+    unit.ending = true;
+    event("unit-stopping", unit.id.job,
+          detail("occurrence", unit.id.occurrence) + ' ' + detail("step", unit.id.step) + ' ' + detail("index", unit.id.index) + ' '
+              + detail("run", unit.record.run) + " reason=" + std::string(reason));
+    for (auto &it : unit.members) {
+        it.stopping = it.phase != MemberPhase::Gone;
+    }
+}
+
+auto Dispatcher::State::settle(Unit &unit, TimePoint now) -> void
+{
+    if (unit.stage != UnitStage::Active || !unit.allGone() || unit.storing) {
+        return;
+    }
+    unit.ending = false;
+    unit.record.phase = UnitPhase::Pending;
+    unit.record.workers.clear();
+    unit.members.clear();
+    unit.dirty = true;
+    unit.stage = UnitStage::Waiting;
+    unit.readySince = std::min(unit.readySince == TimePoint{} ? now : unit.readySince, now);
+    if (unit.record.failures >= policy(*unit.job).maxAttempts && !unit.step->longRunning && !unit.job->cancelled) {
+        unit.stage = UnitStage::Failed;
+        unit.record.phase = UnitPhase::Failed;
+        unit.job->failed = true;
+        event("unit-failed", unit.id.job, detail("step", unit.id.step) + ' ' + detail("failures", unit.record.failures));
+        for (auto &[id, other] : unit.job->units) {
+            release(*other);
+            beginEnding(*other, "job-failed");
+        }
+    }
+}
+
+auto Dispatcher::State::closeJobs(Decisions &out) -> void
+{
+    for (auto it = jobs.begin(); it != jobs.end();) {
+        auto &job = *it->second;
+        const bool allDone = job.open.empty() && job.nextOccurrence >= job.spec.occurrences && !job.units.empty();
+        const bool given = job.cancelled || job.failed;
+        const bool active = std::any_of(job.units.begin(), job.units.end(), [](const auto &u) { return isActive(*u.second); });
+        if (!job.ended && (allDone || (given && !active))) {
+            closeJob(job, out);
+        }
+        it = job.ended && !active ? jobs.erase(it) : std::next(it);
+    }
+}
+
+auto Dispatcher::State::closeJob(Job &job, Decisions &out) -> void
+{
+    auto phase = JobPhase::Completed;
+    if (job.failed) {
+        phase = JobPhase::Failed;
+    } else if (job.cancelled) {
+        phase = JobPhase::Cancelled;
+    }
+    job.ended = true;
+    endedJobs.insert(job.spec.id);
+    out.outcomes.push_back({job.spec.id, phase});
+    out.records.push_back(outcomeRecord(job.spec.id, phase));
+    for (auto &[id, unit] : job.units) {
+        unit->dirty = false;
+        if (unit->record.run > 0) {
+            auto record = unitRecord(id, unit->step->gang, unit->record);
+            record.value.clear();
+            out.records.push_back(std::move(record));
+        }
+    }
+    event("job-ended", job.spec.id, std::string("outcome=") + jobPhaseName(phase));
+}
+
+auto Dispatcher::recordsStored(TimePoint now) -> void
+{
+    auto &s = *m_state;
+    s.batchInProgress = false;
+    for (auto &[name, worker] : s.workers) {
+        worker->recordedEnds = std::max(worker->recordedEnds, worker->batchEnds);
+    }
+    for (auto *unit : std::exchange(s.batchUnits, {})) {
+        unit->storing = false;
+        for (std::uint32_t i = 0; i < unit->members.size(); ++i) {
+            auto &member = unit->members[i];
+            if (member.phase != MemberPhase::Planned) {
+                continue;
+            }
+            if (unit->ending || unit->job->cancelled || unit->job->failed) {
+                s.leave(*unit, member);
+                continue;
+            }
+            member.phase = MemberPhase::Starting;
+            member.startedAt = now;
+            member.lastProgress = now;
+            const auto index = unit->step->gang ? i : unit->id.index;
+            s.pendingStarts.push_back({member.worker->info.name,
+                                       {unit->id.job, unit->id.occurrence, unit->id.step, index},
+                                       unit->record.run,
+                                       unit->job->spec.payload,
+                                       unit->record.checkpoint,
+                                       s.settings.lease});
+        }
+        s.settle(*unit, now);
+    }
+}
+
+auto Dispatcher::decide(TimePoint now, std::chrono::milliseconds unixNow, bool mayStart) -> Decisions
+{
+    auto &s = *m_state;
+    Decisions out;
+    s.expireWorkers(now);
+    if (mayStart) {
+        s.startDueOccurrences(now, unixNow);
+        s.watchProgress(now);
+        s.evacuate(now);
+        s.placeReserved(now);
+        s.schedule(now);
+        s.collectRecords(out);
+        out.starts = std::exchange(s.pendingStarts, {});
+    }
+    s.collectStops(out, now);
+    s.collectLooks(out, now);
+    return out;
+}
+
+auto Dispatcher::stats() const -> DispatcherStats
+{
+    DispatcherStats out;
+    out.jobs = m_state->jobs.size();
+    for (const auto &[id, job] : m_state->jobs) {
+        for (const auto &[key, unit] : job->units) {
+            out.waitingUnits += unit->stage == UnitStage::Waiting || unit->stage == UnitStage::Reserved ? 1 : 0;
+            out.activeUnits += unit->stage == UnitStage::Active ? 1 : 0;
+        }
+    }
+    for (const auto &[name, worker] : m_state->workers) {
+        out.workers += worker->listed ? 1 : 0;
+        out.unreachableWorkers += worker->failingSince ? 1 : 0;
+        out.freeAccelerators += worker->usable() ? worker->free().accelerators : 0;
+    }
+    out.preemptions = m_state->preemptions;
+    out.preemptedWork = m_state->preemptedWork;
+    return out;
+}
+
+} // namespace Acaciarail::Workflow
--- /dev/null
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -0,0 +1,401 @@
+#include "dispatcher_state.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <tuple>
+
+namespace Acaciarail::Workflow {
+
+namespace {
+
+/// A job is of no use once this many times its objective has passed; stated by the users' accounting.
+constexpr int lateFactor = 3;
+/// Urgent work of another organisation is preempted only for a guarantee, and counts this many times its loss.
+constexpr double urgentLossFactor = 4.0;
+/// Work of the middle priorities counts more than background work.
+constexpr double normalLossFactor = 1.5;
+
+constexpr Demand noRoom{-1, -1, -1};
+
+auto seconds(Duration d) -> double
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+/// Returns the core-seconds that stopping a unit now throws away.
+auto lostWork(const Unit &unit, TimePoint now) -> double
+{
+    double lost = 0;
+    for (const auto &it : unit.members) {
+        if (it.phase != MemberPhase::Running) {
+            continue;
+        }
+        auto spent = now - it.startedAt;
+        if (unit.step->checkpoints && it.percent > 0) {
+            spent = spent * (it.percent - std::min(it.percent, it.savedPercent)) / it.percent;
+        }
+        lost += seconds(spent) * weightedCores(unit.step->each);
+    }
+    return lost;
+}
+
+/// The requests that found no place in a round; an equal one is not tried again.
+using Shape = std::tuple<std::uint32_t, std::int64_t, std::int64_t, std::int64_t, bool, std::string, RackName, std::uint32_t>;
+
+auto shapeOf(const Unit &unit) -> Shape
+{
+    const auto demand = unit.demand();
+    const auto &step = *unit.step;
+    return {unit.tasks(), demand.milliCores, demand.memoryMiB, demand.accelerators, step.sameRack, step.requiredLabel, step.dataRack,
+            step.maxPerWorker};
+}
+
+/// One round of placement over the whole pool.
+class Round
+{
+public:
+    Round(Dispatcher::State &state, TimePoint now)
+        : m_state(state)
+        , m_now(now)
+    {
+        std::map<RackName, std::size_t> racks;
+        for (auto &[name, worker] : state.workers) {
+            if (worker->usable()) {
+                const auto rack = racks.emplace(worker->info.rack, racks.size()).first->second;
+                m_index.emplace(worker.get(), m_workers.size());
+                m_workers.push_back(worker.get());
+                m_racks.push_back(rack);
+            }
+        }
+    }
+
+    /// Returns the workers as candidates for \a unit.
+    auto candidates(const Unit &unit, const ServiceName &service, bool dataRackOnly) const -> std::vector<Candidate>
+    {
+        std::vector<Candidate> out(m_workers.size());
+        const auto sameStep = tasksOfStep(unit);
+        for (std::size_t i = 0; i < out.size(); ++i) {
+            const auto &w = *m_workers[i];
+            const auto &step = *unit.step;
+            const auto &labels = w.info.labels;
+            const bool labelled = step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
+            const bool nearData = !dataRackOnly || step.dataRack.empty() || w.info.rack == step.dataRack;
+            const auto count = sameStep.find(&w);
+            const bool crowded = step.maxPerWorker > 0 && count != sameStep.end() && count->second >= step.maxPerWorker;
+            const bool allowed = w.info.service == service && labelled && nearData && !crowded;
+            out[i] = {m_racks[i], allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil};
+        }
+        return out;
+    }
+
+    /// Returns the units that \a unit may take room from.
+    auto victims(const Unit &unit, bool guaranteed, std::vector<Unit *> &units) const -> std::vector<Victim>
+    {
+        std::vector<Victim> out;
+        std::set<const Unit *> seen;
+        for (const auto *w : m_workers) {
+            for (auto *other : w->units) {
+                const auto loss = lossOf(unit, *other, guaranteed);
+                if (!loss || !seen.insert(other).second) {
+                    continue;
+                }
+                Victim victim{*loss, {}};
+                for (const auto &it : other->members) {
+                    const auto found = m_index.find(it.worker);
+                    if (it.phase != MemberPhase::Gone && found != m_index.end()) {
+                        victim.parts.push_back({found->second, other->demand()});
+                    }
+                }
+                out.push_back(std::move(victim));
+                units.push_back(other);
+            }
+        }
+        return out;
+    }
+
+    [[nodiscard]] auto workersAt(const Seats &seats) const -> std::vector<Worker *>
+    {
+        std::vector<Worker *> out;
+        for (const auto it : seats) {
+            out.push_back(m_workers[it]);
+        }
+        return out;
+    }
+
+private:
+    auto lossOf(const Unit &unit, const Unit &other, bool guaranteed) const -> std::optional<double>
+    {
+        if (other.stage == UnitStage::Done || other.ending) {
+            return 0.0;
+        }
+        const auto priority = m_state.policy(*other.job).priority;
+        const bool reclaimable = guaranteed && !m_guaranteed.contains(other.job) && other.job->spec.organisation != unit.job->spec.organisation;
+        if (other.job == unit.job || other.stage != UnitStage::Active || (priority == 0 && !reclaimable)) {
+            return std::nullopt;
+        }
+        const auto factor = priority == 0 ? urgentLossFactor : priority == 1 ? normalLossFactor : 1.0;
+        return factor * lostWork(other, m_now);
+    }
+
+    auto tasksOfStep(const Unit &unit) const -> std::map<const Worker *, std::uint32_t>
+    {
+        std::map<const Worker *, std::uint32_t> out;
+        if (unit.step->maxPerWorker == 0 || unit.step->gang) {
+            return out;
+        }
+        const UnitId first{unit.id.job, unit.id.occurrence, unit.id.step, 0};
+        for (auto it = unit.job->units.lower_bound(first); it != unit.job->units.end(); ++it) {
+            if (it->first.occurrence != unit.id.occurrence || it->first.step != unit.id.step) {
+                break;
+            }
+            for (const auto &m : it->second->members) {
+                out[m.worker] += m.phase != MemberPhase::Gone ? 1 : 0;
+            }
+        }
+        return out;
+    }
+
+    Dispatcher::State &m_state;
+    TimePoint m_now;
+    std::vector<Worker *> m_workers;
+    std::vector<std::size_t> m_racks;
+    std::map<const Worker *, std::size_t> m_index;
+
+public:
+    std::set<const Job *> m_guaranteed;
+};
+
+/// Returns the urgent jobs that their organisations' guarantees cover: all of an organisation's, when together they need no more.
+auto guaranteedJobs(const Dispatcher::State &state) -> std::set<const Job *>
+{
+    std::map<OrganisationName, std::int64_t> needs;
+    std::vector<const Job *> urgent;
+    for (const auto &[id, job] : state.jobs) {
+        if (job->ended || job->cancelled || state.policy(*job).priority != 0) {
+            continue;
+        }
+        urgent.push_back(job.get());
+        for (const auto &step : job->spec.steps) {
+            needs[job->spec.organisation] += step.each.accelerators * step.count;
+        }
+    }
+    std::set<const Job *> out;
+    for (const auto *job : urgent) {
+        const auto &name = job->spec.organisation;
+        if (state.configuration && needs[name] <= state.configuration->guaranteed(name)) {
+            out.insert(job);
+        }
+    }
+    return out;
+}
+
+auto isHopeless(const Unit &unit, const QueuePolicy &policy, TimePoint now) -> bool
+{
+    Duration chain{};
+    for (const auto &it : unit.job->spec.steps) {
+        chain += it.estimate;
+    }
+    const auto objective = std::chrono::duration_cast<Duration>(chain * policy.stretch) + policy.targetLatency;
+    const auto finish = now + unit.step->estimate;
+    return unit.job->spec.occurrences == 0 && finish > unit.job->acceptedAt + lateFactor * objective;
+}
+
+} // namespace
+
+auto Dispatcher::State::assign(Unit &unit, const std::vector<Worker *> &seats, TimePoint now) -> void
+{
+    unit.stage = UnitStage::Active;
+    unit.record.phase = UnitPhase::Assigned;
+    ++unit.record.run;
+    unit.record.workers.clear();
+    unit.members.assign(seats.size(), Member{});
+    unit.ending = false;
+    unit.failureCounted = false;
+    unit.dirty = true;
+    unit.storing = true;
+    unit.runStartedAt = now;
+    std::string names;
+    for (std::size_t i = 0; i < seats.size(); ++i) {
+        unit.members[i].worker = seats[i];
+        unit.members[i].phase = MemberPhase::Planned;
+        occupy(unit, unit.members[i]);
+        unit.record.workers.push_back(seats[i]->info.name);
+        names += (i > 0 ? "," : "") + seats[i]->info.name.str();
+    }
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - unit.readySince);
+    event("unit-placed", unit.id.job,
+          "step=" + std::to_string(unit.id.step) + " index=" + std::to_string(unit.id.index) + " run=" + std::to_string(unit.record.run)
+              + " waited_ms=" + std::to_string(waited.count()) + " workers=" + names);
+}
+
+auto Dispatcher::State::release(Unit &unit) -> void
+{
+    if (unit.stage != UnitStage::Reserved) {
+        return;
+    }
+    for (auto *it : unit.reserved) {
+        it->pledged -= unit.demand();
+    }
+    unit.reserved.clear();
+    unit.stage = UnitStage::Waiting;
+}
+
+auto Dispatcher::State::placeReserved(TimePoint now) -> void
+{
+    for (auto &[id, job] : jobs) {
+        for (auto &[key, unit] : job->units) {
+            if (unit->stage != UnitStage::Reserved) {
+                continue;
+            }
+            std::map<Worker *, Demand> needs;
+            for (auto *it : unit->reserved) {
+                needs[it] += unit->demand();
+            }
+            const bool usable = std::all_of(needs.begin(), needs.end(), [](const auto &n) { return n.first->usable(); });
+            const bool room = std::all_of(needs.begin(), needs.end(), [](const auto &n) { return n.first->free().covers(n.second); });
+            const auto seats = unit->reserved;
+            if (!usable || room || now > unit->reservedAt + settings.reservationTimeout) {
+                release(*unit);
+            }
+            if (usable && room) {
+                assign(*unit, seats, now);
+            }
+        }
+    }
+}
+
+auto Dispatcher::State::schedule(TimePoint now) -> void
+{
+    struct Waiting
+    {
+        Unit *unit;
+        QueuePolicy policy;
+        QueuePosition position;
+    };
+    Round round(*this, now);
+    round.m_guaranteed = guaranteedJobs(*this);
+    std::vector<Waiting> queue;
+    for (auto &[id, job] : jobs) {
+        if (job->cancelled || job->failed) {
+            continue;
+        }
+        const auto rules = policy(*job);
+        for (auto &[key, unit] : job->units) {
+            if (unit->stage == UnitStage::Waiting) {
+                const bool guaranteed = round.m_guaranteed.contains(job.get());
+                queue.push_back({unit.get(), rules, {guaranteed, isHopeless(*unit, rules, now), rules.priority, unit->readySince}});
+            }
+        }
+    }
+    std::stable_sort(queue.begin(), queue.end(), [](const Waiting &a, const Waiting &b) { return goesBefore(a.position, b.position); });
+
+    std::set<Shape> failed;
+    for (const auto &it : queue) {
+        auto &unit = *it.unit;
+        const bool urgent = it.policy.priority == 0;
+        if (!urgent && failed.contains(shapeOf(unit))) {
+            continue;
+        }
+        PlacementRequest request{unit.tasks(), unit.demand(), unit.step->sameRack, unit.step->maxPerWorker};
+        const bool nearDataOnly = now < unit.readySince + unit.step->estimate;
+        auto pool = round.candidates(unit, it.policy.service, nearDataOnly);
+        if (const auto seats = place(pool, request)) {
+            assign(unit, round.workersAt(*seats), now);
+            continue;
+        }
+        failed.insert(shapeOf(unit));
+        if (!urgent) {
+            continue;
+        }
+        std::vector<Unit *> others;
+        const auto victims = round.victims(unit, it.position.guaranteed, others);
+        const auto gain = unit.cores() * seconds(unit.step->estimate);
+        const auto cap = it.position.guaranteed ? std::numeric_limits<double>::infinity() : gain * settings.preemptionCap;
+        auto plan = planPreemption(pool, victims, request, cap);
+        if (!plan && it.position.guaranteed && request.sameRack) {
+            request.sameRack = false;
+            plan = planPreemption(pool, victims, request, cap);
+        }
+        if (!plan) {
+            continue;
+        }
+        unit.stage = UnitStage::Reserved;
+        unit.reservedAt = now;
+        unit.reserved = round.workersAt(plan->seats);
+        for (auto *w : unit.reserved) {
+            w->pledged += unit.demand();
+        }
+        for (const auto v : plan->victims) {
+            preemptions += others[v]->ending || others[v]->stage == UnitStage::Done ? 0 : 1;
+            beginEnding(*others[v], "preempted-by-" + unit.id.job.str());
+        }
+        preemptedWork += plan->loss;
+        event("room-reserved", unit.id.job,
+              "victims=" + std::to_string(plan->victims.size()) + " lost_core_s=" + std::to_string(static_cast<std::int64_t>(plan->loss))
+                  + " gained_core_s=" + std::to_string(static_cast<std::int64_t>(gain)));
+    }
+}
+
+auto Dispatcher::State::collectRecords(Decisions &out) -> void
+{
+    if (batchInProgress) {
+        return;
+    }
+    closeJobs(out);
+    for (auto &[id, job] : jobs) {
+        for (auto &[key, unit] : job->units) {
+            if (unit->dirty && !job->ended) {
+                out.records.push_back(unitRecord(key, unit->step->gang, unit->record));
+                batchUnits.push_back(unit.get());
+            }
+            unit->dirty = false;
+        }
+    }
+    for (auto &[name, worker] : workers) {
+        worker->batchEnds = worker->seenEnds;
+        if (out.records.empty()) {
+            worker->recordedEnds = worker->batchEnds;
+        }
+    }
+    batchInProgress = !out.records.empty();
+}
+
+auto Dispatcher::State::collectStops(Decisions &out, TimePoint now) -> void
+{
+    for (auto &[name, worker] : workers) {
+        const auto units = worker->units;
+        for (auto *unit : units) {
+            for (std::uint32_t i = 0; i < unit->members.size(); ++i) {
+                auto &it = unit->members[i];
+                const bool sent = it.phase == MemberPhase::Unsure || it.phase == MemberPhase::Running || it.phase == MemberPhase::Restored;
+                const bool due = it.stopSentAt == TimePoint{} || now > it.stopSentAt + settings.stopRetry;
+                if (it.worker != worker.get() || !it.stopping || !sent || !due) {
+                    continue;
+                }
+                it.stopSentAt = now;
+                const auto index = unit->step->gang ? i : unit->id.index;
+                out.stops.push_back({worker->info.name, {unit->id.job, unit->id.occurrence, unit->id.step, index}, unit->record.run});
+            }
+        }
+    }
+    out.stops.insert(out.stops.end(), strayStops.begin(), strayStops.end());
+    strayStops.clear();
+}
+
+auto Dispatcher::State::collectLooks(Decisions &out, TimePoint now) -> void
+{
+    for (auto &[name, worker] : workers) {
+        auto &w = *worker;
+        const bool unrecorded = w.seenEnds > w.recordedEnds;
+        if (w.lookOutstanding || now < w.nextLook) {
+            continue;
+        }
+        w.lookOutstanding = true;
+        const bool known = w.answeredAt && !w.failingSince;
+        const auto wait = w.units.empty() ? settings.idleLook : settings.activeLook;
+        out.looks.push_back({name, w.recordedEnds, known ? settings.lease : Duration::zero(), known && !unrecorded ? wait : Duration::zero()});
+    }
+}
+
+} // namespace Acaciarail::Workflow
--- /dev/null
+++ b/packages/workflow/src/dispatcher_state.h
@@ -0,0 +1,213 @@
+#pragma once
+
+#include <acaciarail/workflow/dispatcher.h>
+#include <acaciarail/workflow/placement.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Acaciarail::Workflow {
+
+enum class MemberPhase : std::uint8_t {
+    /// The assignment is being recorded.
+    Planned,
+    /// The start was ordered and not answered yet.
+    Starting,
+    /// The start got no answer; the run may be there, or come later.
+    Unsure,
+    /// Assigned by an earlier holder; not seen yet.
+    Restored,
+    Running,
+    /// Not running, now or later.
+    Gone,
+};
+
+struct Unit;
+struct Worker;
+
+/// One task of the newest run of a unit.
+struct Member
+{
+    Worker *worker = nullptr;
+    MemberPhase phase = MemberPhase::Gone;
+    std::uint32_t percent = 0;
+    /// First and latest report of progress.
+    std::uint32_t firstPercent = 0;
+    TimePoint firstSeen;
+    TimePoint lastProgress;
+    TimePoint startedAt;
+    /// Progress at the newest checkpoint.
+    std::uint32_t savedPercent = 0;
+    std::string checkpoint;
+    bool stopping = false;
+    TimePoint stopSentAt;
+    /// A look sent at or after this time that does not list the run proves that it is gone.
+    std::optional<TimePoint> provableSince;
+};
+
+enum class UnitStage : std::uint8_t {
+    /// Steps before it have not ended.
+    Blocked,
+    Waiting,
+    /// Room is being made on the reserved seats.
+    Reserved,
+    Active,
+    Done,
+    Failed,
+};
+
+struct Job;
+
+struct Unit
+{
+    UnitId id;
+    Job *job = nullptr;
+    const StepSpec *step = nullptr;
+    UnitStage stage = UnitStage::Blocked;
+    UnitRecord record;
+    std::vector<Member> members;
+    /// Its members are being stopped, or have ended.
+    bool ending = false;
+    bool failureCounted = false;
+    bool dirty = false;
+    bool storing = false;
+    TimePoint readySince;
+    TimePoint runStartedAt;
+    TimePoint reservedAt;
+    std::vector<Worker *> reserved;
+
+    [[nodiscard]] auto tasks() const -> std::uint32_t
+    {
+        return step->gang ? step->count : 1;
+    }
+    [[nodiscard]] auto demand() const -> Demand
+    {
+        auto demand = step->each;
+        if (step->fills) {
+            demand.milliCores = 0;
+        }
+        return demand;
+    }
+    [[nodiscard]] auto cores() const -> double
+    {
+        return weightedCores(step->each) * tasks();
+    }
+    [[nodiscard]] auto allGone() const -> bool;
+};
+
+struct Job
+{
+    JobSpec spec;
+    TimePoint acceptedAt;
+    bool cancelled = false;
+    bool failed = false;
+    std::uint32_t nextOccurrence = 0;
+    std::map<UnitId, std::unique_ptr<Unit>> units;
+    /// Units of a step of an occurrence that are not done, by (occurrence, step).
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> open;
+    bool ended = false;
+};
+
+struct Worker
+{
+    WorkerInfo info;
+    bool listed = false;
+    TimePoint drainEnds;
+    /// Life that the reports came from; 0 before the first.
+    std::int64_t life = 0;
+    Demand used;
+    /// Runs there that no unit accounts for.
+    Demand strays;
+    Demand pledged;
+    std::vector<Unit *> units;
+    bool lookOutstanding = false;
+    TimePoint nextLook;
+    /// Time of sending of the last look that was answered in this term.
+    std::optional<TimePoint> answeredAt;
+    std::optional<TimePoint> failingSince;
+    /// First order in a row that may have extended the lease and had no answer.
+    std::optional<TimePoint> unansweredGrant;
+    std::uint64_t seenEnds = 0;
+    std::uint64_t batchEnds = 0;
+    std::uint64_t recordedEnds = 0;
+    TimePoint avoidUntil;
+
+    [[nodiscard]] auto usable() const -> bool
+    {
+        return listed && !info.draining && answeredAt && !failingSince;
+    }
+    [[nodiscard]] auto free() const -> Demand
+    {
+        return info.capacity - used - strays;
+    }
+};
+
+struct Dispatcher::State
+{
+    State(DispatcherSettings s, std::function<void(const DispatchEvent &)> o, TimePoint now)
+        : settings(s)
+        , observe(std::move(o))
+        , termBegan(now)
+    {
+    }
+
+    // dispatcher.cpp: jobs and units
+    auto createOccurrence(Job &job, std::uint32_t occurrence, TimePoint now) -> void;
+    auto unblock(Job &job, std::uint32_t occurrence, TimePoint now) -> void;
+    auto policy(const Job &job) const -> QueuePolicy;
+    auto findUnit(const TaskId &task) -> Unit *;
+    auto setDone(Unit &unit, TimePoint now) -> void;
+    auto beginEnding(Unit &unit, std::string_view reason) -> void;
+    auto settle(Unit &unit, TimePoint now) -> void;
+    auto closeJob(Job &job, Decisions &out) -> void;
+    auto closeJobs(Decisions &out) -> void;
+    auto startDueOccurrences(TimePoint now, std::chrono::milliseconds unixNow) -> void;
+    auto event(std::string_view name, const JobId &job, std::string details) const -> void;
+
+    // dispatcher_workers.cpp: what workers say
+    auto worker(const WorkerName &name) -> Worker &;
+    auto occupy(Unit &unit, Member &member) -> void;
+    auto leave(Unit &unit, Member &member) -> void;
+    auto reborn(Worker &worker, std::int64_t life, TimePoint now) -> void;
+    auto processRunning(Worker &worker, const WorkerReport &report, TimePoint now) -> void;
+    auto processEnd(Worker &worker, const EndedTask &end, TimePoint now) -> void;
+    auto processMissing(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> void;
+    auto memberOn(Unit &unit, const Worker &worker, const TaskId &task) -> Member *;
+    auto goneAt(const Worker &worker) const -> TimePoint;
+    auto expireWorkers(TimePoint now) -> void;
+    auto watchProgress(TimePoint now) -> void;
+    auto evacuate(TimePoint now) -> void;
+
+    // dispatcher_schedule.cpp: placement and orders
+    auto schedule(TimePoint now) -> void;
+    auto placeReserved(TimePoint now) -> void;
+    auto assign(Unit &unit, const std::vector<Worker *> &seats, TimePoint now) -> void;
+    auto release(Unit &unit) -> void;
+    auto collectRecords(Decisions &out) -> void;
+    auto collectStops(Decisions &out, TimePoint now) -> void;
+    auto collectLooks(Decisions &out, TimePoint now) -> void;
+
+    DispatcherSettings settings;
+    std::function<void(const DispatchEvent &)> observe;
+    TimePoint termBegan;
+    std::shared_ptr<const Configuration> configuration;
+    std::map<JobId, std::unique_ptr<Job>> jobs;
+    std::set<JobId> endedJobs;
+    std::map<WorkerName, std::unique_ptr<Worker>> workers;
+    std::vector<StartOrder> pendingStarts;
+    std::vector<StopOrder> strayStops;
+    std::vector<Unit *> batchUnits;
+    bool batchInProgress = false;
+    std::uint64_t preemptions = 0;
+    double preemptedWork = 0;
+};
+
+/// Returns the time that a member still needs, from its own progress where that is known. \pre none. Thread-safe.
+[[nodiscard]] auto remainingTime(const Unit &unit, const Member &member, TimePoint now) -> Duration;
+
+} // namespace Acaciarail::Workflow
--- /dev/null
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -0,0 +1,405 @@
+#include "dispatcher_state.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Acaciarail::Workflow {
+
+namespace {
+
+constexpr std::uint32_t fullPercent = 100;
+/// Progress is extrapolated only from reports at least this far apart; shorter spans are dominated by rounding to whole percents.
+constexpr Duration minProgressSpan = 800ms;
+/// Added to the end of a lease for the worker's timer and the way there.
+constexpr Duration leaseSlack = 300ms;
+/// A worker that said it would leave, is no longer listed and does not answer for this long has left.
+constexpr Duration leftAfter = 1s;
+/// A member that the other members' end covers is stopped when the worker does not list its end by then.
+constexpr Duration gangEndWait = 1500ms;
+/// Work that would end this close to a draining worker's departure is moved.
+constexpr Duration drainMargin = 300ms;
+
+auto workerDetail(const Worker &worker) -> std::string
+{
+    return "worker=" + worker.info.name.str();
+}
+
+} // namespace
+
+auto endKindName(EndKind kind) noexcept -> const char *
+{
+    constexpr std::array<const char *, 6> names{"done", "failed", "stopped", "lapsed", "broken", "alone"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+auto startOutcomeName(StartOutcome outcome) noexcept -> const char *
+{
+    constexpr std::array<const char *, 9> names{"started", "fenced",   "superseded", "late",   "no-room",
+                                                "invalid", "declined", "other-life", "unknown"};
+    return names.at(static_cast<std::size_t>(outcome));
+}
+
+auto remainingTime(const Unit &unit, const Member &member, TimePoint now) -> Duration
+{
+    const auto span = member.lastProgress - member.firstSeen;
+    if (member.percent > member.firstPercent && span >= minProgressSpan) {
+        const auto left = span * (fullPercent - member.percent) / (member.percent - member.firstPercent);
+        return std::max(left - (now - member.lastProgress), Duration::zero());
+    }
+    return unit.step->estimate * (fullPercent - member.percent) / fullPercent;
+}
+
+auto Dispatcher::State::worker(const WorkerName &name) -> Worker &
+{
+    auto &slot = workers[name];
+    if (!slot) {
+        slot = std::make_unique<Worker>();
+        slot->info.name = name;
+    }
+    return *slot;
+}
+
+auto Dispatcher::State::occupy(Unit &unit, Member &member) -> void
+{
+    member.worker->used += unit.demand();
+    member.worker->units.push_back(&unit);
+}
+
+auto Dispatcher::State::leave(Unit &unit, Member &member) -> void
+{
+    if (member.phase == MemberPhase::Gone) {
+        return;
+    }
+    member.phase = MemberPhase::Gone;
+    member.stopping = false;
+    member.worker->used -= unit.demand();
+    auto &list = member.worker->units;
+    list.erase(std::find(list.begin(), list.end(), &unit));
+}
+
+auto Dispatcher::State::memberOn(Unit &unit, const Worker &worker, const TaskId &task) -> Member *
+{
+    const std::size_t i = unit.step->gang ? task.index : 0;
+    return i < unit.members.size() && unit.members[i].worker == &worker ? &unit.members[i] : nullptr;
+}
+
+auto Dispatcher::workerListed(const WorkerInfo &info, TimePoint now) -> void
+{
+    auto &worker = m_state->worker(info.name);
+    if (!worker.listed || worker.info.draining != info.draining) {
+        m_state->event("worker-listed", {}, workerDetail(worker) + " state=" + (info.draining ? "draining" : "ready"));
+    }
+    if (info.draining && !worker.info.draining) {
+        worker.drainEnds = now + info.remaining;
+    }
+    if (!worker.listed) {
+        worker.nextLook = now;
+    }
+    worker.info = info;
+    worker.listed = true;
+    if (worker.life != 0 && info.life > worker.life) {
+        m_state->reborn(worker, info.life, now);
+    }
+}
+
+auto Dispatcher::workerUnlisted(const WorkerName &name, TimePoint) -> void
+{
+    const auto it = m_state->workers.find(name);
+    if (it != m_state->workers.end()) {
+        it->second->listed = false;
+        m_state->event("worker-unlisted", {}, workerDetail(*it->second));
+    }
+}
+
+auto Dispatcher::State::reborn(Worker &worker, std::int64_t life, TimePoint now) -> void
+{
+    event("worker-reborn", {}, workerDetail(worker) + " life=" + std::to_string(life));
+    worker.life = life;
+    worker.seenEnds = worker.batchEnds = worker.recordedEnds = 0;
+    worker.strays = {};
+    const auto units = worker.units;
+    for (auto *unit : units) {
+        for (auto &member : unit->members) {
+            // An order that is still on its way reaches the new life.
+            const bool reachesNewLife = member.phase == MemberPhase::Starting || member.phase == MemberPhase::Unsure;
+            if (member.worker == &worker && !reachesNewLife && member.phase != MemberPhase::Planned) {
+                leave(*unit, member);
+            }
+        }
+        beginEnding(*unit, "worker-restarted");
+        settle(*unit, now);
+    }
+}
+
+auto Dispatcher::lookAnswered(const WorkerName &name, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now) -> void
+{
+    auto &s = *m_state;
+    auto &worker = s.worker(name);
+    worker.lookOutstanding = false;
+    if (!report) {
+        if (!worker.failingSince) {
+            worker.failingSince = sentAt;
+            worker.unansweredGrant = worker.unansweredGrant.value_or(sentAt);
+            s.event("worker-unreachable", {}, workerDetail(worker));
+        }
+        worker.nextLook = now + s.settings.lookRetry;
+        return;
+    }
+    if (worker.failingSince) {
+        s.event("worker-reachable", {}, workerDetail(worker));
+        worker.failingSince.reset();
+    }
+    worker.unansweredGrant.reset();
+    worker.answeredAt = std::max(sentAt, worker.answeredAt.value_or(sentAt));
+    if (worker.life == 0) {
+        worker.life = report->life;
+    } else if (report->life > worker.life) {
+        s.reborn(worker, report->life, now);
+    } else if (report->life < worker.life) {
+        worker.nextLook = now;
+        return;
+    }
+    s.processRunning(worker, *report, now);
+    for (const auto &it : report->ended) {
+        s.processEnd(worker, it, now);
+    }
+    s.processMissing(worker, *report, sentAt, now);
+    worker.nextLook = worker.seenEnds > worker.recordedEnds ? now + s.settings.stopRetry : now;
+}
+
+auto Dispatcher::State::processRunning(Worker &worker, const WorkerReport &report, TimePoint now) -> void
+{
+    worker.strays = {};
+    for (const auto &it : report.running) {
+        auto *unit = findUnit(it.task);
+        auto *member = unit != nullptr && unit->record.run == it.run ? memberOn(*unit, worker, it.task) : nullptr;
+        if (member == nullptr || member->phase == MemberPhase::Gone) {
+            if (unit != nullptr) {
+                worker.strays += unit->demand();
+            }
+            strayStops.push_back({worker.info.name, it.task, it.run});
+            continue;
+        }
+        if (member->phase != MemberPhase::Running) {
+            member->phase = MemberPhase::Running;
+            member->firstSeen = now;
+            member->firstPercent = it.percent;
+            member->lastProgress = now;
+            member->provableSince.reset();
+        } else if (it.percent > member->percent) {
+            member->lastProgress = now;
+        }
+        member->percent = it.percent;
+        if (!it.checkpoint.empty() && it.checkpoint != member->checkpoint) {
+            member->checkpoint = it.checkpoint;
+            member->savedPercent = it.percent;
+        }
+    }
+}
+
+auto Dispatcher::State::processEnd(Worker &worker, const EndedTask &end, TimePoint now) -> void
+{
+    if (end.number <= worker.seenEnds) {
+        return;
+    }
+    worker.seenEnds = end.number;
+    auto *unit = findUnit(end.task);
+    if (unit == nullptr || unit->record.run != end.run) {
+        return;
+    }
+    auto *member = memberOn(*unit, worker, end.task);
+    if (member == nullptr) {
+        return;
+    }
+    event("run-ended", end.task.job,
+          workerDetail(worker) + " step=" + std::to_string(end.task.step) + " index=" + std::to_string(end.task.index)
+              + " run=" + std::to_string(end.run) + " how=" + endKindName(end.kind));
+    leave(*unit, *member);
+    if (!end.checkpoint.empty()) {
+        unit->record.checkpoint = end.checkpoint;
+        unit->dirty = unit->stage == UnitStage::Active;
+    }
+    if (end.kind == EndKind::Done) {
+        setDone(*unit, now);
+        for (auto &it : unit->members) {
+            it.provableSince = now;
+        }
+        return;
+    }
+    if (end.kind == EndKind::Failed && unit->stage == UnitStage::Active) {
+        worker.avoidUntil = now + settings.avoidTime;
+        if (!unit->failureCounted) {
+            unit->failureCounted = true;
+            ++unit->record.failures;
+            unit->dirty = true;
+        }
+    }
+    beginEnding(*unit, endKindName(end.kind));
+    settle(*unit, now);
+}
+
+auto Dispatcher::State::processMissing(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> void
+{
+    const auto units = worker.units;
+    for (auto *unit : units) {
+        for (std::uint32_t i = 0; i < unit->members.size(); ++i) {
+            auto &member = unit->members[i];
+            const bool sent = member.phase != MemberPhase::Planned && member.phase != MemberPhase::Gone && member.phase != MemberPhase::Starting;
+            if (member.worker != &worker || !sent) {
+                continue;
+            }
+            const TaskId task{unit->id.job, unit->id.occurrence, unit->id.step, unit->step->gang ? i : unit->id.index};
+            const bool listed = std::any_of(report.running.begin(), report.running.end(),
+                                            [&](const RunningTask &r) { return r.task == task && r.run == unit->record.run; });
+            if (listed) {
+                continue;
+            }
+            if (member.provableSince && sentAt >= *member.provableSince) {
+                leave(*unit, member);
+                beginEnding(*unit, "not-running");
+            } else if (!member.provableSince && sentAt > member.startedAt) {
+                // A stop makes sure that it does not start later.
+                member.stopping = true;
+                beginEnding(*unit, "not-running");
+            }
+        }
+        settle(*unit, now);
+    }
+}
+
+auto Dispatcher::startAnswered(const StartOrder &order, StartOutcome outcome, TimePoint now) -> void
+{
+    auto &s = *m_state;
+    auto &worker = s.worker(order.worker);
+    auto *unit = s.findUnit(order.task);
+    auto *member = unit != nullptr && unit->record.run == order.run ? s.memberOn(*unit, worker, order.task) : nullptr;
+    if (outcome != StartOutcome::Started) {
+        s.event("start-refused", order.task.job,
+                workerDetail(worker) + " step=" + std::to_string(order.task.step) + " index=" + std::to_string(order.task.index)
+                    + " run=" + std::to_string(order.run) + " outcome=" + startOutcomeName(outcome));
+    }
+    if (outcome == StartOutcome::Unknown) {
+        worker.unansweredGrant = worker.unansweredGrant.value_or(now);
+    }
+    if (member == nullptr || member->phase != MemberPhase::Starting) {
+        return;
+    }
+    if (outcome == StartOutcome::Started) {
+        member->phase = MemberPhase::Running;
+        member->startedAt = now;
+        member->firstSeen = now;
+        member->lastProgress = now;
+        return;
+    }
+    if (outcome == StartOutcome::Unknown) {
+        member->phase = MemberPhase::Unsure;
+        member->startedAt = now;
+        member->stopping = true;
+        s.beginEnding(*unit, "start-unanswered");
+        return;
+    }
+    const bool blamed = outcome == StartOutcome::NoRoom || outcome == StartOutcome::Declined || outcome == StartOutcome::Invalid;
+    if (blamed) {
+        worker.avoidUntil = std::max(worker.avoidUntil, now + s.settings.activeLook);
+    }
+    s.leave(*unit, *member);
+    s.beginEnding(*unit, startOutcomeName(outcome));
+    s.settle(*unit, now);
+}
+
+auto Dispatcher::stopAnswered(const StopOrder &order, bool answered, TimePoint now) -> void
+{
+    auto &s = *m_state;
+    auto *unit = s.findUnit(order.task);
+    if (!answered || unit == nullptr || unit->record.run != order.run) {
+        return;
+    }
+    auto *member = s.memberOn(*unit, s.worker(order.worker), order.task);
+    if (member != nullptr && !member->provableSince && member->phase != MemberPhase::Gone) {
+        // The worker refuses this run from now on, and ends it within its stop time if it is there.
+        member->provableSince = now;
+    }
+}
+
+auto Dispatcher::State::goneAt(const Worker &worker) const -> TimePoint
+{
+    const auto lease = std::chrono::duration_cast<Duration>(settings.lease * (1.0 + settings.workerClockDrift)) + leaseSlack;
+    if (!worker.answeredAt) {
+        return termBegan + settings.renewalOverrun + settings.lateOrder + lease;
+    }
+    return (worker.unansweredGrant ? *worker.unansweredGrant + settings.lateOrder : *worker.answeredAt) + lease;
+}
+
+auto Dispatcher::State::expireWorkers(TimePoint now) -> void
+{
+    for (auto it = workers.begin(); it != workers.end();) {
+        auto &w = *it->second;
+        const bool silent = w.failingSince || (!w.answeredAt && !w.listed);
+        const bool left = w.info.draining && !w.listed && w.failingSince && now > *w.failingSince + leftAfter;
+        if (silent && !w.units.empty() && (left || now > goneAt(w))) {
+            event("worker-lost", {}, workerDetail(w) + " units=" + std::to_string(w.units.size()));
+            const auto units = w.units;
+            for (auto *unit : units) {
+                for (auto &member : unit->members) {
+                    if (member.worker == &w && member.phase != MemberPhase::Planned) {
+                        leave(*unit, member);
+                    }
+                }
+                beginEnding(*unit, "worker-lost");
+                settle(*unit, now);
+            }
+        }
+        const bool forget = !w.listed && w.units.empty() && !w.lookOutstanding && w.pledged == Demand{};
+        it = forget ? workers.erase(it) : std::next(it);
+    }
+}
+
+auto Dispatcher::State::watchProgress(TimePoint now) -> void
+{
+    for (auto &[name, worker] : workers) {
+        if (!worker->usable() && !worker->info.draining) {
+            continue;
+        }
+        const auto units = worker->units;
+        for (auto *unit : units) {
+            if (unit->stage == UnitStage::Done) {
+                for (auto &it : unit->members) {
+                    it.stopping = it.stopping || (it.phase != MemberPhase::Gone && it.provableSince && now > *it.provableSince + gangEndWait);
+                }
+                continue;
+            }
+            if (unit->stage != UnitStage::Active || unit->ending || unit->step->longRunning) {
+                continue;
+            }
+            const auto limit = std::max(settings.stallTimeout, unit->step->estimate / 4);
+            for (auto &it : unit->members) {
+                const bool stalled = it.phase == MemberPhase::Running && now > it.lastProgress + limit && !it.worker->failingSince;
+                if (it.worker == worker.get() && stalled) {
+                    worker->avoidUntil = now + settings.avoidTime;
+                    beginEnding(*unit, "no-progress");
+                    break;
+                }
+            }
+        }
+    }
+}
+
+auto Dispatcher::State::evacuate(TimePoint now) -> void
+{
+    for (auto &[name, worker] : workers) {
+        if (!worker->info.draining) {
+            continue;
+        }
+        const auto units = worker->units;
+        for (auto *unit : units) {
+            for (const auto &it : unit->members) {
+                const bool here = it.worker == worker.get() && it.phase == MemberPhase::Running && !unit->ending;
+                if (here && now + remainingTime(*unit, it, now) + drainMargin > worker->drainEnds) {
+                    beginEnding(*unit, "worker-draining");
+                }
+            }
+        }
+    }
+}
+
+} // namespace Acaciarail::Workflow
--- /dev/null
+++ b/packages/workflow/src/engine.cpp
@@ -0,0 +1,404 @@
+#include "holder.h"
+
+#include <acaciarail/core/logging.h>
+#include <acaciarail/workflow/engine.h>
+#include <acaciarail/workflow/topic_follower.h>
+
+#include <utility>
+
+namespace Acaciarail::Workflow {
+
+namespace {
+
+/// Orders that are under way may still be answered before a holder that leaves gives its role up.
+constexpr Duration leavePause = 100ms;
+/// Pace at which an instance considers to become the holder.
+constexpr Duration claimTick = 100ms;
+
+} // namespace
+
+struct Engine::State : std::enable_shared_from_this<State>
+{
+    State(EngineSettings s, EngineHooks h)
+        : settings(std::move(s))
+        , hooks(std::move(h))
+        , lease(settings.lease, settings.instance, settings.incarnation)
+    {
+    }
+
+    auto now() const -> TimePoint
+    {
+        return hooks.clock.now();
+    }
+
+    auto begin() -> void
+    {
+        const auto contact = [this](bool ok, TimePoint) { storeContact(ok); };
+        intake = std::make_unique<TopicFollower>(
+            TopicFollowerSettings{std::string(intakeTopic), Duration::zero(), settings.intakePace, 200ms, false}, hooks.store, hooks.clock,
+            TopicFollowerHooks{[this](const KeyedRecord &r) { intakeRead(r); }, contact, {}});
+        state = std::make_unique<TopicFollower>(
+            TopicFollowerSettings{std::string(stateTopic), Duration::zero(), settings.statePace, 200ms, false}, hooks.store, hooks.clock,
+            TopicFollowerHooks{[this](const KeyedRecord &r) { stateRead(r); },
+                               [this](bool ok, TimePoint) {
+                                   lease.contact(ok, now());
+                                   storeContact(ok);
+                               },
+                               [this] { stateLoaded = true; }});
+        intake->start();
+        state->start();
+        tick();
+    }
+
+    auto tick() -> void
+    {
+        considerClaim();
+        hooks.clock.schedule(claimTick, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->tick();
+            }
+        });
+    }
+
+    auto storeContact(bool ok) -> void
+    {
+        if (ok) {
+            lastContact = now();
+        }
+        if (ok != storeHealthy) {
+            logEvent(ok ? LogLevel::Info : LogLevel::Warning, ok ? "store-regained" : "store-lost", {{"holder", holder != nullptr ? 1 : 0}});
+        }
+        storeHealthy = ok;
+    }
+
+    auto intakeRead(const KeyedRecord &record) -> void
+    {
+        if (record.value.empty()) {
+            return;
+        }
+        IntakeEntry entry;
+        if (const auto ec = decodeIntake(record, entry)) {
+            logEvent(LogLevel::Warning, "record-skipped", {{"topic", intakeTopic}, {"key", record.key}, {"error", ec.message()}});
+            return;
+        }
+        directory.apply(entry);
+        if (holder) {
+            holder->apply(entry);
+        }
+    }
+
+    auto stateRead(const KeyedRecord &record) -> void
+    {
+        StateEntry entry;
+        if (const auto ec = decodeState(record, entry)) {
+            logEvent(LogLevel::Warning, "record-skipped", {{"topic", stateTopic}, {"key", record.key}, {"error", ec.message()}});
+            return;
+        }
+        const auto *claim = std::get_if<HolderRecord>(&entry);
+        if (claim == nullptr) {
+            lease.activity(now());
+            directory.apply(entry);
+            return;
+        }
+        const bool held = lease.holds();
+        const bool newTerm = claim->term > lease.term();
+        const bool own = lease.observed(*claim, now());
+        if (held && !lease.holds()) {
+            stepDown("log");
+        }
+        if (newTerm) {
+            logEvent(LogLevel::Info, "holder-changed", {{"term", claim->term}, {"instance", claim->instance.str()}});
+        }
+        // A claim whose answer was lost may have been stored all the same.
+        if (own && newTerm && !holder && !leaving) {
+            becomeHolder(claim->term);
+        }
+    }
+
+    auto considerClaim() -> void
+    {
+        if (!stateLoaded || claiming || holder || leaving || !configuration || !state->atEnd()) {
+            return;
+        }
+        const auto claim = lease.claim(now());
+        if (!claim) {
+            return;
+        }
+        claiming = true;
+        AppendRequest request{std::string(stateTopic), {holderRecord(*claim)}, state->position(), std::nullopt, 0, settings.appendTimeout};
+        hooks.store.append(std::move(request), [weak = weak_from_this(), term = claim->term](const AppendResult &result) {
+            if (const auto self = weak.lock()) {
+                self->claiming = false;
+                logEvent(LogLevel::Info, "holder-claim", {{"term", term}, {"status", appendStatusName(result.status)}});
+                if (result.status == AppendStatus::Stored && !self->holder && self->lease.term() <= term && !self->leaving) {
+                    self->becomeHolder(term);
+                }
+            }
+        });
+    }
+
+    auto becomeHolder(std::uint64_t term) -> void
+    {
+        lease.won(term);
+        logEvent(LogLevel::Info, "holder-began", {{"term", term}});
+        holder = std::make_shared<Holder>(settings, hooks, lease,
+                                          Holder::Hooks{[this](const std::vector<KeyedRecord> &records) {
+                                                            for (const auto &it : records) {
+                                                                ownRecord(it);
+                                                            }
+                                                        },
+                                                        [this](std::string_view source) { stepDown(source); }});
+        intake->setPace(settings.intakeWait, Duration::zero());
+        // The holder's own records are applied as they are stored; reading them back serves to notice a successor.
+        state->setPace(Duration::zero(), settings.statePace);
+        holder->begin(configuration);
+        intake->refresh([](bool) {});
+    }
+
+    auto ownRecord(const KeyedRecord &record) -> void
+    {
+        StateEntry entry;
+        if (!decodeState(record, entry) && !std::holds_alternative<HolderRecord>(entry)) {
+            directory.apply(entry);
+        }
+    }
+
+    auto stepDown(std::string_view source) -> void
+    {
+        if (!holder) {
+            return;
+        }
+        logEvent(LogLevel::Warning, "holder-ended", {{"term", lease.term()}, {"fenced_by", source}});
+        lease.lost(now());
+        // The holder is still on the call stack.
+        hooks.clock.schedule(Duration::zero(), [kept = std::exchange(holder, nullptr)] {});
+        hooks.workers.watch(false);
+        intake->setPace(Duration::zero(), settings.intakePace);
+    }
+
+    EngineSettings settings;
+    EngineHooks hooks;
+    LogLease lease;
+    JobDirectory directory;
+    std::unique_ptr<TopicFollower> intake;
+    std::unique_ptr<TopicFollower> state;
+    std::shared_ptr<const Configuration> configuration;
+    TimePoint configurationAt;
+    std::shared_ptr<Holder> holder;
+    bool stateLoaded = false;
+    bool claiming = false;
+    bool leaving = false;
+    bool storeHealthy = false;
+    TimePoint lastContact;
+    std::map<JobId, std::vector<std::function<void(SubmitOutcome)>>> submitting;
+};
+
+namespace {
+
+auto outcomeOf(AppendStatus status) -> SubmitOutcome
+{
+    switch (status) {
+    case AppendStatus::Stored:
+        return SubmitOutcome::Accepted;
+    case AppendStatus::Refused:
+        return SubmitOutcome::Refused;
+    default:
+        return SubmitOutcome::Unknown;
+    }
+}
+
+} // namespace
+
+Engine::Engine(EngineSettings settings, EngineHooks hooks)
+    : m_state(std::make_shared<State>(std::move(settings), std::move(hooks)))
+{
+}
+
+Engine::~Engine() = default;
+
+auto Engine::start() -> void
+{
+    m_state->begin();
+}
+
+auto Engine::setConfiguration(Configuration configuration) -> void
+{
+    auto &s = *m_state;
+    if (s.configuration && configuration.version <= s.configuration->version) {
+        return;
+    }
+    logEvent(LogLevel::Info, "configuration-in-force",
+             {{"version", configuration.version}, {"queues", configuration.queues.size()}, {"keys", configuration.keys.size()}});
+    s.configuration = std::make_shared<const Configuration>(std::move(configuration));
+    if (s.holder) {
+        s.holder->setConfiguration(s.configuration);
+    }
+}
+
+auto Engine::configurationConfirmed(TimePoint at) -> void
+{
+    m_state->configurationAt = std::max(m_state->configurationAt, at);
+}
+
+auto Engine::storeContact(bool ok) -> void
+{
+    m_state->storeContact(ok);
+}
+
+auto Engine::admit(std::string_view host, std::string_view path, std::string_view key) const -> AdmissionResult
+{
+    const auto &s = *m_state;
+    if (!s.configuration || s.now() > s.configurationAt + s.settings.keyTrust) {
+        return {Admission::Unready, nullptr, {}};
+    }
+    const auto *queue = s.configuration->findQueue(host, path);
+    if (queue == nullptr) {
+        return {Admission::UnknownQueue, nullptr, {}};
+    }
+    const auto found = s.configuration->keys.find(key);
+    if (found == s.configuration->keys.end() && !queue->isPublic) {
+        return {Admission::UnknownKey, nullptr, {}};
+    }
+    return {Admission::Admitted, queue, found == s.configuration->keys.end() ? OrganisationName() : found->second};
+}
+
+auto Engine::submit(const JobSpec &spec, std::function<void(SubmitOutcome)> done) -> void
+{
+    auto &s = *m_state;
+    if (s.directory.phase(spec.id)) {
+        done(SubmitOutcome::Accepted);
+        return;
+    }
+    if (!s.storeHealthy) {
+        done(SubmitOutcome::Refused);
+        return;
+    }
+    auto &waiting = s.submitting[spec.id];
+    waiting.push_back(std::move(done));
+    if (waiting.size() > 1) {
+        return;
+    }
+    AppendRequest request{std::string(intakeTopic), {acceptRecord(spec)}, std::nullopt, std::nullopt, 0, s.settings.submitTimeout};
+    s.hooks.store.append(std::move(request), [weak = std::weak_ptr(m_state), spec](const AppendResult &result) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        if (result.status == AppendStatus::Stored) {
+            self->directory.apply(IntakeEntry{spec.id, spec});
+        }
+        const auto outcome = outcomeOf(result.status);
+        const auto served = std::exchange(self->submitting[spec.id], {});
+        self->submitting.erase(spec.id);
+        for (const auto &it : served) {
+            it(outcome);
+        }
+    });
+}
+
+auto Engine::cancel(const JobId &job, std::function<void(SubmitOutcome)> done) -> void
+{
+    lookup(job, [weak = std::weak_ptr(m_state), job, done = std::move(done)](const LookupResult &found) {
+        const auto self = weak.lock();
+        if (!self || !found.phase) {
+            done(found.certain ? SubmitOutcome::NoSuchJob : SubmitOutcome::Refused);
+            return;
+        }
+        if (isFinal(*found.phase)) {
+            done(SubmitOutcome::Accepted);
+            return;
+        }
+        AppendRequest request{std::string(intakeTopic), {cancelRecord(job)}, std::nullopt, std::nullopt, 0, self->settings.submitTimeout};
+        self->hooks.store.append(std::move(request), [weak, job, done](const AppendResult &result) {
+            const auto s = weak.lock();
+            if (s && result.status == AppendStatus::Stored) {
+                s->directory.apply(IntakeEntry{job, std::nullopt});
+            }
+            done(outcomeOf(result.status));
+        });
+    });
+}
+
+auto Engine::lookup(const JobId &job, std::function<void(const LookupResult &)> done) -> void
+{
+    auto &s = *m_state;
+    const auto known = s.directory.phase(job);
+    const bool current = known && (isFinal(*known) || s.lease.valid(s.now()));
+    if (current || !s.storeHealthy) {
+        done({known, current});
+        return;
+    }
+    s.state->refresh([weak = std::weak_ptr(m_state), job, done = std::move(done)](bool stateRead) {
+        const auto self = weak.lock();
+        const auto phase = self ? self->directory.phase(job) : std::nullopt;
+        if (!self || phase) {
+            done({phase, stateRead});
+            return;
+        }
+        self->intake->refresh([weak, job, stateRead, done](bool intakeRead) {
+            const auto s2 = weak.lock();
+            done({s2 ? s2->directory.phase(job) : std::nullopt, stateRead && intakeRead});
+        });
+    });
+}
+
+auto Engine::waiting(const QueueName &queue) const -> std::size_t
+{
+    return m_state->directory.waiting(queue);
+}
+
+auto Engine::workerListed(const WorkerInfo &worker) -> void
+{
+    if (m_state->holder) {
+        m_state->holder->workerListed(worker);
+    }
+}
+
+auto Engine::workerUnlisted(const WorkerName &worker) -> void
+{
+    if (m_state->holder) {
+        m_state->holder->workerUnlisted(worker);
+    }
+}
+
+auto Engine::ready() const -> bool
+{
+    const auto &s = *m_state;
+    return s.configuration && s.now() < s.lastContact + s.settings.readyTrust && s.now() < s.configurationAt + s.settings.keyTrust;
+}
+
+auto Engine::holds() const -> bool
+{
+    return m_state->holder != nullptr;
+}
+
+auto Engine::leave(std::function<void()> done) -> void
+{
+    auto &s = *m_state;
+    s.leaving = true;
+    if (!s.holder) {
+        done();
+        return;
+    }
+    s.holder->pause();
+    s.hooks.clock.schedule(leavePause, [weak = std::weak_ptr(m_state), done = std::move(done)] {
+        const auto self = weak.lock();
+        if (!self || !self->holder) {
+            done();
+            return;
+        }
+        self->holder->release([weak, done] {
+            if (const auto s2 = weak.lock()) {
+                s2->stepDown("released");
+            }
+            done();
+        });
+    });
+}
+
+auto Engine::stats() const -> DispatcherStats
+{
+    return m_state->holder ? m_state->holder->stats() : DispatcherStats{};
+}
+
+} // namespace Acaciarail::Workflow
--- /dev/null
+++ b/packages/workflow/src/holder.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <acaciarail/workflow/dispatcher.h>
+#include <acaciarail/workflow/engine.h>
+#include <acaciarail/workflow/job_directory.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace Acaciarail::Workflow {
+
+/// One term of a holder: takes the role over, runs the dispatcher, appends its records and passes its orders on. Not thread-safe.
+class Holder : public std::enable_shared_from_this<Holder>
+{
+public:
+    struct Hooks
+    {
+        /// Records were stored; applied by the instance's own directory.
+        std::function<void(const std::vector<KeyedRecord> &)> stored;
+        /// A higher term was seen.
+        std::function<void(std::string_view source)> fenced;
+    };
+
+    /// \pre the references stay valid.
+    Holder(const EngineSettings &settings, const EngineHooks &hooks, LogLease &lease, Hooks own);
+
+    /// Fences the holder before and reads what it left. \pre the claim of the term is stored.
+    auto begin(std::shared_ptr<const Configuration> configuration) -> void;
+    auto setConfiguration(std::shared_ptr<const Configuration> configuration) -> void;
+    auto apply(const IntakeEntry &entry) -> void;
+    auto workerListed(const WorkerInfo &worker) -> void;
+    auto workerUnlisted(const WorkerName &worker) -> void;
+    /// Orders nothing new from now on.
+    auto pause() -> void;
+    /// Appends the record that gives the role up.
+    auto release(std::function<void()> done) -> void;
+    [[nodiscard]] auto stats() const -> DispatcherStats;
+
+private:
+    using Done = std::function<void()>;
+
+    template<typename F>
+    auto guarded(F call);
+    auto fence() -> void;
+    auto loadState(const std::string &after) -> void;
+    auto loadIntake(const std::string &after) -> void;
+    auto loaded() -> void;
+    auto wake(Duration delay) -> void;
+    auto step() -> void;
+    auto append(std::vector<KeyedRecord> records, Done done) -> void;
+    auto appended(const AppendResult &result, const std::vector<KeyedRecord> &records, TimePoint sentAt, const Done &done) -> void;
+    auto order(Decisions &decisions) -> void;
+
+    const EngineSettings &m_settings;
+    const EngineHooks &m_hooks;
+    LogLease &m_lease;
+    Hooks m_own;
+    std::uint64_t m_term = 0;
+    TimePoint m_began;
+    std::unique_ptr<Dispatcher> m_dispatcher;
+    bool m_running = false;
+    bool m_paused = false;
+    bool m_appending = false;
+    bool m_wakePending = false;
+    std::uint64_t m_sequence = 0;
+    std::vector<std::pair<UnitId, UnitRecord>> m_loadedUnits;
+    std::set<JobId> m_loadedOutcomes;
+    std::vector<IntakeEntry> m_loadedIntake;
+    Done m_released;
+};
+
+} // namespace Acaciarail::Workflow
--- /dev/null
+++ b/packages/workflow/src/job_directory.cpp
@@ -0,0 +1,82 @@
+#include <acaciarail/workflow/job_directory.h>
+
+namespace Acaciarail::Workflow {
+
+template<typename F>
+auto JobDirectory::change(const JobId &job, F update) -> void
+{
+    auto &entry = m_jobs[job];
+    const bool before = entry.isWaiting();
+    const auto queue = entry.queue;
+    update(entry);
+    if (before) {
+        --m_waiting[queue];
+    }
+    if (entry.isWaiting()) {
+        ++m_waiting[entry.queue];
+    }
+}
+
+auto JobDirectory::apply(const IntakeEntry &entry) -> void
+{
+    change(entry.job, [&](Entry &e) {
+        if (entry.spec) {
+            e.accepted = true;
+            e.queue = entry.spec->queue;
+        } else {
+            e.cancelled = true;
+        }
+    });
+}
+
+auto JobDirectory::apply(const StateEntry &entry) -> void
+{
+    if (const auto *unit = std::get_if<UnitEntry>(&entry)) {
+        if (unit->state && unit->state->run > 0) {
+            change(unit->unit.job, [](Entry &e) { e.begun = true; });
+        }
+    } else if (const auto *outcome = std::get_if<OutcomeEntry>(&entry)) {
+        change(outcome->job, [&](Entry &e) { e.outcome = outcome->phase; });
+    }
+}
+
+auto JobDirectory::forget(const JobId &job) -> void
+{
+    const auto it = m_jobs.find(job);
+    if (it == m_jobs.end()) {
+        return;
+    }
+    if (it->second.isWaiting()) {
+        --m_waiting[it->second.queue];
+    }
+    m_jobs.erase(it);
+}
+
+auto JobDirectory::phase(const JobId &job) const -> std::optional<JobPhase>
+{
+    const auto it = m_jobs.find(job);
+    if (it == m_jobs.end() || (!it->second.accepted && !it->second.outcome)) {
+        return std::nullopt;
+    }
+    const auto &entry = it->second;
+    if (entry.outcome) {
+        return entry.outcome;
+    }
+    if (entry.cancelled) {
+        return JobPhase::Cancelled;
+    }
+    return entry.begun ? JobPhase::Running : JobPhase::Queued;
+}
+
+auto JobDirectory::waiting(const QueueName &queue) const -> std::size_t
+{
+    const auto it = m_waiting.find(queue);
+    return it == m_waiting.end() ? 0 : it->second;
+}
+
+auto JobDirectory::size() const noexcept -> std::size_t
+{
+    return m_jobs.size();
+}
+
+} // namespace Acaciarail::Workflow
--- /dev/null
+++ b/packages/workflow/src/placement.cpp
@@ -0,0 +1,251 @@
+#include <acaciarail/workflow/placement.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <numeric>
+#include <set>
+#include <tuple>
+
+namespace Acaciarail::Workflow {
+
+namespace {
+
+using Group = std::vector<std::size_t>;
+
+/// Returns how many tasks of \a each fit into \a free, at most \a limit.
+auto fitting(const Demand &free, const Demand &each, std::uint32_t limit) -> std::uint32_t
+{
+    auto n = std::int64_t{limit};
+    const auto bound = [&n](std::int64_t have, std::int64_t need) {
+        if (need > 0) {
+            n = std::min(n, std::max<std::int64_t>(have, 0) / need);
+        }
+    };
+    bound(free.milliCores, each.milliCores);
+    bound(free.memoryMiB, each.memoryMiB);
+    bound(free.accelerators, each.accelerators);
+    return static_cast<std::uint32_t>(n);
+}
+
+auto perWorkerLimit(const PlacementRequest &request) -> std::uint32_t
+{
+    return request.maxPerWorker == 0 ? request.tasks : std::min(request.maxPerWorker, request.tasks);
+}
+
+auto byRack(std::span<const Candidate> candidates) -> std::vector<Group>
+{
+    std::map<std::size_t, Group> racks;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        racks[candidates[i].rack].push_back(i);
+    }
+    std::vector<Group> groups;
+    for (auto &[rack, group] : racks) {
+        groups.push_back(std::move(group));
+    }
+    return groups;
+}
+
+auto wholePool(std::span<const Candidate> candidates) -> Group
+{
+    Group group(candidates.size());
+    std::iota(group.begin(), group.end(), 0);
+    return group;
+}
+
+/// Returns the groups of workers that a request may be placed within.
+auto groupsFor(std::span<const Candidate> candidates, const PlacementRequest &request) -> std::vector<Group>
+{
+    return request.sameRack ? byRack(candidates) : std::vector<Group>(1, wholePool(candidates));
+}
+
+/// Fills the workers of a group, the fullest first.
+auto fill(std::span<const Candidate> candidates, Group group, const PlacementRequest &request) -> std::optional<Seats>
+{
+    const auto order = [&](std::size_t a, std::size_t b) {
+        const auto key = [&](std::size_t i) {
+            return std::tuple(candidates[i].avoided, candidates[i].free.accelerators, candidates[i].free.milliCores, i);
+        };
+        return key(a) < key(b);
+    };
+    std::sort(group.begin(), group.end(), order);
+    Seats seats;
+    for (const auto it : group) {
+        const auto left = request.tasks - static_cast<std::uint32_t>(seats.size());
+        const auto n = fitting(candidates[it].free, request.each, std::min(left, perWorkerLimit(request)));
+        seats.insert(seats.end(), n, it);
+        if (seats.size() == request.tasks) {
+            return seats;
+        }
+    }
+    return std::nullopt;
+}
+
+auto freeAccelerators(std::span<const Candidate> candidates, const Group &group) -> std::int64_t
+{
+    std::int64_t sum = 0;
+    for (const auto it : group) {
+        sum += std::max<std::int64_t>(candidates[it].free.accelerators, 0);
+    }
+    return sum;
+}
+
+auto avoidedSeats(std::span<const Candidate> candidates, const Seats &seats) -> std::ptrdiff_t
+{
+    return std::count_if(seats.begin(), seats.end(), [&](std::size_t i) { return candidates[i].avoided; });
+}
+
+/// Chooses victims for one request within one group of workers.
+class GreedyPreemption
+{
+public:
+    GreedyPreemption(std::span<const Candidate> candidates, std::span<const Victim> victims, const PlacementRequest &request)
+        : m_candidates(candidates)
+        , m_victims(victims)
+        , m_request(request)
+        , m_residents(candidates.size())
+    {
+        for (std::size_t v = 0; v < victims.size(); ++v) {
+            for (const auto &it : victims[v].parts) {
+                m_residents[it.candidate].push_back(v);
+            }
+        }
+        for (auto &it : m_residents) {
+            std::sort(it.begin(), it.end(), [&](auto a, auto b) { return std::tuple(victims[a].loss, a) < std::tuple(victims[b].loss, b); });
+            it.erase(std::unique(it.begin(), it.end()), it.end());
+        }
+    }
+
+    auto plan(const Group &group, double maxLoss) -> std::optional<PreemptionPlan>
+    {
+        m_free.clear();
+        for (const auto &it : m_candidates) {
+            m_free.push_back(it.free);
+        }
+        m_stopped.assign(m_victims.size(), false);
+        std::vector<std::uint32_t> taken(m_candidates.size(), 0);
+        PreemptionPlan plan;
+        while (plan.seats.size() < m_request.tasks) {
+            const auto best = cheapest(group, taken);
+            if (!best || plan.loss + best->loss > maxLoss) {
+                return std::nullopt;
+            }
+            for (const auto it : best->victims) {
+                stop(it);
+                plan.victims.push_back(it);
+            }
+            plan.loss += best->loss;
+            m_free[best->candidate] -= m_request.each;
+            ++taken[best->candidate];
+            plan.seats.push_back(best->candidate);
+        }
+        return plan;
+    }
+
+private:
+    struct Choice
+    {
+        std::size_t candidate = 0;
+        std::vector<std::size_t> victims;
+        double loss = 0;
+    };
+
+    auto cheapest(const Group &group, const std::vector<std::uint32_t> &taken) const -> std::optional<Choice>
+    {
+        std::optional<Choice> best;
+        for (const auto it : group) {
+            if (taken[it] >= perWorkerLimit(m_request)) {
+                continue;
+            }
+            auto choice = makeRoom(it);
+            const auto key = [&](const Choice &c) {
+                return std::tuple(m_candidates[c.candidate].avoided, c.loss, m_free[c.candidate].accelerators);
+            };
+            if (choice && (!best || key(*choice) < key(*best))) {
+                best = std::move(choice);
+            }
+        }
+        return best;
+    }
+
+    auto makeRoom(std::size_t candidate) const -> std::optional<Choice>
+    {
+        Choice choice{candidate, {}, 0};
+        auto free = m_free[candidate];
+        for (const auto v : m_residents[candidate]) {
+            if (free.covers(m_request.each)) {
+                break;
+            }
+            if (m_stopped[v]) {
+                continue;
+            }
+            for (const auto &part : m_victims[v].parts) {
+                if (part.candidate == candidate) {
+                    free += part.demand;
+                }
+            }
+            choice.victims.push_back(v);
+            choice.loss += m_victims[v].loss;
+        }
+        return free.covers(m_request.each) ? std::optional(std::move(choice)) : std::nullopt;
+    }
+
+    auto stop(std::size_t victim) -> void
+    {
+        m_stopped[victim] = true;
+        for (const auto &it : m_victims[victim].parts) {
+            m_free[it.candidate] += it.demand;
+        }
+    }
+
+    std::span<const Candidate> m_candidates;
+    std::span<const Victim> m_victims;
+    PlacementRequest m_request;
+    /// Victims on each candidate, the cheapest first.
+    std::vector<std::vector<std::size_t>> m_residents;
+    std::vector<Demand> m_free;
+    std::vector<bool> m_stopped;
+};
+
+} // namespace
+
+auto place(std::span<const Candidate> candidates, const PlacementRequest &request) -> std::optional<Seats>
+{
+    std::optional<Seats> best;
+    auto bestKey = std::tuple(std::numeric_limits<std::ptrdiff_t>::max(), std::int64_t{0});
+    for (const auto &group : groupsFor(candidates, request)) {
+        auto seats = fill(candidates, group, request);
+        if (!seats) {
+            continue;
+        }
+        const auto key = std::tuple(avoidedSeats(candidates, *seats), freeAccelerators(candidates, group));
+        if (!best || key < bestKey) {
+            best = std::move(seats);
+            bestKey = key;
+        }
+    }
+    return best;
+}
+
+auto planPreemption(std::span<const Candidate> candidates, std::span<const Victim> victims, const PlacementRequest &request, double maxLoss)
+    -> std::optional<PreemptionPlan>
+{
+    GreedyPreemption greedy(candidates, victims, request);
+    std::optional<PreemptionPlan> best;
+    for (const auto &group : groupsFor(candidates, request)) {
+        auto plan = greedy.plan(group, maxLoss);
+        const auto key = [&](const PreemptionPlan &p) { return std::tuple(avoidedSeats(candidates, p.seats), p.loss); };
+        if (plan && (!best || key(*plan) < key(*best))) {
+            best = std::move(plan);
+        }
+    }
+    return best;
+}
+
+auto goesBefore(const QueuePosition &a, const QueuePosition &b) noexcept -> bool
+{
+    const auto key = [](const QueuePosition &p) { return std::tuple(!p.guaranteed, p.hopeless, p.priority, p.readySince); };
+    return key(a) < key(b);
+}
+
+} // namespace Acaciarail::Workflow
--- /dev/null
+++ b/packages/workflow/src/records.cpp
@@ -0,0 +1,157 @@
+#include <acaciarail/workflow/records.h>
+
+#include <acaciarail/core/wire.h>
+
+#include <array>
+#include <charconv>
+
+ACACIARAIL_WIRE_ENUM(Acaciarail::Workflow::JobPhase, Acaciarail::Workflow::JobPhase::Cancelled);
+ACACIARAIL_WIRE_ENUM(Acaciarail::Workflow::UnitPhase, Acaciarail::Workflow::UnitPhase::Failed);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::Demand, v.milliCores, v.memoryMiB, v.accelerators);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::StepSpec, v.count, v.each, v.estimate, v.dependsOn, v.checkpoints, v.gang, v.sameRack,
+                       v.speculative, v.longRunning, v.fills, v.requiredLabel, v.dataRack, v.maxPerWorker, v.toleratedAbsences);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::QueuePolicy, v.service, v.priority, v.maxAttempts, v.stretch, v.targetLatency);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::UnitRecord, v.phase, v.run, v.failures, v.checkpoint, v.workers);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::HolderRecord, v.term, v.instance, v.incarnation, v.released);
+
+namespace Acaciarail::Workflow {
+
+namespace {
+
+constexpr std::string_view cancelSuffix = "/cancel";
+constexpr std::string_view holderKey = "holder";
+
+/// JobSpec with its times as integers, which msgpack encodes.
+struct EncodedJob
+{
+    JobSpec spec;
+    std::int64_t firstRunMs = 0;
+    std::int64_t intervalMs = 0;
+    std::int64_t acceptedAtMs = 0;
+};
+
+struct EncodedOutcome
+{
+    JobPhase phase = JobPhase::Completed;
+};
+
+auto parseNumber(std::string_view text, std::uint32_t &value) -> bool
+{
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return ec == std::errc{} && end == text.data() + text.size() && !text.empty();
+}
+
+auto unitKey(const UnitId &unit, bool gang) -> std::string
+{
+    auto key = unit.job.str() + '/' + std::to_string(unit.occurrence) + '.' + std::to_string(unit.step);
+    return gang ? key : key + '.' + std::to_string(unit.index);
+}
+
+/// Parses `JOB/OCCURRENCE.STEP` or `JOB/OCCURRENCE.STEP.INDEX`.
+auto parseUnitKey(std::string_view key, UnitId &unit) -> bool
+{
+    const auto slash = key.find('/');
+    unit.job = JobId(key.substr(0, slash));
+    unit.index = 0;
+    const std::array<std::uint32_t *, 3> fields{&unit.occurrence, &unit.step, &unit.index};
+    auto rest = key.substr(slash + 1);
+    for (std::size_t i = 0; i < fields.size(); ++i) {
+        const auto dot = rest.find('.');
+        if (!parseNumber(rest.substr(0, dot), *fields.at(i))) {
+            return false;
+        }
+        if (dot == std::string_view::npos) {
+            return i > 0;
+        }
+        rest.remove_prefix(dot + 1);
+    }
+    return false;
+}
+
+} // namespace
+
+} // namespace Acaciarail::Workflow
+
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::EncodedJob, v.spec.queue, v.spec.organisation, v.spec.payload, v.spec.steps,
+                       v.spec.occurrences, v.firstRunMs, v.intervalMs, v.acceptedAtMs, v.spec.policy);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::EncodedOutcome, v.phase);
+
+namespace Acaciarail::Workflow {
+
+auto jobPhaseName(JobPhase phase) noexcept -> const char *
+{
+    constexpr std::array<const char *, 5> names{"queued", "running", "completed", "failed", "cancelled"};
+    return names.at(static_cast<std::size_t>(phase));
+}
+
+auto acceptRecord(const JobSpec &spec) -> KeyedRecord
+{
+    return {spec.id.str(), encode(EncodedJob{spec, spec.firstRun.count(), spec.interval.count(), spec.acceptedAt.count()})};
+}
+
+auto cancelRecord(const JobId &job) -> KeyedRecord
+{
+    return {job.str() + std::string(cancelSuffix), encode(true)};
+}
+
+auto unitRecord(const UnitId &unit, bool gang, const UnitRecord &state) -> KeyedRecord
+{
+    return {unitKey(unit, gang), encode(state)};
+}
+
+auto outcomeRecord(const JobId &job, JobPhase phase) -> KeyedRecord
+{
+    return {job.str(), encode(EncodedOutcome{phase})};
+}
+
+auto holderRecord(const HolderRecord &holder) -> KeyedRecord
+{
+    return {std::string(holderKey), encode(holder)};
+}
+
+auto decodeIntake(const KeyedRecord &record, IntakeEntry &entry) -> std::error_code
+{
+    if (record.key.ends_with(cancelSuffix)) {
+        entry = {JobId(record.key.substr(0, record.key.size() - cancelSuffix.size())), std::nullopt};
+        return {};
+    }
+    EncodedJob encoded;
+    if (const auto ec = decode(record.value, encoded)) {
+        return ec;
+    }
+    encoded.spec.id = JobId(record.key);
+    encoded.spec.firstRun = std::chrono::milliseconds(encoded.firstRunMs);
+    encoded.spec.interval = std::chrono::milliseconds(encoded.intervalMs);
+    encoded.spec.acceptedAt = std::chrono::milliseconds(encoded.acceptedAtMs);
+    entry = {encoded.spec.id, std::move(encoded.spec)};
+    return {};
+}
+
+auto decodeState(const KeyedRecord &record, StateEntry &entry) -> std::error_code
+{
+    if (record.key == holderKey) {
+        HolderRecord holder;
+        const auto ec = decode(record.value, holder);
+        entry = std::move(holder);
+        return ec;
+    }
+    if (record.key.find('/') == std::string::npos) {
+        EncodedOutcome outcome;
+        const auto ec = decode(record.value, outcome);
+        entry = OutcomeEntry{JobId(record.key), outcome.phase};
+        return ec;
+    }
+    UnitEntry unit;
+    if (!parseUnitKey(record.key, unit.unit)) {
+        return Error::MalformedInput;
+    }
+    if (!record.value.empty()) {
+        if (const auto ec = decode(record.value, unit.state.emplace())) {
+            return ec;
+        }
+    }
+    entry = std::move(unit);
+    return {};
+}
+
+} // namespace Acaciarail::Workflow
