Count the failure of a run once across holders

A holder had recorded the failure and was replaced before it acknowledged the end; its successor read the end again and counted it again. Ruled out: a change of the queue's attempts (the configuration held three throughout). Change: a unit's record names the newest run whose failure is counted. The test failed before (2 runs instead of 3) and passes.

--- a/packages/workflow/include/acaciarail/workflow/records.h
+++ b/packages/workflow/include/acaciarail/workflow/records.h
@@ -47,6 +47,8 @@
     std::string checkpoint;
     /// The worker of each member of the newest run, by index.
     std::vector<WorkerName> workers;
+    /// The newest run whose failure is counted; a later holder may read of that failure once more.
+    std::uint32_t failedRun = 0;
 };
 
 /// Durable claim of an instance to be the holder.
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -211,7 +211,6 @@
     unit.record.workers.clear();
     unit.members.assign(seats.size(), Member{});
     unit.ending = false;
-    unit.failureCounted = false;
     unit.dirty = true;
     unit.storing = true;
     unit.runStartedAt = now;
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -73,7 +73,6 @@
     std::vector<Member> members;
     /// Its members are being stopped, or have ended.
     bool ending = false;
-    bool failureCounted = false;
     bool dirty = false;
     bool storing = false;
     TimePoint readySince;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -228,8 +228,8 @@
     }
     if (end.kind == EndKind::Failed && unit->stage == UnitStage::Active) {
         worker.avoidUntil = now + settings.avoidTime;
-        if (!unit->failureCounted) {
-            unit->failureCounted = true;
+        if (unit->record.failedRun < end.run) {
+            unit->record.failedRun = end.run;
             ++unit->record.failures;
             unit->dirty = true;
         }
--- a/packages/workflow/src/records.cpp
+++ b/packages/workflow/src/records.cpp
@@ -11,7 +11,7 @@
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::StepSpec, v.count, v.each, v.estimate, v.dependsOn, v.checkpoints, v.gang, v.sameRack,
                        v.speculative, v.longRunning, v.fills, v.requiredLabel, v.dataRack, v.maxPerWorker, v.toleratedAbsences);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::QueuePolicy, v.service, v.priority, v.maxAttempts, v.stretch, v.targetLatency);
-ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::UnitRecord, v.phase, v.run, v.failures, v.checkpoint, v.workers);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::UnitRecord, v.phase, v.run, v.failures, v.checkpoint, v.workers, v.failedRun);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::HolderRecord, v.term, v.instance, v.incarnation, v.released);
 
 namespace Acaciarail::Workflow {
--- /dev/null
+++ b/tests/workflow/dispatcher_test.cpp
@@ -0,0 +1,112 @@
+#include "fake_fleet.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace Acaciarail::Workflow::Tests {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+constexpr Demand workerSize{32'000, 65'536, 8};
+
+auto gangStep(std::uint32_t count, std::int64_t accelerators) -> StepSpec
+{
+    StepSpec step;
+    step.count = count;
+    step.each = {1000, 1000, accelerators};
+    step.estimate = 2s;
+    step.gang = true;
+    return step;
+}
+
+auto makeFleet() -> FakeFleet
+{
+    FakeFleet fleet(2, 2, workerSize);
+    fleet.duration = [](const TaskId &) { return Duration(2s); };
+    addQueue(*fleet.configuration, "urgent", 0);
+    addQueue(*fleet.configuration, "normal", 1);
+    addQueue(*fleet.configuration, "background", 2);
+    return fleet;
+}
+
+/// Numbers of the runs that were ordered of a task.
+auto runsOf(const FakeFleet &fleet, const std::string &job, std::uint32_t index) -> std::vector<std::uint32_t>
+{
+    std::vector<std::uint32_t> runs;
+    for (const auto &it : fleet.starts) {
+        if (it.task.job.str() == job && it.task.index == index) {
+            runs.push_back(it.run);
+        }
+    }
+    return runs;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(dispatcher)
+
+struct ShapeCase
+{
+    const char *name;
+    std::uint32_t count;
+    bool gang;
+    std::vector<std::uint32_t> dependsOn;
+};
+
+auto operator<<(std::ostream &out, const ShapeCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<ShapeCase> shapeCases{
+    {"one task", 1, false, {}},
+    {"many tasks", 20, false, {}},
+    {"a gang", 3, true, {}},
+    {"a second step", 4, false, {0}},
+};
+
+BOOST_DATA_TEST_CASE(everyTaskRunsOnceAndTheJobCompletes, data::make(shapeCases), c)
+{
+    auto fleet = makeFleet();
+    auto job = simpleJob("j1", "normal", gangStep(2, 1));
+    auto step = gangStep(c.count, 1);
+    step.gang = c.gang;
+    step.dependsOn = c.dependsOn;
+    job.steps.push_back(step);
+    fleet.submit(job);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 20s));
+    BOOST_TEST((fleet.outcome("j1") == JobPhase::Completed));
+    BOOST_TEST(fleet.starts.size() == 2 + c.count);
+    BOOST_TEST(fleet.violations.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aFailureThatAnEarlierHolderRecordedCountsOnce)
+{
+    // The first holder records the failure of one member while the other still runs, and is replaced before it acknowledges the end.
+    auto fleet = makeFleet();
+    fleet.duration = [](const TaskId &t) { return t.index == 0 ? Duration(1s) : Duration(30s); };
+    fleet.ending = [](const StartOrder &o) { return o.task.index == 0 ? EndKind::Failed : EndKind::Done; };
+    addQueue(*fleet.configuration, "three", 1, 3);
+    fleet.submit(simpleJob("j1", "three", gangStep(2, 8)));
+    const auto recordedFailure = [&] {
+        return std::any_of(fleet.stored.begin(), fleet.stored.end(), [](const auto &r) {
+            StateEntry entry;
+            return !decodeState({r.first, r.second}, entry) && std::holds_alternative<UnitEntry>(entry)
+                && std::get<UnitEntry>(entry).state->failures == 1;
+        });
+    };
+    BOOST_REQUIRE(fleet.runUntil(recordedFailure, 5s));
+    fleet.takeOver();
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 60s));
+    BOOST_TEST((fleet.outcome("j1") == JobPhase::Failed));
+    BOOST_TEST(runsOf(fleet, "j1", 0).size() == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Acaciarail::Workflow::Tests
--- /dev/null
+++ b/tests/workflow/fake_fleet.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <acaciarail/workflow.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Acaciarail::Workflow::Tests {
+
+/// Workers, a store and one holder in simulated time: orders take effect at once, and looks are answered when a run ends.
+class FakeFleet
+{
+public:
+    /// \a racks racks of \a perRack workers of \a capacity each.
+    FakeFleet(std::size_t racks, std::size_t perRack, Demand capacity);
+
+    auto submit(JobSpec spec) -> void;
+    auto cancel(const std::string &job) -> void;
+    /// Lets time pass.
+    auto run(Duration length) -> void;
+    /// Lets time pass until \a done or the limit is reached; returns the former.
+    auto runUntil(const std::function<bool()> &done, Duration limit) -> bool;
+    /// Replaces the holder by one that knows only what is stored.
+    auto takeOver() -> void;
+
+    [[nodiscard]] auto now() const -> TimePoint;
+    [[nodiscard]] auto outcome(const std::string &job) const -> std::optional<JobPhase>;
+    /// Time from submission to outcome.
+    [[nodiscard]] auto latency(const std::string &job) const -> Duration;
+    [[nodiscard]] auto stats() const -> DispatcherStats;
+
+    struct Run
+    {
+        StartOrder order;
+        TimePoint startedAt;
+        std::optional<EndKind> end;
+        TimePoint endedAt;
+    };
+    struct FakeWorker
+    {
+        WorkerInfo info;
+        bool reachable = true;
+        bool answersStarts = true;
+        /// Times as long as on a sound worker; 0 for no progress at all.
+        double slowness = 1.0;
+        bool failsAll = false;
+        std::vector<Run> runs;
+        std::vector<EndedTask> ends;
+        std::uint64_t endCount = 0;
+        std::optional<std::pair<LookOrder, TimePoint>> look;
+    };
+
+    /// How long a task works on a sound worker.
+    std::function<Duration(const TaskId &)> duration;
+    /// How a run ends when its work is done.
+    std::function<EndKind(const StartOrder &)> ending = [](const StartOrder &) { return EndKind::Done; };
+    std::map<WorkerName, FakeWorker> workers;
+    std::map<std::string, std::string> stored;
+    std::shared_ptr<Configuration> configuration = std::make_shared<Configuration>();
+    std::vector<StartOrder> starts;
+    std::vector<std::string> events;
+    bool storeUp = true;
+    /// Violations of what must always hold, seen by the workers.
+    std::vector<std::string> violations;
+
+private:
+    auto step() -> void;
+    auto finishRuns(FakeWorker &worker) -> void;
+    auto answerLook(FakeWorker &worker) -> void;
+    auto start(const StartOrder &order) -> void;
+    auto end(FakeWorker &worker, Run &run, EndKind kind) -> void;
+    auto listed(const FakeWorker &worker) const -> WorkerReport;
+
+    TimePoint m_now{1h};
+    std::unique_ptr<Dispatcher> m_dispatcher;
+    std::map<std::string, JobSpec> m_jobs;
+    std::vector<std::string> m_cancelled;
+    std::map<std::string, TimePoint> m_submitted;
+    std::map<std::string, std::pair<JobPhase, TimePoint>> m_outcomes;
+    std::vector<KeyedRecord> m_batch;
+    std::vector<OutcomeEntry> m_batchOutcomes;
+};
+
+/// Returns a job with one step.
+[[nodiscard]] auto simpleJob(const std::string &id, const std::string &queue, StepSpec step) -> JobSpec;
+
+/// Adds a queue to a configuration.
+auto addQueue(Configuration &configuration, const std::string &name, std::uint32_t priority, std::uint32_t maxAttempts = 3) -> void;
+
+} // namespace Acaciarail::Workflow::Tests
