--- a/packages/core/src/logging.cpp
+++ b/packages/core/src/logging.cpp
@@ -44,7 +44,8 @@
 auto configureLogging(LogLevel minimum, LogOutput output) -> void
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n"));
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, output == LogOutput::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, output == LogOutput::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(toLog4cxx(minimum));
--- a/packages/platform/src/log_client.cpp
+++ b/packages/platform/src/log_client.cpp
@@ -226,8 +226,9 @@
     const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     auto target = "/v1/log/read?from=" + std::to_string(request.from) + "&max=" + std::to_string(request.maxRecords)
         + "&wait_ms=" + std::to_string(waitMs);
-    m_state->http.start({std::move(target), std::nullopt, m_state->settings.requestTimeout + wait},
-                        [from = request.from, hook = std::move(done)](const Runtime::HttpResult &http) { hook(interpretRead(http, from)); });
+    m_state->http.start(
+        {std::move(target), std::nullopt, m_state->settings.requestTimeout + wait},
+        [from = request.from, hook = std::move(done)](const Runtime::HttpResult &http) { hook(interpretRead(http, from)); });
 }
 
 } // namespace Acaciarail::Platform
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -47,8 +47,8 @@
 {
     const auto demand = unit.demand();
     const auto &step = *unit.step;
-    return {unit.tasks(), demand.milliCores, demand.memoryMiB, demand.accelerators, step.sameRack, step.requiredLabel, step.dataRack,
-            step.maxPerWorker};
+    return {unit.tasks(),  demand.milliCores,  demand.memoryMiB, demand.accelerators,
+            step.sameRack, step.requiredLabel, step.dataRack,    step.maxPerWorker};
 }
 
 /// One round of placement over the whole pool.
@@ -130,7 +130,8 @@
             return 0.0;
         }
         const auto priority = m_state.policy(*other.job).priority;
-        const bool reclaimable = guaranteed && !m_guaranteed.contains(other.job) && other.job->spec.organisation != unit.job->spec.organisation;
+        const bool reclaimable =
+            guaranteed && !m_guaranteed.contains(other.job) && other.job->spec.organisation != unit.job->spec.organisation;
         if (other.job == unit.job || other.stage != UnitStage::Active || (priority == 0 && !reclaimable)) {
             return std::nullopt;
         }
@@ -393,7 +394,8 @@
         w.lookOutstanding = true;
         const bool known = w.answeredAt && !w.failingSince;
         const auto wait = w.units.empty() ? settings.idleLook : settings.activeLook;
-        out.looks.push_back({name, w.recordedEnds, known ? settings.lease : Duration::zero(), known && !unrecorded ? wait : Duration::zero()});
+        out.looks.push_back(
+            {name, w.recordedEnds, known ? settings.lease : Duration::zero(), known && !unrecorded ? wait : Duration::zero()});
     }
 }
 
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -244,7 +244,8 @@
     for (auto *unit : units) {
         for (std::uint32_t i = 0; i < unit->members.size(); ++i) {
             auto &member = unit->members[i];
-            const bool sent = member.phase != MemberPhase::Planned && member.phase != MemberPhase::Gone && member.phase != MemberPhase::Starting;
+            const bool sent =
+                member.phase != MemberPhase::Planned && member.phase != MemberPhase::Gone && member.phase != MemberPhase::Starting;
             if (member.worker != &worker || !sent) {
                 continue;
             }
@@ -364,7 +365,8 @@
         for (auto *unit : units) {
             if (unit->stage == UnitStage::Done) {
                 for (auto &it : unit->members) {
-                    it.stopping = it.stopping || (it.phase != MemberPhase::Gone && it.provableSince && now > *it.provableSince + gangEndWait);
+                    it.stopping =
+                        it.stopping || (it.phase != MemberPhase::Gone && it.provableSince && now > *it.provableSince + gangEndWait);
                 }
                 continue;
             }
@@ -373,8 +375,15 @@
             }
             const auto limit = std::max(settings.stallTimeout, unit->step->estimate / 4);
             for (auto &it : unit->members) {
-                const bool stalled = it.phase == MemberPhase::Running && now > it.lastProgress + limit && !it.worker->failingSince;
+                // A member that has finished waits for the slowest of its gang.
+                const bool finished = it.percent >= fullPercent;
+                const bool stalled =
+                    it.phase == MemberPhase::Running && !finished && now > it.lastProgress + limit && !it.worker->failingSince;
                 if (it.worker == worker.get() && stalled) {
+                    const auto quiet = std::chrono::duration_cast<std::chrono::milliseconds>(now - it.lastProgress);
+                    event("run-stalled", unit->id.job,
+                          workerDetail(*worker) + " run=" + std::to_string(unit->record.run) + " percent=" + std::to_string(it.percent)
+                              + " quiet_ms=" + std::to_string(quiet.count()));
                     worker->avoidUntil = now + settings.avoidTime;
                     beginEnding(*unit, "no-progress");
                     break;
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -66,7 +66,8 @@
             lastContact = now();
         }
         if (ok != storeHealthy) {
-            logEvent(ok ? LogLevel::Info : LogLevel::Warning, ok ? "store-regained" : "store-lost", {{"holder", holder != nullptr ? 1 : 0}});
+            logEvent(ok ? LogLevel::Info : LogLevel::Warning, ok ? "store-regained" : "store-lost",
+                     {{"holder", holder != nullptr ? 1 : 0}});
         }
         storeHealthy = ok;
     }
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -53,67 +53,69 @@
     AppendRequest request{std::string(stateTopic), {}, std::nullopt, m_term, 0, m_settings.appendTimeout};
     const auto sentAt = m_hooks.clock.now();
     m_hooks.store.append(std::move(request), guarded([sentAt](Holder &self, const AppendResult &result) {
-        if (result.status == AppendStatus::Fenced) {
-            self.m_own.fenced("store");
-        } else if (result.status == AppendStatus::Stored || result.status == AppendStatus::OutOfSequence) {
-            self.m_sequence = result.status == AppendStatus::OutOfSequence ? result.expectedSequence : 1;
-            self.m_lease.renewed(sentAt);
-            self.m_hooks.workers.watch(true);
-            self.loadState({});
-        } else {
-            self.m_hooks.clock.schedule(self.m_settings.appendRetry, self.guarded([](Holder &s) { s.fence(); }));
-        }
-    }));
+                             if (result.status == AppendStatus::Fenced) {
+                                 self.m_own.fenced("store");
+                             } else if (result.status == AppendStatus::Stored || result.status == AppendStatus::OutOfSequence) {
+                                 self.m_sequence = result.status == AppendStatus::OutOfSequence ? result.expectedSequence : 1;
+                                 self.m_lease.renewed(sentAt);
+                                 self.m_hooks.workers.watch(true);
+                                 self.loadState({});
+                             } else {
+                                 self.m_hooks.clock.schedule(self.m_settings.appendRetry, self.guarded([](Holder &s) { s.fence(); }));
+                             }
+                         }));
 }
 
 auto Holder::loadState(const std::string &after) -> void
 {
-    m_hooks.store.newest(std::string(stateTopic), after, guarded([after](Holder &self, const NewestResult &page) {
-        if (!page.ok) {
-            self.m_hooks.clock.schedule(self.m_settings.appendRetry, self.guarded([after](Holder &s) { s.loadState(after); }));
-            return;
-        }
-        for (const auto &it : page.records) {
-            StateEntry entry;
-            if (const auto ec = decodeState(it, entry)) {
-                logEvent(LogLevel::Warning, "record-skipped", {{"topic", stateTopic}, {"key", it.key}, {"error", ec.message()}});
-            } else if (auto *unit = std::get_if<UnitEntry>(&entry)) {
-                if (unit->state) {
-                    self.m_loadedUnits.emplace_back(unit->unit, std::move(*unit->state));
+    m_hooks.store.newest(
+        std::string(stateTopic), after, guarded([after](Holder &self, const NewestResult &page) {
+            if (!page.ok) {
+                self.m_hooks.clock.schedule(self.m_settings.appendRetry, self.guarded([after](Holder &s) { s.loadState(after); }));
+                return;
+            }
+            for (const auto &it : page.records) {
+                StateEntry entry;
+                if (const auto ec = decodeState(it, entry)) {
+                    logEvent(LogLevel::Warning, "record-skipped", {{"topic", stateTopic}, {"key", it.key}, {"error", ec.message()}});
+                } else if (auto *unit = std::get_if<UnitEntry>(&entry)) {
+                    if (unit->state) {
+                        self.m_loadedUnits.emplace_back(unit->unit, std::move(*unit->state));
+                    }
+                } else if (const auto *outcome = std::get_if<OutcomeEntry>(&entry)) {
+                    self.m_loadedOutcomes.insert(outcome->job);
                 }
-            } else if (const auto *outcome = std::get_if<OutcomeEntry>(&entry)) {
-                self.m_loadedOutcomes.insert(outcome->job);
             }
-        }
-        if (page.more && !page.records.empty()) {
-            self.loadState(page.records.back().key);
-        } else {
-            self.loadIntake({});
-        }
-    }));
+            if (page.more && !page.records.empty()) {
+                self.loadState(page.records.back().key);
+            } else {
+                self.loadIntake({});
+            }
+        }));
 }
 
 auto Holder::loadIntake(const std::string &after) -> void
 {
-    m_hooks.store.newest(std::string(intakeTopic), after, guarded([after](Holder &self, const NewestResult &page) {
-        if (!page.ok) {
-            self.m_hooks.clock.schedule(self.m_settings.appendRetry, self.guarded([after](Holder &s) { s.loadIntake(after); }));
-            return;
-        }
-        for (const auto &it : page.records) {
-            IntakeEntry entry;
-            if (const auto ec = decodeIntake(it, entry)) {
-                logEvent(LogLevel::Warning, "record-skipped", {{"topic", intakeTopic}, {"key", it.key}, {"error", ec.message()}});
+    m_hooks.store.newest(
+        std::string(intakeTopic), after, guarded([after](Holder &self, const NewestResult &page) {
+            if (!page.ok) {
+                self.m_hooks.clock.schedule(self.m_settings.appendRetry, self.guarded([after](Holder &s) { s.loadIntake(after); }));
+                return;
+            }
+            for (const auto &it : page.records) {
+                IntakeEntry entry;
+                if (const auto ec = decodeIntake(it, entry)) {
+                    logEvent(LogLevel::Warning, "record-skipped", {{"topic", intakeTopic}, {"key", it.key}, {"error", ec.message()}});
+                } else {
+                    self.m_loadedIntake.push_back(std::move(entry));
+                }
+            }
+            if (page.more && !page.records.empty()) {
+                self.loadIntake(page.records.back().key);
             } else {
-                self.m_loadedIntake.push_back(std::move(entry));
+                self.loaded();
             }
-        }
-        if (page.more && !page.records.empty()) {
-            self.loadIntake(page.records.back().key);
-        } else {
-            self.loaded();
-        }
-    }));
+        }));
 }
 
 auto Holder::loaded() -> void
@@ -205,9 +207,9 @@
         return;
     }
     m_hooks.clock.schedule(delay, guarded([](Holder &self) {
-        self.m_wakePending = false;
-        self.step();
-    }));
+                               self.m_wakePending = false;
+                               self.step();
+                           }));
 }
 
 auto Holder::step() -> void
@@ -218,9 +220,9 @@
         order(decisions);
         if (!decisions.records.empty()) {
             append(std::move(decisions.records), guarded([](Holder &self) {
-                self.m_dispatcher->recordsStored(self.m_hooks.clock.now());
-                self.wake(Duration::zero());
-            }));
+                       self.m_dispatcher->recordsStored(self.m_hooks.clock.now());
+                       self.wake(Duration::zero());
+                   }));
         }
     }
     if (!m_appending && !m_paused && m_lease.renewalDue(now)) {
@@ -261,7 +263,8 @@
     if (result.status == AppendStatus::OutOfSequence) {
         m_sequence = result.expectedSequence;
     }
-    logEvent(LogLevel::Warning, "append-retried", {{"topic", stateTopic}, {"status", appendStatusName(result.status)}, {"records", records.size()}});
+    logEvent(LogLevel::Warning, "append-retried",
+             {{"topic", stateTopic}, {"status", appendStatusName(result.status)}, {"records", records.size()}});
     m_hooks.clock.schedule(m_settings.appendRetry, guarded([records, done](Holder &self) { self.append(records, done); }));
 }
 
@@ -269,34 +272,34 @@
 {
     for (const auto &it : decisions.stops) {
         m_hooks.workers.stop(it, m_term, guarded([it](Holder &self, const WorkerHooks::StopAnswer &answer) {
-            if (answer.fenced) {
-                self.m_own.fenced(it.worker.str());
-                return;
-            }
-            self.m_dispatcher->stopAnswered(it, answer.answered, self.m_hooks.clock.now());
-            self.wake(self.m_settings.gatherTime);
-        }));
+                                 if (answer.fenced) {
+                                     self.m_own.fenced(it.worker.str());
+                                     return;
+                                 }
+                                 self.m_dispatcher->stopAnswered(it, answer.answered, self.m_hooks.clock.now());
+                                 self.wake(self.m_settings.gatherTime);
+                             }));
     }
     for (const auto &it : decisions.starts) {
         m_hooks.workers.start(it, m_term, guarded([it](Holder &self, StartOutcome outcome) {
-            self.m_dispatcher->startAnswered(it, outcome, self.m_hooks.clock.now());
-            if (outcome == StartOutcome::Fenced) {
-                self.m_own.fenced(it.worker.str());
-                return;
-            }
-            self.wake(self.m_settings.gatherTime);
-        }));
+                                  self.m_dispatcher->startAnswered(it, outcome, self.m_hooks.clock.now());
+                                  if (outcome == StartOutcome::Fenced) {
+                                      self.m_own.fenced(it.worker.str());
+                                      return;
+                                  }
+                                  self.wake(self.m_settings.gatherTime);
+                              }));
     }
     for (const auto &it : decisions.looks) {
         const auto sentAt = m_hooks.clock.now();
         m_hooks.workers.look(it, m_term, guarded([it, sentAt](Holder &self, const WorkerHooks::LookAnswer &answer) {
-            if (answer.fenced) {
-                self.m_own.fenced(it.worker.str());
-                return;
-            }
-            self.m_dispatcher->lookAnswered(it.worker, sentAt, answer.report, self.m_hooks.clock.now());
-            self.wake(self.m_settings.gatherTime);
-        }));
+                                 if (answer.fenced) {
+                                     self.m_own.fenced(it.worker.str());
+                                     return;
+                                 }
+                                 self.m_dispatcher->lookAnswered(it.worker, sentAt, answer.report, self.m_hooks.clock.now());
+                                 self.wake(self.m_settings.gatherTime);
+                             }));
     }
 }
 
--- a/packages/workflow/src/placement.cpp
+++ b/packages/workflow/src/placement.cpp
@@ -111,7 +111,8 @@
             }
         }
         for (auto &it : m_residents) {
-            std::sort(it.begin(), it.end(), [&](auto a, auto b) { return std::tuple(victims[a].loss, a) < std::tuple(victims[b].loss, b); });
+            std::sort(it.begin(), it.end(),
+                      [&](auto a, auto b) { return std::tuple(victims[a].loss, a) < std::tuple(victims[b].loss, b); });
             it.erase(std::unique(it.begin(), it.end()), it.end());
         }
     }
--- a/packages/workflow/src/topic_follower.cpp
+++ b/packages/workflow/src/topic_follower.cpp
@@ -151,20 +151,21 @@
     {
         refreshing = true;
         const auto sentAt = clock.now();
-        store.read(settings.topic, next, Duration::zero(), [weak = weak_from_this(), sentAt, served = std::exchange(waiting, {})](const ReadResult &result) {
-            const auto self = weak.lock();
-            if (!self) {
-                return;
-            }
-            self->refreshing = false;
-            self->readDone(result, sentAt, Duration::zero());
-            for (const auto &it : served) {
-                it(result.status == ReadStatus::Ok);
-            }
-            if (!self->waiting.empty() && !self->refreshing) {
-                self->readNow();
-            }
-        });
+        store.read(settings.topic, next, Duration::zero(),
+                   [weak = weak_from_this(), sentAt, served = std::exchange(waiting, {})](const ReadResult &result) {
+                       const auto self = weak.lock();
+                       if (!self) {
+                           return;
+                       }
+                       self->refreshing = false;
+                       self->readDone(result, sentAt, Duration::zero());
+                       for (const auto &it : served) {
+                           it(result.status == ReadStatus::Ok);
+                       }
+                       if (!self->waiting.empty() && !self->refreshing) {
+                           self->readNow();
+                       }
+                   });
     }
 
     TopicFollowerSettings settings;
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -107,6 +107,38 @@
     BOOST_TEST(runsOf(fleet, "j1", 0).size() == 3);
 }
 
+struct StallCase
+{
+    const char *name;
+    /// Times as long as on a sound worker; 0 for no progress.
+    double slowness;
+    std::size_t runs;
+};
+
+auto operator<<(std::ostream &out, const StallCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<StallCase> stallCases{
+    {"all members equally fast", 1.0, 1},
+    {"finished members wait for a slow one", 3.0, 1},
+    {"a member without progress is started elsewhere", 0.0, 2},
+};
+
+BOOST_DATA_TEST_CASE(onlyRunsWithoutProgressAreStartedElsewhere, data::make(stallCases), c)
+{
+    auto fleet = makeFleet();
+    // The emptiest placement takes the workers in the order of their names.
+    fleet.workers.at(WorkerName("w0-0")).slowness = c.slowness;
+    auto step = gangStep(2, 8);
+    step.sameRack = true;
+    fleet.duration = [](const TaskId &) { return Duration(4s); };
+    fleet.submit(simpleJob("j1", "normal", step));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 30s));
+    BOOST_TEST(runsOf(fleet, "j1", 0).size() == c.runs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -41,8 +41,8 @@
     m_batch.clear();
     m_batchOutcomes.clear();
     m_dispatcher = std::make_unique<Dispatcher>(
-        DispatcherSettings{}, [this](const DispatchEvent &e) { events.push_back(std::string(e.name) + ' ' + e.job.str() + ' ' + e.details); },
-        m_now);
+        DispatcherSettings{},
+        [this](const DispatchEvent &e) { events.push_back(std::string(e.name) + ' ' + e.job.str() + ' ' + e.details); }, m_now);
     m_dispatcher->setConfiguration(configuration);
     for (const auto &[key, value] : stored) {
         StateEntry entry;
@@ -184,13 +184,32 @@
         if (run.end || worker.slowness <= 0) {
             continue;
         }
-        const auto work = std::chrono::duration_cast<Duration>(duration(run.order.task) * worker.slowness);
+        const auto kind = worker.failsAll ? EndKind::Failed : ending(run.order);
+        const auto own = std::chrono::duration_cast<Duration>(duration(run.order.task) * worker.slowness);
+        const auto work = kind == EndKind::Done ? wholeWork(worker, run) : own;
         if (m_now >= run.startedAt + (worker.failsAll ? tick : work)) {
-            end(worker, run, worker.failsAll ? EndKind::Failed : ending(run.order));
+            end(worker, run, kind);
         }
     }
 }
 
+/// The members of a gang end together, when the slowest has done its work.
+auto FakeFleet::wholeWork(const FakeWorker &worker, const Run &run) const -> Duration
+{
+    const auto &task = run.order.task;
+    auto longest = std::chrono::duration_cast<Duration>(duration(task) * worker.slowness);
+    if (m_jobs.at(task.job.str()).steps[task.step].gang) {
+        for (const auto &[name, other] : workers) {
+            for (const auto &it : other.runs) {
+                const bool sameRun = !it.end && it.order.task.job == task.job && it.order.run == run.order.run;
+                longest =
+                    sameRun ? std::max(longest, std::chrono::duration_cast<Duration>(duration(it.order.task) * other.slowness)) : longest;
+            }
+        }
+    }
+    return longest;
+}
+
 auto FakeFleet::listed(const FakeWorker &worker) const -> WorkerReport
 {
     WorkerReport report;
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -73,6 +73,7 @@
     auto answerLook(FakeWorker &worker) -> void;
     auto start(const StartOrder &order) -> void;
     auto end(FakeWorker &worker, Run &run, EndKind kind) -> void;
+    auto wholeWork(const FakeWorker &worker, const Run &run) const -> Duration;
     auto listed(const FakeWorker &worker) const -> WorkerReport;
 
     TimePoint m_now{1h};
