Claim the holder's role and fence the holder before in one append

A claim was stored at term 3 while the holder of term 2 was not fenced yet; that holder's last record, its release, became the newest of its key, a restarted instance read term 2 from it and claimed term 3 a second time. Ruled out: two claims at one offset (each loser's log shows the conflict). Change: the claim carries its term as the writer's epoch and a number drawn for the life of the instance, so that the holder before is fenced by the claim itself. A candidate reads the log again before it claims anew.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -70,6 +70,15 @@
     std::vector<LookOrder> looks;
 };
 
+/// What a holder is able to do at the moment.
+struct DecisionScope
+{
+    /// New work may be placed; otherwise only leases are extended and stops sent.
+    bool mayStart = true;
+    /// Records can be appended.
+    bool mayRecord = true;
+};
+
 struct DispatcherStats
 {
     std::size_t jobs = 0;
@@ -124,9 +133,8 @@
     /// The records of the last batch are stored. \pre a batch is in progress.
     auto recordsStored(TimePoint now) -> void;
 
-    /// Returns what to do next. With \a mayStart false, nothing new is placed or recorded, and only leases are extended and stops sent.
-    /// \pre none.
-    [[nodiscard]] auto decide(TimePoint now, std::chrono::milliseconds unixNow, bool mayStart) -> Decisions;
+    /// Returns what to do next. \pre none.
+    [[nodiscard]] auto decide(TimePoint now, std::chrono::milliseconds unixNow, DecisionScope scope) -> Decisions;
 
     /// \pre none.
     [[nodiscard]] auto stats() const -> DispatcherStats;
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -309,19 +309,21 @@
     }
 }
 
-auto Dispatcher::decide(TimePoint now, std::chrono::milliseconds unixNow, bool mayStart) -> Decisions
+auto Dispatcher::decide(TimePoint now, std::chrono::milliseconds unixNow, DecisionScope scope) -> Decisions
 {
     auto &s = *m_state;
     Decisions out;
     s.expireWorkers(now);
-    if (mayStart) {
+    if (scope.mayStart) {
         s.startDueOccurrences(now, unixNow);
         s.watchProgress(now);
         s.restartSlowRuns(now);
         s.evacuate(now);
         s.placeReserved(now);
         s.schedule(now);
-        s.collectRecords(out);
+        if (scope.mayRecord) {
+            s.collectRecords(out);
+        }
         out.starts = std::exchange(s.pendingStarts, {});
     }
     s.collectStops(out, now);
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -126,18 +126,32 @@
             return;
         }
         claiming = true;
-        AppendRequest request{std::string(stateTopic), {holderRecord(*claim)}, state->position(), std::nullopt, 0, settings.appendTimeout};
+        // The claim fences the holder before in the same step, and its number tells it from a claim of another candidate to the same term.
+        AppendRequest request{std::string(stateTopic), {holderRecord(*claim)}, state->position(), claim->term,
+                              claimSequence(),         settings.appendTimeout};
         hooks.store.append(std::move(request), [weak = weak_from_this(), term = claim->term](const AppendResult &result) {
             if (const auto self = weak.lock()) {
-                self->claiming = false;
                 logEvent(LogLevel::Info, "holder-claim", {{"term", term}, {"status", appendStatusName(result.status)}});
                 if (result.status == AppendStatus::Stored && !self->holder && self->lease.term() <= term && !self->leaving) {
+                    self->claiming = false;
                     self->becomeHolder(term);
+                    return;
                 }
+                self->state->refresh([weak](bool) {
+                    if (const auto s = weak.lock()) {
+                        s->claiming = false;
+                    }
+                });
             }
         });
     }
 
+    auto claimSequence() const -> std::uint64_t
+    {
+        constexpr std::uint64_t maxSequence = 0x3fff'ffff;
+        return settings.incarnation & maxSequence;
+    }
+
     auto becomeHolder(std::uint64_t term) -> void
     {
         lease.won(term);
@@ -152,7 +166,7 @@
         intake->setPace(settings.intakeWait, Duration::zero());
         // The holder's own records are applied as they are stored; reading them back serves to notice a successor.
         state->setPace(Duration::zero(), settings.statePace);
-        holder->begin(configuration);
+        holder->begin(claimSequence() + 1, configuration);
         intake->refresh([](bool) {});
     }
 
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -41,30 +41,17 @@
     };
 }
 
-auto Holder::begin(std::shared_ptr<const Configuration> configuration) -> void
+auto Holder::begin(std::uint64_t sequence, std::shared_ptr<const Configuration> configuration) -> void
 {
+    m_sequence = sequence;
     m_dispatcher =
         std::make_unique<Dispatcher>(m_settings.dispatcher, logDecision, m_lease.previousGrants(m_began, m_hooks.clock.unixNow()));
     m_dispatcher->setConfiguration(std::move(configuration));
-    fence();
-}
-
-auto Holder::fence() -> void
-{
-    AppendRequest request{std::string(stateTopic), {}, std::nullopt, m_term, 0, m_settings.appendTimeout};
-    const auto sentAt = m_hooks.clock.now();
-    m_hooks.store.append(std::move(request), guarded([sentAt](Holder &self, const AppendResult &result) {
-                             if (result.status == AppendStatus::Fenced) {
-                                 self.m_own.fenced("store");
-                             } else if (result.status == AppendStatus::Stored || result.status == AppendStatus::OutOfSequence) {
-                                 self.m_sequence = result.status == AppendStatus::OutOfSequence ? result.expectedSequence : 1;
-                                 self.m_lease.renewed(sentAt);
-                                 self.m_hooks.workers.watch(true);
-                                 self.loadState({});
-                             } else {
-                                 self.m_hooks.clock.schedule(self.m_settings.appendRetry, self.guarded([](Holder &s) { s.fence(); }));
-                             }
-                         }));
+    // The claim may have been stored some time ago; this renewal says since when the lease counts.
+    append({}, guarded([](Holder &self) {
+               self.m_hooks.workers.watch(true);
+               self.loadState({});
+           }));
 }
 
 auto Holder::loadState(const std::string &after) -> void
@@ -218,7 +205,7 @@
 {
     const auto now = m_hooks.clock.now();
     if (!m_paused && m_lease.mayExtend(now)) {
-        auto decisions = m_dispatcher->decide(now, m_hooks.clock.unixNow(), m_lease.valid(now));
+        auto decisions = m_dispatcher->decide(now, m_hooks.clock.unixNow(), {m_lease.valid(now), !m_appending});
         order(decisions);
         if (!decisions.records.empty()) {
             append(std::move(decisions.records), guarded([](Holder &self) {
@@ -266,11 +253,15 @@
         m_own.fenced("store");
         return;
     }
+    logEvent(LogLevel::Warning, "append-retried",
+             {{"topic", stateTopic},
+              {"status", appendStatusName(result.status)},
+              {"records", records.size()},
+              {"sequence", m_sequence},
+              {"expected", result.expectedSequence}});
     if (result.status == AppendStatus::OutOfSequence) {
         m_sequence = result.expectedSequence;
     }
-    logEvent(LogLevel::Warning, "append-retried",
-             {{"topic", stateTopic}, {"status", appendStatusName(result.status)}, {"records", records.size()}});
     m_hooks.clock.schedule(m_settings.appendRetry, guarded([records, done](Holder &self) { self.append(records, done); }));
 }
 
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -27,8 +27,8 @@
     /// \pre the references stay valid.
     Holder(const EngineSettings &settings, const EngineHooks &hooks, LogLease &lease, Hooks own);
 
-    /// Fences the holder before and reads what it left. \pre the claim of the term is stored.
-    auto begin(std::shared_ptr<const Configuration> configuration) -> void;
+    /// Reads what the holder before left, and begins. \pre the claim of the term is stored, and \a sequence is the number after its own.
+    auto begin(std::uint64_t sequence, std::shared_ptr<const Configuration> configuration) -> void;
     auto setConfiguration(std::shared_ptr<const Configuration> configuration) -> void;
     auto apply(const IntakeEntry &entry) -> void;
     auto workerListed(const WorkerInfo &worker) -> void;
@@ -44,7 +44,6 @@
 
     template<typename F>
     auto guarded(F call);
-    auto fence() -> void;
     auto loadState(const std::string &after) -> void;
     auto loadIntake(const std::string &after) -> void;
     auto loaded() -> void;
--- /dev/null
+++ b/tests/workflow/engine_test.cpp
@@ -0,0 +1,88 @@
+#include "fake_fleet.h"
+#include "sim_world.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace Acaciarail::Workflow::Tests {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+auto gang(std::uint32_t count) -> StepSpec
+{
+    StepSpec step;
+    step.count = count;
+    step.each = {1000, 1000, 1};
+    step.estimate = 2s;
+    step.gang = true;
+    return step;
+}
+
+auto makeWorld(std::size_t instances, std::uint64_t seed) -> std::unique_ptr<SimWorld>
+{
+    auto world = std::make_unique<SimWorld>(instances, seed);
+    for (int i = 0; i < 4; ++i) {
+        world->workers.add("w" + std::to_string(i), {32'000, 65'536, 8}, "rack" + std::to_string(i / 2));
+    }
+    for (std::size_t i = 0; i < instances; ++i) {
+        world->restart(i);
+    }
+    return world;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(engine)
+
+struct HandoverCase
+{
+    const char *name;
+    Duration service;
+    double lostAnswers;
+};
+
+auto operator<<(std::ostream &out, const HandoverCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<HandoverCase> handoverCases{
+    {"quick store", 4ms, 0},
+    {"slow store", 240ms, 0},
+    {"slow store that loses answers", 240ms, 0.3},
+    {"quick store that loses answers", 4ms, 0.5},
+};
+
+BOOST_DATA_TEST_CASE(aRollingRestartLeavesOneHolder, data::xrange(1, 13) * data::make(handoverCases), seed, c)
+{
+    auto world = makeWorld(5, static_cast<std::uint64_t>(seed));
+    world->run(3s);
+    world->store.service = c.service;
+    world->store.lostAnswers = c.lostAnswers;
+    for (std::size_t i = 0; i < world->instances.size(); ++i) {
+        const auto id = "j" + std::to_string(i);
+        world->submit((i + 1) % world->instances.size(), simpleJob(id, "queue", gang(3)));
+        world->instances[i].engine->leave([] {});
+        world->run(Duration(1500ms) + seed * Duration(37ms));
+        world->restart(i);
+        world->run(500ms);
+    }
+    world->store.service = 4ms;
+    world->store.lostAnswers = 0;
+    world->run(40s);
+    BOOST_TEST(world->holders().size() == 1U);
+    BOOST_TEST(world->workers.violations.empty());
+    for (const auto &[id, outcome] : world->outcomes) {
+        if (outcome == SubmitOutcome::Accepted) {
+            const auto phase = world->phase(0, id);
+            BOOST_TEST((phase == JobPhase::Completed), id << " is " << (phase ? jobPhaseName(*phase) : "unknown"));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -137,7 +137,7 @@
         m_batch.clear();
         m_dispatcher->recordsStored(m_now);
     }
-    auto decisions = m_dispatcher->decide(m_now, unixTime(m_now), true);
+    auto decisions = m_dispatcher->decide(m_now, unixTime(m_now), {});
     if (!decisions.records.empty()) {
         m_batch = std::move(decisions.records);
         m_batchOutcomes = std::move(decisions.outcomes);
--- /dev/null
+++ b/tests/workflow/sim_world.cpp
@@ -0,0 +1,366 @@
+#include "sim_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Acaciarail::Workflow::Tests {
+
+namespace {
+
+constexpr Duration confirmPace = 500ms;
+constexpr Duration pollStep = 20ms;
+constexpr Duration callTimeout = 1s;
+
+} // namespace
+
+auto SimClock::schedule(Duration delay, std::function<void()> task) -> void
+{
+    m_entries.push({m_now + std::max(delay, Duration::zero()), m_count++, std::move(task)});
+}
+
+auto SimClock::run(Duration length) -> void
+{
+    const auto end = m_now + length;
+    while (!m_entries.empty() && m_entries.top().at <= end) {
+        const auto entry = m_entries.top();
+        m_entries.pop();
+        m_now = std::max(m_now, entry.at);
+        entry.task();
+    }
+    m_now = end;
+}
+
+auto FakeStore::roundTrip(std::shared_ptr<bool> reachable, std::function<void()> call, std::function<void()> failed, Duration timeout)
+    -> void
+{
+    if (down || !*reachable) {
+        m_clock.schedule(timeout, std::move(failed));
+        return;
+    }
+    m_clock.schedule(latency + service, [this, reachable, call = std::move(call), failed = std::move(failed), timeout] {
+        if (down || !*reachable) {
+            m_clock.schedule(timeout, failed);
+            return;
+        }
+        call();
+    });
+}
+
+auto FakeStore::append(const AppendRequest &request) -> AppendResult
+{
+    auto &topic = topics[request.topic];
+    if (request.term && *request.term < topic.epoch) {
+        return {AppendStatus::Fenced, 0};
+    }
+    if (request.at && *request.at != topic.records.size()) {
+        return {AppendStatus::Conflict, 0};
+    }
+    if (request.term) {
+        if (*request.term == topic.epoch && request.sequence + 1 == topic.nextSequence) {
+            return {AppendStatus::Stored, 0};
+        }
+        if (*request.term == topic.epoch && request.sequence != topic.nextSequence) {
+            return {AppendStatus::OutOfSequence, topic.nextSequence};
+        }
+        topic.epoch = *request.term;
+        topic.nextSequence = request.sequence + 1;
+    }
+    topic.records.insert(topic.records.end(), request.records.begin(), request.records.end());
+    return {AppendStatus::Stored, 0};
+}
+
+auto FakeStore::poll(const std::string &topic, std::uint64_t from, TimePoint until, std::shared_ptr<bool> reachable,
+                     std::function<void(ReadResult)> done) -> void
+{
+    const auto &records = topics[topic].records;
+    if (from < retainedFrom && from < records.size()) {
+        m_clock.schedule(latency, [done = std::move(done)] { done({ReadStatus::NotRetained, 0, 0, {}}); });
+        return;
+    }
+    if (from >= records.size() && m_clock.now() < until) {
+        m_clock.schedule(pollStep,
+                         [this, topic, from, until, reachable, done = std::move(done)] { poll(topic, from, until, reachable, done); });
+        return;
+    }
+    ReadResult result{ReadStatus::Ok, from, records.size(), {}};
+    if (from < records.size()) {
+        result.records.assign(records.begin() + static_cast<std::ptrdiff_t>(from), records.end());
+    }
+    m_clock.schedule(latency,
+                     [result = std::move(result), reachable, done = std::move(done)] { done(*reachable ? result : ReadResult{}); });
+}
+
+auto FakeStore::hooks(std::shared_ptr<bool> reachable) -> StoreHooks
+{
+    StoreHooks out;
+    out.append = [this, reachable](const AppendRequest &request, std::function<void(AppendResult)> done) {
+        const auto failed = [done] { done({AppendStatus::Unknown, 0}); };
+        const auto call = [this, request, reachable, done, failed] {
+            const auto result = append(request);
+            const bool lost = std::uniform_real_distribution<double>(0, 1)(m_random) < lostAnswers;
+            m_clock.schedule(lost ? request.timeout : latency, [result, lost, reachable, done] {
+                done(lost || !*reachable ? AppendResult{AppendStatus::Unknown, 0} : result);
+            });
+        };
+        roundTrip(reachable, call, failed, request.timeout);
+    };
+    out.read = [this, reachable](const std::string &topic, std::uint64_t from, Duration wait, std::function<void(ReadResult)> done) {
+        const auto failed = [done] { done({}); };
+        roundTrip(
+            reachable, [this, topic, from, wait, reachable, done] { poll(topic, from, m_clock.now() + wait, reachable, done); }, failed,
+            wait + callTimeout);
+    };
+    out.newest = [this, reachable](const std::string &topic, const std::string &after, std::function<void(NewestResult)> done) {
+        const auto call = [this, topic, after, reachable, done] {
+            const auto &records = topics[topic].records;
+            std::map<std::string, std::string> newest;
+            for (const auto &it : records) {
+                newest[it.key] = it.value;
+            }
+            NewestResult result{true, records.size(), {}, false};
+            for (const auto &[key, value] : newest) {
+                if (key > after && !value.empty()) {
+                    result.records.push_back({key, value});
+                }
+            }
+            m_clock.schedule(latency, [result, reachable, done] { done(*reachable ? result : NewestResult{}); });
+        };
+        roundTrip(
+            reachable, call, [done] { done({}); }, callTimeout);
+    };
+    return out;
+}
+
+auto FakeWorkers::add(const std::string &name, Demand capacity, const std::string &rack) -> void
+{
+    auto &machine = machines[name];
+    machine.info.name = WorkerName(name);
+    machine.info.service = ServiceName("service");
+    machine.info.rack = RackName(rack);
+    machine.info.capacity = capacity;
+    machine.info.life = 1;
+}
+
+auto FakeWorkers::settle(Machine &machine) -> void
+{
+    for (auto &run : machine.runs) {
+        if (run.ended) {
+            continue;
+        }
+        const bool done = m_clock.now() >= run.startedAt + taskTime;
+        const bool lapsed = m_clock.now() >= run.leaseEnds;
+        if (done || lapsed) {
+            run.ended = true;
+            machine.ends.push_back({++machine.endCount, run.order.task, run.order.run, done ? EndKind::Done : EndKind::Lapsed, {}});
+        }
+    }
+}
+
+auto FakeWorkers::start(const StartOrder &order, std::uint64_t term) -> StartOutcome
+{
+    auto &machine = machines.at(order.worker.str());
+    for (auto &[name, it] : machines) {
+        settle(it);
+    }
+    if (term < machine.term) {
+        return StartOutcome::Fenced;
+    }
+    machine.term = term;
+    ++startCount;
+    for (const auto &[name, other] : machines) {
+        for (const auto &run : other.runs) {
+            if (!run.ended && run.order.task == order.task) {
+                violations.push_back("two runs of " + order.task.job.str());
+            }
+        }
+    }
+    machine.runs.push_back({order, m_clock.now(), m_clock.now() + order.lease, false});
+    return StartOutcome::Started;
+}
+
+auto FakeWorkers::stop(const StopOrder &order, std::uint64_t term) -> WorkerHooks::StopAnswer
+{
+    auto &machine = machines.at(order.worker.str());
+    settle(machine);
+    if (term < machine.term) {
+        return {true, true};
+    }
+    machine.term = term;
+    for (auto &run : machine.runs) {
+        if (!run.ended && run.order.task == order.task && run.order.run == order.run) {
+            run.ended = true;
+            machine.ends.push_back({++machine.endCount, run.order.task, run.order.run, EndKind::Stopped, {}});
+        }
+    }
+    return {false, true};
+}
+
+auto FakeWorkers::look(const LookOrder &order, std::uint64_t term, TimePoint until, std::function<void(WorkerHooks::LookAnswer)> done)
+    -> void
+{
+    auto &machine = machines.at(order.worker.str());
+    settle(machine);
+    if (term < machine.term) {
+        m_clock.schedule(latency, [done = std::move(done)] { done({true, std::nullopt}); });
+        return;
+    }
+    machine.term = term;
+    std::erase_if(machine.ends, [&](const EndedTask &e) { return e.number <= order.recordedEnds; });
+    for (auto &run : machine.runs) {
+        run.leaseEnds = std::max(run.leaseEnds, m_clock.now() + order.lease);
+    }
+    if (machine.ends.empty() && m_clock.now() < until) {
+        auto again = order;
+        again.lease = {};
+        m_clock.schedule(pollStep, [this, again, term, until, done = std::move(done)] { look(again, term, until, done); });
+        return;
+    }
+    WorkerReport report{1, {}, machine.ends};
+    for (const auto &run : machine.runs) {
+        if (!run.ended) {
+            constexpr int fullPercent = 100;
+            report.running.push_back(
+                {run.order.task, run.order.run, {}, static_cast<std::uint32_t>((m_clock.now() - run.startedAt) * fullPercent / taskTime)});
+        }
+    }
+    m_clock.schedule(latency, [report = std::move(report), done = std::move(done)] { done({false, report}); });
+}
+
+auto FakeWorkers::hooks(std::shared_ptr<bool> reachable, std::function<void(bool)> watch) -> WorkerHooks
+{
+    WorkerHooks out;
+    out.start = [this, reachable](const StartOrder &order, std::uint64_t term, std::function<void(StartOutcome)> done) {
+        m_clock.schedule(latency, [this, reachable, order, term, done] {
+            if (!*reachable) {
+                m_clock.schedule(callTimeout, [done] { done(StartOutcome::Unknown); });
+                return;
+            }
+            const auto outcome = start(order, term);
+            m_clock.schedule(latency, [outcome, reachable, done] { done(*reachable ? outcome : StartOutcome::Unknown); });
+        });
+    };
+    out.stop = [this, reachable](const StopOrder &order, std::uint64_t term, std::function<void(WorkerHooks::StopAnswer)> done) {
+        m_clock.schedule(latency, [this, reachable, order, term, done] {
+            const auto answer = *reachable ? stop(order, term) : WorkerHooks::StopAnswer{};
+            m_clock.schedule(*reachable ? latency : callTimeout, [answer, done] { done(answer); });
+        });
+    };
+    out.look = [this, reachable](const LookOrder &order, std::uint64_t term, std::function<void(WorkerHooks::LookAnswer)> done) {
+        m_clock.schedule(latency, [this, reachable, order, term, done] {
+            if (!*reachable) {
+                m_clock.schedule(callTimeout, [done] { done({}); });
+                return;
+            }
+            look(order, term, m_clock.now() + order.wait,
+                 [reachable, done](const WorkerHooks::LookAnswer &answer) { done(*reachable ? answer : WorkerHooks::LookAnswer{}); });
+        });
+    };
+    out.watch = std::move(watch);
+    return out;
+}
+
+SimWorld::SimWorld(std::size_t count, std::uint64_t seed)
+    : store(clock, seed)
+    , workers(clock)
+    , instances(count)
+    , m_seed(seed)
+{
+    configuration.version = 1;
+    Queue queue;
+    queue.name = QueueName("queue");
+    queue.policy.service = ServiceName("service");
+    queue.policy.maxAttempts = 3;
+    configuration.queues.push_back(queue);
+    confirm();
+}
+
+auto SimWorld::makeEngine(std::size_t i) -> std::unique_ptr<Engine>
+{
+    auto &instance = instances[i];
+    EngineSettings settings;
+    settings.instance = InstanceName("instance-" + std::to_string(i));
+    settings.incarnation = m_seed * 1000 + ++m_lives;
+    const ClockHooks hooks{[this] { return clock.now(); },
+                           [this] { return std::chrono::duration_cast<std::chrono::milliseconds>(clock.now().time_since_epoch()); },
+                           [this, alive = std::weak_ptr(instance.storeReachable)](Duration delay, std::function<void()> task) {
+                               clock.schedule(delay, [alive, task = std::move(task)] {
+                                   if (!alive.expired()) {
+                                       task();
+                                   }
+                               });
+                           }};
+    const auto watch = [this, i](bool on) {
+        instances[i].watching = on;
+        clock.schedule({}, [this, i, on] {
+            for (const auto &[name, machine] : workers.machines) {
+                if (on && instances[i].engine) {
+                    instances[i].engine->workerListed(machine.info);
+                }
+            }
+        });
+    };
+    return std::make_unique<Engine>(
+        settings, EngineHooks{store.hooks(instance.storeReachable), workers.hooks(instance.workersReachable, watch), hooks});
+}
+
+auto SimWorld::restart(std::size_t i) -> void
+{
+    kill(i);
+    auto &instance = instances[i];
+    instance.storeReachable = std::make_shared<bool>(true);
+    instance.workersReachable = std::make_shared<bool>(true);
+    instance.engine = makeEngine(i);
+    instance.engine->setConfiguration(configuration);
+    instance.engine->configurationConfirmed(clock.now());
+    instance.engine->start();
+}
+
+auto SimWorld::kill(std::size_t i) -> void
+{
+    auto &instance = instances[i];
+    // Calls that are under way are neither carried out nor answered.
+    *instance.storeReachable = false;
+    *instance.workersReachable = false;
+    instance.engine.reset();
+}
+
+auto SimWorld::confirm() -> void
+{
+    for (auto &it : instances) {
+        if (it.engine && *it.storeReachable && !store.down) {
+            it.engine->configurationConfirmed(clock.now());
+        }
+    }
+    clock.schedule(confirmPace, [this] { confirm(); });
+}
+
+auto SimWorld::run(Duration length) -> void
+{
+    clock.run(length);
+}
+
+auto SimWorld::submit(std::size_t i, const JobSpec &spec) -> void
+{
+    instances[i].engine->submit(spec, [this, id = spec.id.str()](SubmitOutcome outcome) { outcomes[id] = outcome; });
+}
+
+auto SimWorld::phase(std::size_t i, const std::string &job) -> std::optional<JobPhase>
+{
+    const auto result = std::make_shared<std::optional<JobPhase>>();
+    instances[i].engine->lookup(JobId(job), [result](const LookupResult &found) { *result = found.phase; });
+    run(3s);
+    return *result;
+}
+
+auto SimWorld::holders() const -> std::vector<std::size_t>
+{
+    std::vector<std::size_t> out;
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        if (instances[i].engine && instances[i].engine->holds()) {
+            out.push_back(i);
+        }
+    }
+    return out;
+}
+
+} // namespace Acaciarail::Workflow::Tests
--- /dev/null
+++ b/tests/workflow/sim_world.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <acaciarail/workflow/engine.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Acaciarail::Workflow::Tests {
+
+/// Simulated time and the calls that wait for it.
+class SimClock
+{
+public:
+    [[nodiscard]] auto now() const -> TimePoint
+    {
+        return m_now;
+    }
+    auto schedule(Duration delay, std::function<void()> task) -> void;
+    auto run(Duration length) -> void;
+
+private:
+    struct Entry
+    {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::function<void()> task;
+    };
+    struct Later
+    {
+        auto operator()(const Entry &a, const Entry &b) const -> bool
+        {
+            return std::tie(a.at, a.order) > std::tie(b.at, b.order);
+        }
+    };
+    TimePoint m_now{1h};
+    std::uint64_t m_count = 0;
+    std::priority_queue<Entry, std::vector<Entry>, Later> m_entries;
+};
+
+/// The platform's log: conditional and fenced appends, reads from an offset, the newest record of each key.
+class FakeStore
+{
+public:
+    FakeStore(SimClock &clock, std::uint64_t seed)
+        : m_clock(clock)
+        , m_random(seed)
+    {
+    }
+
+    /// Hooks for an instance; \a reachable says whether its calls arrive.
+    [[nodiscard]] auto hooks(std::shared_ptr<bool> reachable) -> StoreHooks;
+
+    /// One way between an instance and the store.
+    Duration latency = 5ms;
+    /// Time for the store to answer.
+    Duration service = 4ms;
+    /// Share of appends that are carried out and not answered.
+    double lostAnswers = 0;
+    /// Nothing is answered, nor done.
+    bool down = false;
+    /// Records before this offset are only found as the newest of their key.
+    std::uint64_t retainedFrom = 0;
+
+    struct Topic
+    {
+        std::vector<KeyedRecord> records;
+        std::uint64_t epoch = 0;
+        std::uint64_t nextSequence = 0;
+    };
+    std::map<std::string, Topic> topics;
+
+private:
+    auto append(const AppendRequest &request) -> AppendResult;
+    auto roundTrip(std::shared_ptr<bool> reachable, std::function<void()> call, std::function<void()> failed, Duration timeout) -> void;
+    auto poll(const std::string &topic, std::uint64_t from, TimePoint until, std::shared_ptr<bool> reachable,
+              std::function<void(ReadResult)> done) -> void;
+
+    SimClock &m_clock;
+    std::mt19937_64 m_random;
+};
+
+/// Workers that obey the newest term, as the instances see them, and report what must never happen.
+class FakeWorkers
+{
+public:
+    explicit FakeWorkers(SimClock &clock)
+        : m_clock(clock)
+    {
+    }
+
+    struct Run
+    {
+        StartOrder order;
+        TimePoint startedAt;
+        TimePoint leaseEnds;
+        bool ended = false;
+    };
+    struct Machine
+    {
+        WorkerInfo info;
+        std::uint64_t term = 0;
+        std::vector<Run> runs;
+        std::vector<EndedTask> ends;
+        std::uint64_t endCount = 0;
+        std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> highestStopped;
+    };
+
+    auto add(const std::string &name, Demand capacity, const std::string &rack) -> void;
+    /// Hooks for an instance; \a reachable says whether its calls arrive, \a watch is called by the holder.
+    [[nodiscard]] auto hooks(std::shared_ptr<bool> reachable, std::function<void(bool)> watch) -> WorkerHooks;
+
+    Duration latency = 3ms;
+    Duration taskTime = 2s;
+    std::map<std::string, Machine> machines;
+    std::vector<std::string> violations;
+    std::size_t startCount = 0;
+
+private:
+    auto settle(Machine &machine) -> void;
+    auto start(const StartOrder &order, std::uint64_t term) -> StartOutcome;
+    auto stop(const StopOrder &order, std::uint64_t term) -> WorkerHooks::StopAnswer;
+    auto look(const LookOrder &order, std::uint64_t term, TimePoint until, std::function<void(WorkerHooks::LookAnswer)> done) -> void;
+
+    SimClock &m_clock;
+};
+
+/// Several instances on one store and one fleet.
+class SimWorld
+{
+public:
+    SimWorld(std::size_t instances, std::uint64_t seed);
+
+    struct Instance
+    {
+        std::shared_ptr<bool> storeReachable = std::make_shared<bool>(true);
+        std::shared_ptr<bool> workersReachable = std::make_shared<bool>(true);
+        std::unique_ptr<Engine> engine;
+        bool watching = false;
+    };
+
+    /// Starts an instance anew, as after a kill.
+    auto restart(std::size_t i) -> void;
+    auto kill(std::size_t i) -> void;
+    auto run(Duration length) -> void;
+    /// Submits through an instance; the outcome is in \c outcomes once it is known.
+    auto submit(std::size_t i, const JobSpec &spec) -> void;
+    /// Asks an instance for the phase of a job.
+    [[nodiscard]] auto phase(std::size_t i, const std::string &job) -> std::optional<JobPhase>;
+    [[nodiscard]] auto holders() const -> std::vector<std::size_t>;
+
+    SimClock clock;
+    FakeStore store;
+    FakeWorkers workers;
+    Configuration configuration;
+    std::vector<Instance> instances;
+    std::map<std::string, SubmitOutcome> outcomes;
+
+private:
+    auto makeEngine(std::size_t i) -> std::unique_ptr<Engine>;
+    auto confirm() -> void;
+
+    std::uint64_t m_seed;
+    std::uint64_t m_lives = 0;
+};
+
+} // namespace Acaciarail::Workflow::Tests
