Run the holder where there is most processor

Cause: on the grown deployments instances have 0.12 or 0.5 of a core, and the holder came to run on any. Change: each instance introduces itself with a record; one that has less processor than another waits 800 ms longer before it claims.

--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -19,6 +19,11 @@
     InstanceName instance;
     /// Differs between two lives of the instance.
     std::uint64_t incarnation = 0;
+    /// Share of a core that the instance has.
+    double processorShare = 1.0;
+    /// An instance that has less processor than another waits this much longer before it becomes the holder; more than the random part of
+    /// a candidate's patience and the pace of the follower together.
+    Duration smallInstanceDelay = 800ms;
     DispatcherSettings dispatcher;
     LogLeaseSettings lease;
     /// Pace at which an instance that is not the holder reads the state topic; a third of the holder's time to live at most.
--- a/packages/workflow/include/acaciarail/workflow/job_directory.h
+++ b/packages/workflow/include/acaciarail/workflow/job_directory.h
@@ -14,7 +14,7 @@
 {
 public:
     /// \pre none.
-    auto apply(const IntakeEntry &entry) -> void;
+    auto apply(const JobEntry &entry) -> void;
     /// \pre none.
     auto apply(const StateEntry &entry) -> void;
     /// Forgets a job. \pre none.
--- a/packages/workflow/include/acaciarail/workflow/log_lease.h
+++ b/packages/workflow/include/acaciarail/workflow/log_lease.h
@@ -42,8 +42,8 @@
     /// A read of the log succeeded or failed. \pre none.
     auto contact(bool ok, TimePoint now) -> void;
 
-    /// Returns the claim to append, when it is time for one. \pre none.
-    [[nodiscard]] auto claim(TimePoint now) -> std::optional<HolderRecord>;
+    /// Returns the claim to append, when it is time for one; a candidate with a \a handicap waits that much longer. \pre none.
+    [[nodiscard]] auto claim(TimePoint now, Duration handicap) -> std::optional<HolderRecord>;
 
     /// The claim was stored, or was read from the log. \pre none.
     auto won(std::uint64_t term) -> void;
--- a/packages/workflow/include/acaciarail/workflow/records.h
+++ b/packages/workflow/include/acaciarail/workflow/records.h
@@ -64,6 +64,14 @@
     std::int64_t writtenAtMs = 0;
 };
 
+/// What an instance says of itself when it starts.
+struct MemberRecord
+{
+    InstanceName instance;
+    /// Share of a core that it has.
+    double processorShare = 0;
+};
+
 /// Returns the record that accepts \a spec. \pre none. Thread-safe.
 [[nodiscard]] auto acceptRecord(const JobSpec &spec) -> KeyedRecord;
 /// Returns the record that cancels a job. \pre none. Thread-safe.
@@ -72,17 +80,21 @@
 [[nodiscard]] auto unitRecord(const UnitId &unit, bool gang, const UnitRecord &state) -> KeyedRecord;
 /// Returns the record that says how a job ended. \pre \a phase is final. Thread-safe.
 [[nodiscard]] auto outcomeRecord(const JobId &job, JobPhase phase) -> KeyedRecord;
+/// Returns the record that an instance introduces itself with. \pre none. Thread-safe.
+[[nodiscard]] auto memberRecord(const MemberRecord &member) -> KeyedRecord;
 /// Returns the record of the holder. \pre none. Thread-safe.
 [[nodiscard]] auto holderRecord(const HolderRecord &holder) -> KeyedRecord;
 
-/// A record of the intake topic, decoded.
-struct IntakeEntry
+/// A job that was accepted, or, without a specification, cancelled.
+struct JobEntry
 {
     JobId job;
-    /// Empty for a cancellation.
     std::optional<JobSpec> spec;
 };
 
+/// A record of the intake topic, decoded.
+using IntakeEntry = std::variant<JobEntry, MemberRecord>;
+
 struct UnitEntry
 {
     UnitId unit;
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -14,6 +14,7 @@
 constexpr Duration leavePause = 100ms;
 /// Pace at which an instance considers to become the holder.
 constexpr Duration claimTick = 100ms;
+constexpr Duration introducePause = 1s;
 
 } // namespace
 
@@ -47,6 +48,7 @@
                                [this] { stateLoaded = true; }});
         intake->start();
         state->start();
+        introduce();
         tick();
     }
 
@@ -82,12 +84,34 @@
             logEvent(LogLevel::Warning, "record-skipped", {{"topic", intakeTopic}, {"key", record.key}, {"error", ec.message()}});
             return;
         }
-        directory.apply(entry);
+        if (const auto *member = std::get_if<MemberRecord>(&entry)) {
+            largestShare = std::max(largestShare, member->processorShare);
+            return;
+        }
+        const auto &job = std::get<JobEntry>(entry);
+        directory.apply(job);
         if (holder) {
-            holder->apply(entry);
+            holder->apply(job);
         }
     }
 
+    /// Tells the other instances how much processor this one has, so that the holder runs where there is most.
+    auto introduce() -> void
+    {
+        AppendRequest request{std::string(intakeTopic), {memberRecord({settings.instance, settings.processorShare})}, std::nullopt, std::nullopt,
+                              0, settings.appendTimeout};
+        hooks.store.append(std::move(request), [weak = weak_from_this()](const AppendResult &result) {
+            const auto self = weak.lock();
+            if (self && result.status != AppendStatus::Stored) {
+                self->hooks.clock.schedule(introducePause, [weak] {
+                    if (const auto s = weak.lock()) {
+                        s->introduce();
+                    }
+                });
+            }
+        });
+    }
+
     auto stateRead(const KeyedRecord &record) -> void
     {
         StateEntry entry;
@@ -121,7 +145,7 @@
         if (!stateLoaded || claiming || holder || leaving || !configuration || !state->atEnd()) {
             return;
         }
-        const auto claim = lease.claim(now());
+        const auto claim = lease.claim(now(), settings.processorShare < largestShare ? settings.smallInstanceDelay : Duration::zero());
         if (!claim) {
             return;
         }
@@ -200,6 +224,7 @@
     std::shared_ptr<const Configuration> configuration;
     TimePoint configurationAt;
     std::shared_ptr<Holder> holder;
+    double largestShare = 0;
     bool stateLoaded = false;
     bool claiming = false;
     bool leaving = false;
@@ -300,7 +325,7 @@
             return;
         }
         if (result.status == AppendStatus::Stored) {
-            self->directory.apply(IntakeEntry{spec.id, spec});
+            self->directory.apply(JobEntry{spec.id, spec});
         }
         const auto outcome = outcomeOf(result.status);
         const auto served = std::exchange(self->submitting[spec.id], {});
@@ -327,7 +352,7 @@
         self->hooks.store.append(std::move(request), [weak, job, done](const AppendResult &result) {
             const auto s = weak.lock();
             if (s && result.status == AppendStatus::Stored) {
-                s->directory.apply(IntakeEntry{job, std::nullopt});
+                s->directory.apply(JobEntry{job, std::nullopt});
             }
             done(outcomeOf(result.status));
         });
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -94,8 +94,8 @@
                 IntakeEntry entry;
                 if (const auto ec = decodeIntake(it, entry)) {
                     logEvent(LogLevel::Warning, "record-skipped", {{"topic", intakeTopic}, {"key", it.key}, {"error", ec.message()}});
-                } else {
-                    self.m_loadedIntake.push_back(std::move(entry));
+                } else if (auto *job = std::get_if<JobEntry>(&entry)) {
+                    self.m_loadedIntake.push_back(std::move(*job));
                 }
             }
             if (page.more && !page.records.empty()) {
@@ -143,7 +143,7 @@
     wake(m_settings.gatherTime);
 }
 
-auto Holder::apply(const IntakeEntry &entry) -> void
+auto Holder::apply(const JobEntry &entry) -> void
 {
     if (!m_running) {
         m_loadedIntake.push_back(entry);
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -30,7 +30,7 @@
     /// Reads what the holder before left, and begins. \pre the claim of the term is stored, and \a sequence is the number after its own.
     auto begin(std::uint64_t sequence, std::shared_ptr<const Configuration> configuration) -> void;
     auto setConfiguration(std::shared_ptr<const Configuration> configuration) -> void;
-    auto apply(const IntakeEntry &entry) -> void;
+    auto apply(const JobEntry &entry) -> void;
     auto workerListed(const WorkerInfo &worker) -> void;
     auto workerUnlisted(const WorkerName &worker) -> void;
     /// Orders nothing new from now on.
@@ -69,7 +69,7 @@
     TimePoint m_recordedAt;
     std::vector<std::pair<UnitId, UnitRecord>> m_loadedUnits;
     std::set<JobId> m_loadedOutcomes;
-    std::vector<IntakeEntry> m_loadedIntake;
+    std::vector<JobEntry> m_loadedIntake;
     Done m_released;
 };
 
--- a/packages/workflow/src/job_directory.cpp
+++ b/packages/workflow/src/job_directory.cpp
@@ -17,7 +17,7 @@
     }
 }
 
-auto JobDirectory::apply(const IntakeEntry &entry) -> void
+auto JobDirectory::apply(const JobEntry &entry) -> void
 {
     change(entry.job, [&](Entry &e) {
         if (entry.spec) {
--- a/packages/workflow/src/log_lease.cpp
+++ b/packages/workflow/src/log_lease.cpp
@@ -48,12 +48,12 @@
     m_reachable = ok;
 }
 
-auto LogLease::claim(TimePoint now) -> std::optional<HolderRecord>
+auto LogLease::claim(TimePoint now, Duration handicap) -> std::optional<HolderRecord>
 {
     if (m_holds || !m_reachable || !m_silentSince) {
         return std::nullopt;
     }
-    const auto patience = (m_released ? Duration::zero() : m_settings.timeToLive) + m_jitter;
+    const auto patience = (m_released ? Duration::zero() : m_settings.timeToLive) + m_jitter + handicap;
     if (now < *m_silentSince + patience) {
         return std::nullopt;
     }
--- a/packages/workflow/src/records.cpp
+++ b/packages/workflow/src/records.cpp
@@ -12,6 +12,7 @@
                        v.speculative, v.longRunning, v.fills, v.requiredLabel, v.dataRack, v.maxPerWorker, v.toleratedAbsences);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::QueuePolicy, v.service, v.priority, v.maxAttempts, v.stretch, v.targetLatency);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::UnitRecord, v.phase, v.run, v.failures, v.checkpoint, v.workers, v.failedRun);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::MemberRecord, v.instance, v.processorShare);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::HolderRecord, v.term, v.instance, v.incarnation, v.released, v.writtenAtMs);
 
 namespace Acaciarail::Workflow {
@@ -20,6 +21,7 @@
 
 constexpr std::string_view cancelSuffix = "/cancel";
 constexpr std::string_view holderKey = "holder";
+constexpr std::string_view memberPrefix = "member/";
 
 /// JobSpec with its times as integers, which msgpack encodes.
 struct EncodedJob
@@ -104,6 +106,11 @@
     return {job.str(), encode(EncodedOutcome{phase})};
 }
 
+auto memberRecord(const MemberRecord &member) -> KeyedRecord
+{
+    return {std::string(memberPrefix) + member.instance.str(), encode(member)};
+}
+
 auto holderRecord(const HolderRecord &holder) -> KeyedRecord
 {
     return {std::string(holderKey), encode(holder)};
@@ -111,8 +118,14 @@
 
 auto decodeIntake(const KeyedRecord &record, IntakeEntry &entry) -> std::error_code
 {
+    if (record.key.starts_with(memberPrefix)) {
+        MemberRecord member;
+        const auto ec = decode(record.value, member);
+        entry = std::move(member);
+        return ec;
+    }
     if (record.key.ends_with(cancelSuffix)) {
-        entry = {JobId(record.key.substr(0, record.key.size() - cancelSuffix.size())), std::nullopt};
+        entry = JobEntry{JobId(record.key.substr(0, record.key.size() - cancelSuffix.size())), std::nullopt};
         return {};
     }
     EncodedJob encoded;
@@ -123,7 +136,7 @@
     encoded.spec.firstRun = std::chrono::milliseconds(encoded.firstRunMs);
     encoded.spec.interval = std::chrono::milliseconds(encoded.intervalMs);
     encoded.spec.acceptedAt = std::chrono::milliseconds(encoded.acceptedAtMs);
-    entry = {encoded.spec.id, std::move(encoded.spec)};
+    entry = JobEntry{encoded.spec.id, std::move(encoded.spec)};
     return {};
 }
 
