--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -33,6 +33,11 @@
     Duration urgentLook = 400ms;
     /// Pause before a worker that did not answer is asked again.
     Duration lookRetry = 300ms;
+    /// Pace of placement, and of a further attempt to preempt for the same unit; they bound the processor time under load.
+    Duration schedulePace = 10ms;
+    Duration preemptPace = 100ms;
+    /// Pace at which progress is judged.
+    Duration watchPace = 100ms;
     /// Pause before a stop that has had no effect is repeated; several round trips between regions and the stop itself.
     Duration stopRetry = 500ms;
     /// A run without progress for this long is started elsewhere; several looks.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -316,11 +316,17 @@
     s.expireWorkers(now);
     if (scope.mayStart) {
         s.startDueOccurrences(now, unixNow);
-        s.watchProgress(now);
-        s.restartSlowRuns(now);
-        s.evacuate(now);
-        s.placeReserved(now);
-        s.schedule(now);
+        if (now >= s.nextWatch) {
+            s.nextWatch = now + s.settings.watchPace;
+            s.watchProgress(now);
+            s.restartSlowRuns(now);
+            s.evacuate(now);
+        }
+        if (now >= s.nextSchedule) {
+            s.nextSchedule = now + s.settings.schedulePace;
+            s.placeReserved(now);
+            s.schedule(now);
+        }
         if (scope.mayRecord) {
             s.collectRecords(out);
         }
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -305,9 +305,10 @@
             continue;
         }
         failed.insert(shapeOf(unit));
-        if (!urgent) {
+        if (!urgent || now < unit.nextPreempt) {
             continue;
         }
+        unit.nextPreempt = now + settings.preemptPace;
         std::vector<Unit *> others;
         const auto victims = round.victims(unit, it.position.guaranteed, others);
         const auto gain = unit.cores() * seconds(unit.step->estimate);
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -79,6 +79,7 @@
     TimePoint readySince;
     TimePoint runStartedAt;
     TimePoint reservedAt;
+    TimePoint nextPreempt;
     std::vector<Worker *> reserved;
 
     [[nodiscard]] auto tasks() const -> std::uint32_t
@@ -209,6 +210,8 @@
     std::vector<StopOrder> strayStops;
     std::vector<Unit *> batchUnits;
     bool batchInProgress = false;
+    TimePoint nextSchedule;
+    TimePoint nextWatch;
     std::uint64_t preemptions = 0;
     double preemptedWork = 0;
 };
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -98,8 +98,9 @@
     /// Tells the other instances how much processor this one has, so that the holder runs where there is most.
     auto introduce() -> void
     {
-        AppendRequest request{std::string(intakeTopic), {memberRecord({settings.instance, settings.processorShare})}, std::nullopt, std::nullopt,
-                              0, settings.appendTimeout};
+        AppendRequest request{
+            std::string(intakeTopic), {memberRecord({settings.instance, settings.processorShare})}, std::nullopt, std::nullopt, 0,
+            settings.appendTimeout};
         hooks.store.append(std::move(request), [weak = weak_from_this()](const AppendResult &result) {
             const auto self = weak.lock();
             if (self && result.status != AppendStatus::Stored) {
