Look for ends and extend leases by separate orders

Cause 1: a run that began while a look was waiting was not seen for up to two seconds, so a slow worker was noticed at 2.3 s and later. Cause 3: an instance that was restarted waited for the silence of its own earlier life. Change: one look always waits for ends, short orders extend leases every second, every 400 ms for new urgent runs; a victim costs its restart as well, an urgent one its whole work four times; a holder record of an earlier life counts as released.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -23,14 +23,17 @@
     Duration lateOrder = 12s;
     /// Pace at which leases are extended, at most a third of the lease. Few orders that may extend a lease are under way at any time, so
     /// that a worker that falls silent is known to be idle soon.
-    Duration renewInterval = 1500ms;
+    Duration renewInterval = 1s;
     /// Relative error of a worker's clock; stated by the platform.
     double workerClockDrift = 0.02;
-    /// How long an answer about runs may wait for an end; an upper bound for the age of what is known of progress.
-    Duration activeLook = 1s;
-    Duration idleLook = 2s;
-    /// The same for urgent runs that began less than two seconds ago, so that a slow worker is noticed while a restart still helps.
-    Duration urgentLook = 400ms;
+    /// How long a look waits for an end; the platform's limit.
+    Duration lookWait = 2s;
+    /// Pace at which the leases of urgent runs are extended at first; it shows a slow worker while a restart still helps.
+    Duration urgentRenewInterval = 400ms;
+    /// How long a run counts as new for that.
+    Duration urgentStart = 2s;
+    /// A worker that declined an order is avoided for this long.
+    Duration declineTime = 1s;
     /// Pause before a worker that did not answer is asked again.
     Duration lookRetry = 300ms;
     /// Pace of placement, and of a further attempt to preempt for the same unit; they bound the processor time under load.
@@ -50,6 +53,8 @@
     double restartGain = 1.5;
     /// Part of the usual progress below which a worker counts as slow.
     double slowRatio = 0.5;
+    /// What stopping a run costs beside the work that it throws away, as time of its cores: the stop, the wait and the start.
+    Duration preemptionCost = 500ms;
     /// Urgent work may throw away this many times its own core-seconds.
     double preemptionCap = 3.0;
 };
@@ -130,7 +135,7 @@
     auto workerUnlisted(const WorkerName &worker, TimePoint now) -> void;
 
     /// A look that was sent at \a sentAt was answered, or was not. \pre none.
-    auto lookAnswered(const WorkerName &worker, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now) -> void;
+    auto lookAnswered(const LookOrder &order, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now) -> void;
     /// \pre none.
     auto startAnswered(const StartOrder &order, StartOutcome outcome, TimePoint now) -> void;
     /// \pre none.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -280,7 +280,7 @@
     for (auto &[name, worker] : s.workers) {
         worker->recordedEnds = std::max(worker->recordedEnds, worker->batchEnds);
         if (!worker->failingSince && worker->recordedEnds == worker->seenEnds) {
-            worker->nextLook = std::min(worker->nextLook, now);
+            worker->nextLook = now;
         }
     }
     for (auto *unit : std::exchange(s.batchUnits, {})) {
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -11,7 +11,7 @@
 
 /// A job is of no use once this many times its objective has passed; stated by the users' accounting.
 constexpr int lateFactor = 3;
-/// Urgent work of another organisation is preempted only for a guarantee, and counts this many times its loss.
+/// Urgent work of another organisation is preempted only for a guarantee, and counts this many times its whole work.
 constexpr double urgentLossFactor = 4.0;
 /// Work of the middle priorities counts more than background work.
 constexpr double normalLossFactor = 1.5;
@@ -28,10 +28,7 @@
 {
     double lost = 0;
     for (const auto &it : unit.members) {
-        if (it.phase != MemberPhase::Running) {
-            continue;
-        }
-        auto spent = now - it.startedAt;
+        auto spent = it.phase == MemberPhase::Running ? now - it.startedAt : Duration::zero();
         if (unit.step->checkpoints && it.percent > 0) {
             spent = spent * (it.percent - std::min(it.percent, it.savedPercent)) / it.percent;
         }
@@ -135,8 +132,10 @@
         if (other.job == unit.job || other.stage != UnitStage::Active || (priority == 0 && !reclaimable)) {
             return std::nullopt;
         }
-        const auto factor = priority == 0 ? urgentLossFactor : priority == 1 ? normalLossFactor : 1.0;
-        return factor * lostWork(other, m_now);
+        const auto factor = priority == 1 ? normalLossFactor : 1.0;
+        const auto loss = factor * (lostWork(other, m_now) + other.cores() * seconds(m_state.settings.preemptionCost));
+        // Urgent work that is stopped will be late, however little it has done.
+        return priority == 0 ? loss + urgentLossFactor * other.cores() * seconds(other.step->estimate) : loss;
     }
 
     auto tasksOfStep(const Unit &unit) const -> std::map<const Worker *, std::uint32_t>
@@ -388,29 +387,25 @@
 {
     for (auto &[name, worker] : workers) {
         auto &w = *worker;
-        const bool unrecorded = w.seenEnds > w.recordedEnds;
-        if (w.lookOutstanding || now < w.nextLook) {
-            continue;
-        }
-        w.lookOutstanding = true;
         const bool known = w.answeredAt && !w.failingSince;
-        const auto interval = std::min(settings.renewInterval, settings.lease / 3);
-        w.lookExtends = known && !w.units.empty() && now >= w.extendedAt.value_or(TimePoint{}) + interval;
-        const auto lease = w.lookExtends ? settings.lease : Duration::zero();
-        const auto wait = known && !unrecorded && !w.lookExtends ? lookWait(w, now) : Duration::zero();
-        out.looks.push_back({name, w.recordedEnds, lease, wait});
+        if (!w.lookOutstanding && now >= w.nextLook) {
+            w.lookOutstanding = true;
+            const bool unrecorded = w.seenEnds > w.recordedEnds;
+            out.looks.push_back({name, w.recordedEnds, Duration::zero(), known && !unrecorded ? settings.lookWait : Duration::zero()});
+        }
+        if (known && !w.extensionOutstanding && !w.units.empty() && now >= w.nextExtension) {
+            w.extensionOutstanding = true;
+            out.looks.push_back({name, w.recordedEnds, settings.lease, Duration::zero()});
+        }
     }
 }
 
-auto Dispatcher::State::lookWait(const Worker &worker, TimePoint now) const -> Duration
+auto Dispatcher::State::extensionPace(const Worker &worker, TimePoint now) const -> Duration
 {
-    if (worker.units.empty()) {
-        return settings.idleLook;
-    }
     const bool urgent = std::any_of(worker.units.begin(), worker.units.end(), [&](const Unit *u) {
-        return policy(*u->job).priority == 0 && now < u->runStartedAt + settings.idleLook;
+        return policy(*u->job).priority == 0 && now < u->runStartedAt + settings.urgentStart;
     });
-    return urgent ? settings.urgentLook : settings.activeLook;
+    return urgent ? settings.urgentRenewInterval : std::min(settings.renewInterval, settings.lease / 3);
 }
 
 } // namespace Acaciarail::Workflow
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -127,11 +127,11 @@
     Demand pledged;
     std::vector<Unit *> units;
     bool lookOutstanding = false;
-    /// The look that is under way extends the lease.
-    bool lookExtends = false;
+    bool extensionOutstanding = false;
     /// When the lease was last extended, by an order that was answered.
     std::optional<TimePoint> extendedAt;
     TimePoint nextLook;
+    TimePoint nextExtension;
     /// Time of sending of the last look that was answered in this term.
     std::optional<TimePoint> answeredAt;
     std::optional<TimePoint> failingSince;
@@ -187,7 +187,7 @@
     auto expireWorkers(TimePoint now) -> void;
     auto watchProgress(TimePoint now) -> void;
     auto restartSlowRuns(TimePoint now) -> void;
-    auto lookWait(const Worker &worker, TimePoint now) const -> Duration;
+    auto extensionPace(const Worker &worker, TimePoint now) const -> Duration;
     auto evacuate(TimePoint now) -> void;
 
     // dispatcher_schedule.cpp: placement and orders
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -135,24 +135,26 @@
     }
 }
 
-auto Dispatcher::lookAnswered(const WorkerName &name, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now) -> void
+auto Dispatcher::lookAnswered(const LookOrder &order, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now) -> void
 {
     auto &s = *m_state;
-    auto &worker = s.worker(name);
-    worker.lookOutstanding = false;
+    auto &worker = s.worker(order.worker);
+    const bool extends = order.lease > Duration::zero();
+    (extends ? worker.extensionOutstanding : worker.lookOutstanding) = false;
     if (!report) {
         if (!worker.failingSince) {
             worker.failingSince = sentAt;
             s.event("worker-unreachable", {}, workerDetail(worker));
         }
-        if (worker.lookExtends) {
+        if (extends) {
             worker.unansweredGrant = worker.unansweredGrant.value_or(sentAt);
         }
         worker.nextLook = now + s.settings.lookRetry;
         return;
     }
-    if (worker.lookExtends) {
+    if (extends) {
         worker.extendedAt = now;
+        worker.nextExtension = now + s.extensionPace(worker, now);
     }
     if (worker.failingSince) {
         s.event("worker-reachable", {}, workerDetail(worker));
@@ -173,7 +175,7 @@
         s.processEnd(worker, it, now);
     }
     s.processMissing(worker, *report, sentAt, now);
-    worker.nextLook = worker.seenEnds > worker.recordedEnds ? now + s.settings.stopRetry : now;
+    worker.nextLook = worker.seenEnds > worker.recordedEnds ? now + s.settings.stopRetry : std::min(worker.nextLook, now);
 }
 
 auto Dispatcher::State::processRunning(Worker &worker, const WorkerReport &report, TimePoint now) -> void
@@ -294,6 +296,7 @@
     }
     if (outcome == StartOutcome::Started) {
         worker.extendedAt = now;
+        worker.nextExtension = std::min(worker.nextExtension, now + s.extensionPace(worker, now));
     }
     if (member == nullptr || member->phase != MemberPhase::Starting) {
         return;
@@ -314,7 +317,7 @@
     }
     const bool blamed = outcome == StartOutcome::NoRoom || outcome == StartOutcome::Declined || outcome == StartOutcome::Invalid;
     if (blamed) {
-        worker.avoidUntil = std::max(worker.avoidUntil, now + s.settings.activeLook);
+        worker.avoidUntil = std::max(worker.avoidUntil, now + s.settings.declineTime);
     }
     s.leave(*unit, *member);
     s.beginEnding(*unit, startOutcomeName(outcome));
@@ -361,7 +364,7 @@
                 settle(*unit, now);
             }
         }
-        const bool forget = !w.listed && w.units.empty() && !w.lookOutstanding && w.pledged == Demand{};
+        const bool forget = !w.listed && w.units.empty() && !w.lookOutstanding && !w.extensionOutstanding && w.pledged == Demand{};
         it = forget ? workers.erase(it) : std::next(it);
     }
 }
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -294,7 +294,7 @@
                                      self.m_own.fenced(it.worker.str());
                                      return;
                                  }
-                                 self.m_dispatcher->lookAnswered(it.worker, sentAt, answer.report, self.m_hooks.clock.now());
+                                 self.m_dispatcher->lookAnswered(it, sentAt, answer.report, self.m_hooks.clock.now());
                                  self.wake(self.m_settings.gatherTime);
                              }));
     }
--- a/packages/workflow/src/log_lease.cpp
+++ b/packages/workflow/src/log_lease.cpp
@@ -24,10 +24,12 @@
         lost(now);
     }
     m_term = record.term;
-    m_released = record.released;
+    // An earlier life of this instance has ended, or it would not be here.
+    const bool earlierLife = record.instance == m_instance && !own;
+    m_released = record.released || earlierLife;
     if (!own) {
         m_previousWrote = std::max(m_previousWrote, std::chrono::milliseconds(record.writtenAtMs));
-        m_previousReleased = record.released;
+        m_previousReleased = m_released;
     }
     return own && !record.released;
 }
--- a/packages/workflow/src/placement.cpp
+++ b/packages/workflow/src/placement.cpp
@@ -40,6 +40,7 @@
         racks[candidates[i].rack].push_back(i);
     }
     std::vector<Group> groups;
+    groups.reserve(racks.size());
     for (auto &[rack, group] : racks) {
         groups.push_back(std::move(group));
     }
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -1,9 +1,9 @@
-#include "http_client.h"
 #include "platform_control.h"
 #include "worker_server.h"
 
 #include <acaciarail/core/logging.h>
 #include <acaciarail/runtime/event_loop.h>
+#include <acaciarail/runtime/http_client.h>
 #include <acaciarail/runtime/signal_watcher.h>
 #include <acaciarail/runtime/timer.h>
 
@@ -91,7 +91,7 @@
 public:
     Registration(Runtime::EventLoop &loop, const Runtime::SocketAddress &platform, const std::vector<ListedInstance> &workers)
         : m_body(R"({"add":)" + instancesToJson(workers) + "}")
-        , m_client(loop, {platform, ZoneName(), registrationTimeout})
+        , m_client(loop, clientSettings(platform))
         , m_retry(loop, [this] { start(); })
     {
         start();
@@ -100,7 +100,7 @@
 private:
     auto start() -> void
     {
-        m_client.start({"/control", m_body, registrationTimeout}, [this](const Platform::Detail::HttpResult &result) {
+        m_client.start({"/control", m_body, registrationTimeout}, [this](const Runtime::HttpResult &result) {
             constexpr int statusOk = 200;
             if (result.status != statusOk) {
                 logEvent(LogLevel::Warning, "registration-failed", {{"status", result.status}, {"error", result.error.message()}});
@@ -110,7 +110,7 @@
     }
 
     std::string m_body;
-    Platform::Detail::HttpClient m_client;
+    Runtime::HttpClient m_client;
     Runtime::Timer m_retry;
 };
 
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -98,7 +98,7 @@
     auto &w = workers.at(WorkerName(worker));
     w.reachable = false;
     if (const auto look = std::exchange(w.look, std::nullopt)) {
-        m_dispatcher->lookAnswered(w.info.name, look->second, std::nullopt, m_now);
+        m_dispatcher->lookAnswered(look->first, look->second, std::nullopt, m_now);
     }
 }
 
@@ -159,12 +159,16 @@
     for (const auto &it : decisions.looks) {
         auto &worker = workers.at(it.worker);
         if (worker.reachable) {
-            worker.look.emplace(it, m_now);
+            if (it.wait == Duration::zero()) {
+                answer(worker, it, m_now);
+            } else {
+                worker.look.emplace(it, m_now);
+            }
             for (auto &run : worker.runs) {
                 run.leaseEnds = std::max(run.leaseEnds, m_now + byWorkerClock(it.lease));
             }
         } else {
-            m_dispatcher->lookAnswered(it.worker, m_now, std::nullopt, m_now);
+            m_dispatcher->lookAnswered(it, m_now, std::nullopt, m_now);
         }
     }
 }
@@ -255,12 +259,19 @@
         return;
     }
     const auto [order, sentAt] = *worker.look;
-    std::erase_if(worker.ends, [&order = order](const EndedTask &e) { return e.number <= order.recordedEnds; });
-    if (worker.ends.empty() && m_now < sentAt + order.wait) {
+    const auto recorded = order.recordedEnds;
+    const bool ended = std::any_of(worker.ends.begin(), worker.ends.end(), [&](const EndedTask &e) { return e.number > recorded; });
+    if (!ended && m_now < sentAt + order.wait) {
         return;
     }
     worker.look.reset();
-    m_dispatcher->lookAnswered(worker.info.name, sentAt, listed(worker), m_now);
+    answer(worker, order, sentAt);
+}
+
+auto FakeFleet::answer(FakeWorker &worker, const LookOrder &order, TimePoint sentAt) -> void
+{
+    std::erase_if(worker.ends, [&](const EndedTask &e) { return e.number <= order.recordedEnds; });
+    m_dispatcher->lookAnswered(order, sentAt, listed(worker), m_now);
 }
 
 auto FakeFleet::now() const -> TimePoint
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -74,6 +74,7 @@
     auto step() -> void;
     auto finishRuns(FakeWorker &worker) -> void;
     auto answerLook(FakeWorker &worker) -> void;
+    auto answer(FakeWorker &worker, const LookOrder &order, TimePoint sentAt) -> void;
     auto start(const StartOrder &order) -> void;
     auto end(FakeWorker &worker, Run &run, EndKind kind) -> void;
     auto wholeWork(const FakeWorker &worker, const Run &run) const -> Duration;
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -30,7 +30,7 @@
     m_now = end;
 }
 
-auto FakeStore::roundTrip(std::shared_ptr<bool> reachable, std::function<void()> call, std::function<void()> failed, Duration timeout)
+auto FakeStore::roundTrip(const std::shared_ptr<bool> &reachable, std::function<void()> call, std::function<void()> failed, Duration timeout)
     -> void
 {
     if (down || !*reachable) {
@@ -69,7 +69,7 @@
     return {AppendStatus::Stored, 0};
 }
 
-auto FakeStore::poll(const std::string &topic, std::uint64_t from, TimePoint until, std::shared_ptr<bool> reachable,
+auto FakeStore::poll(const std::string &topic, std::uint64_t from, TimePoint until, const std::shared_ptr<bool> &reachable,
                      std::function<void(ReadResult)> done) -> void
 {
     const auto &records = topics[topic].records;
@@ -90,10 +90,10 @@
                      [result = std::move(result), reachable, done = std::move(done)] { done(*reachable ? result : ReadResult{}); });
 }
 
-auto FakeStore::hooks(std::shared_ptr<bool> reachable) -> StoreHooks
+auto FakeStore::hooks(const std::shared_ptr<bool> &reachable) -> StoreHooks
 {
     StoreHooks out;
-    out.append = [this, reachable](const AppendRequest &request, std::function<void(AppendResult)> done) {
+    out.append = [this, reachable](const AppendRequest &request, const std::function<void(AppendResult)> &done) {
         const auto failed = [done] { done({AppendStatus::Unknown, 0}); };
         const auto call = [this, request, reachable, done, failed] {
             const auto result = append(request);
@@ -104,13 +104,13 @@
         };
         roundTrip(reachable, call, failed, request.timeout);
     };
-    out.read = [this, reachable](const std::string &topic, std::uint64_t from, Duration wait, std::function<void(ReadResult)> done) {
+    out.read = [this, reachable](const std::string &topic, std::uint64_t from, Duration wait, const std::function<void(ReadResult)> &done) {
         const auto failed = [done] { done({}); };
         roundTrip(
             reachable, [this, topic, from, wait, reachable, done] { poll(topic, from, m_clock.now() + wait, reachable, done); }, failed,
             wait + callTimeout);
     };
-    out.newest = [this, reachable](const std::string &topic, const std::string &after, std::function<void(NewestResult)> done) {
+    out.newest = [this, reachable](const std::string &topic, const std::string &after, const std::function<void(NewestResult)> &done) {
         const auto call = [this, topic, after, reachable, done] {
             const auto &records = topics[topic].records;
             std::map<std::string, std::string> newest;
@@ -226,10 +226,10 @@
     m_clock.schedule(latency, [report = std::move(report), done = std::move(done)] { done({false, report}); });
 }
 
-auto FakeWorkers::hooks(std::shared_ptr<bool> reachable, std::function<void(bool)> watch) -> WorkerHooks
+auto FakeWorkers::hooks(const std::shared_ptr<bool> &reachable, std::function<void(bool)> watch) -> WorkerHooks
 {
     WorkerHooks out;
-    out.start = [this, reachable](const StartOrder &order, std::uint64_t term, std::function<void(StartOutcome)> done) {
+    out.start = [this, reachable](const StartOrder &order, std::uint64_t term, const std::function<void(StartOutcome)> &done) {
         m_clock.schedule(latency, [this, reachable, order, term, done] {
             if (!*reachable) {
                 m_clock.schedule(callTimeout, [done] { done(StartOutcome::Unknown); });
@@ -239,13 +239,13 @@
             m_clock.schedule(latency, [outcome, reachable, done] { done(*reachable ? outcome : StartOutcome::Unknown); });
         });
     };
-    out.stop = [this, reachable](const StopOrder &order, std::uint64_t term, std::function<void(WorkerHooks::StopAnswer)> done) {
+    out.stop = [this, reachable](const StopOrder &order, std::uint64_t term, const std::function<void(WorkerHooks::StopAnswer)> &done) {
         m_clock.schedule(latency, [this, reachable, order, term, done] {
             const auto answer = *reachable ? stop(order, term) : WorkerHooks::StopAnswer{};
             m_clock.schedule(*reachable ? latency : callTimeout, [answer, done] { done(answer); });
         });
     };
-    out.look = [this, reachable](const LookOrder &order, std::uint64_t term, std::function<void(WorkerHooks::LookAnswer)> done) {
+    out.look = [this, reachable](const LookOrder &order, std::uint64_t term, const std::function<void(WorkerHooks::LookAnswer)> &done) {
         m_clock.schedule(latency, [this, reachable, order, term, done] {
             if (!*reachable) {
                 m_clock.schedule(callTimeout, [done] { done({}); });
--- a/tests/workflow/sim_world.h
+++ b/tests/workflow/sim_world.h
@@ -54,7 +54,7 @@
     }
 
     /// Hooks for an instance; \a reachable says whether its calls arrive.
-    [[nodiscard]] auto hooks(std::shared_ptr<bool> reachable) -> StoreHooks;
+    [[nodiscard]] auto hooks(const std::shared_ptr<bool> &reachable) -> StoreHooks;
 
     /// One way between an instance and the store.
     Duration latency = 5ms;
@@ -77,8 +77,8 @@
 
 private:
     auto append(const AppendRequest &request) -> AppendResult;
-    auto roundTrip(std::shared_ptr<bool> reachable, std::function<void()> call, std::function<void()> failed, Duration timeout) -> void;
-    auto poll(const std::string &topic, std::uint64_t from, TimePoint until, std::shared_ptr<bool> reachable,
+    auto roundTrip(const std::shared_ptr<bool> &reachable, std::function<void()> call, std::function<void()> failed, Duration timeout) -> void;
+    auto poll(const std::string &topic, std::uint64_t from, TimePoint until, const std::shared_ptr<bool> &reachable,
               std::function<void(ReadResult)> done) -> void;
 
     SimClock &m_clock;
@@ -113,7 +113,7 @@
 
     auto add(const std::string &name, Demand capacity, const std::string &rack) -> void;
     /// Hooks for an instance; \a reachable says whether its calls arrive, \a watch is called by the holder.
-    [[nodiscard]] auto hooks(std::shared_ptr<bool> reachable, std::function<void(bool)> watch) -> WorkerHooks;
+    [[nodiscard]] auto hooks(const std::shared_ptr<bool> &reachable, std::function<void(bool)> watch) -> WorkerHooks;
 
     Duration latency = 3ms;
     Duration taskTime = 2s;
