--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -26,8 +26,8 @@
     Duration smallInstanceDelay = 800ms;
     DispatcherSettings dispatcher;
     LogLeaseSettings lease;
-    /// Pace at which an instance that is not the holder reads the state topic; a third of the holder's time to live at most.
-    Duration statePace = 500ms;
+    /// Pace at which an instance that is not the holder reads the state topic; a quarter of the holder's time to live.
+    Duration statePace = 300ms;
     /// Pace at which an instance that is not the holder reads the intake topic; the queue lengths shown are at most this old.
     Duration intakePace = 1s;
     /// How long the holder's reads of the intake topic wait.
--- a/packages/workflow/include/acaciarail/workflow/log_lease.h
+++ b/packages/workflow/include/acaciarail/workflow/log_lease.h
@@ -10,12 +10,12 @@
 
 struct LogLeaseSettings
 {
-    /// A holder that has written nothing for this long may be replaced; six times the pace at which the log is read by followers.
-    Duration timeToLive = 1800ms;
+    /// A holder that has written nothing for this long may be replaced; four times the pace at which it writes and is read.
+    Duration timeToLive = 1200ms;
     /// A holder that has nothing to record writes this often.
-    Duration renewInterval = 500ms;
+    Duration renewInterval = 300ms;
     /// A holder stops this much before its lease ends, for the way of its last order.
-    Duration margin = 300ms;
+    Duration margin = 200ms;
     /// A holder that cannot reach the store goes on extending the leases of running work for this long after its own lease.
     Duration renewalOverrun = 4s;
     /// Difference that two instances' clocks may have.
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -85,6 +85,13 @@
     return out;
 }
 
+auto clientSettings(const Runtime::SocketAddress &platform) -> Runtime::HttpClientSettings
+{
+    Runtime::HttpClientSettings settings;
+    settings.address = platform;
+    return settings;
+}
+
 /// Registers the workers with the platform stand-in, and tries again until it has answered.
 class Registration
 {
