Place urgent work in zones in which runs are quick

Change: the dispatcher learns each zone's pace from the lengths of whole runs against their estimates; urgent units take seats in a zone that is 1.15 times slower than the fastest only when there is no room elsewhere.

--- a/packages/workflow/include/acaciarail/workflow/placement.h
+++ b/packages/workflow/include/acaciarail/workflow/placement.h
@@ -18,6 +18,8 @@
     Demand free;
     /// Used only when no other worker has room.
     bool avoided = false;
+    /// Used when no equal worker that is faster has room.
+    bool slow = false;
 };
 
 /// What is to be placed.
--- a/packages/workflow/include/acaciarail/workflow/worker.h
+++ b/packages/workflow/include/acaciarail/workflow/worker.h
@@ -117,8 +117,8 @@
     WorkerName worker;
     /// Ends up to this number are recorded and may be forgotten.
     std::uint64_t recordedEnds = 0;
-    /// Zero leaves the lease as it is. A look either extends the lease or waits: an answer that never comes must not leave in doubt for long
-    /// whether the lease was extended.
+    /// Zero leaves the lease as it is. A look either extends the lease or waits: an answer that never comes must not leave in doubt for
+    /// long whether the lease was extended.
     Duration lease{};
     /// The answer may wait this long for a run to end.
     Duration wait{};
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -55,6 +55,7 @@
     Round(Dispatcher::State &state, TimePoint now)
         : m_state(state)
         , m_now(now)
+        , m_slowZones(state.slowZones())
     {
         std::map<RackName, std::size_t> racks;
         for (auto &[name, worker] : state.workers) {
@@ -72,6 +73,7 @@
     {
         std::vector<Candidate> out(m_workers.size());
         const auto sameStep = tasksOfStep(unit);
+        const bool urgent = m_state.policy(*unit.job).priority == 0;
         for (std::size_t i = 0; i < out.size(); ++i) {
             const auto &w = *m_workers[i];
             const auto &step = *unit.step;
@@ -81,7 +83,8 @@
             const auto count = sameStep.find(&w);
             const bool crowded = step.maxPerWorker > 0 && count != sameStep.end() && count->second >= step.maxPerWorker;
             const bool allowed = w.info.service == service && labelled && nearData && !crowded;
-            out[i] = {m_racks[i], allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil};
+            out[i] = {m_racks[i], allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil,
+                      urgent && m_slowZones.contains(w.info.zone)};
         }
         return out;
     }
@@ -158,6 +161,7 @@
 
     Dispatcher::State &m_state;
     TimePoint m_now;
+    std::set<ZoneName> m_slowZones;
     std::vector<Worker *> m_workers;
     std::vector<std::size_t> m_racks;
     std::map<const Worker *, std::size_t> m_index;
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -152,6 +152,13 @@
     }
 };
 
+/// How long runs take in a zone, as a multiple of their estimates.
+struct ZonePace
+{
+    double sum = 0;
+    std::uint64_t runs = 0;
+};
+
 struct Dispatcher::State
 {
     State(DispatcherSettings s, std::function<void(const DispatchEvent &)> o, TimePoint grants)
@@ -165,6 +172,8 @@
     auto createOccurrence(Job &job, std::uint32_t occurrence, TimePoint now) -> void;
     auto unblock(Job &job, std::uint32_t occurrence, TimePoint now) -> void;
     auto policy(const Job &job) const -> QueuePolicy;
+    auto notePace(const Unit &unit, TimePoint now) -> void;
+    auto slowZones() const -> std::set<ZoneName>;
     auto findUnit(const TaskId &task) -> Unit *;
     auto setDone(Unit &unit, TimePoint now) -> void;
     auto beginEnding(Unit &unit, std::string_view reason) -> void;
@@ -209,6 +218,7 @@
     std::vector<StartOrder> pendingStarts;
     std::vector<StopOrder> strayStops;
     std::vector<Unit *> batchUnits;
+    std::map<ZoneName, ZonePace> zonePaces;
     bool batchInProgress = false;
     TimePoint nextSchedule;
     TimePoint nextWatch;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -10,6 +10,10 @@
 constexpr std::uint32_t fullPercent = 100;
 /// Progress is extrapolated only from reports at least this far apart; shorter spans are dominated by rounding to whole percents.
 constexpr Duration minProgressSpan = 800ms;
+/// Estimates are off by half in either direction; the mean of this many is off by a tenth.
+constexpr std::uint64_t minPaceRuns = 12;
+/// A zone counts as slow when its runs take this many times as long as in the fastest zone.
+constexpr double slowZoneRatio = 1.15;
 /// Rates of members are compared once each was reported this long after its start.
 constexpr Duration minRateSpan = 300ms;
 /// Time that a restart takes beside the work: the stop, the record and the start.
@@ -232,6 +236,7 @@
         unit->dirty = unit->stage == UnitStage::Active;
     }
     if (end.kind == EndKind::Done) {
+        notePace(*unit, now);
         setDone(*unit, now);
         for (auto &it : unit->members) {
             it.provableSince = now;
@@ -338,6 +343,36 @@
     }
 }
 
+auto Dispatcher::State::notePace(const Unit &unit, TimePoint now) -> void
+{
+    const auto &zone = unit.members.front().worker->info.zone;
+    const bool oneZone =
+        std::all_of(unit.members.begin(), unit.members.end(), [&](const Member &m) { return m.worker->info.zone == zone; });
+    // A run that began from a checkpoint, or was taken over, says little about the whole.
+    const bool whole = unit.stage == UnitStage::Active && unit.record.checkpoint.empty() && unit.runStartedAt > previousGrants;
+    if (oneZone && whole && unit.step->estimate > Duration::zero()) {
+        auto &pace = zonePaces[zone];
+        pace.sum += std::chrono::duration<double>(now - unit.runStartedAt) / std::chrono::duration<double>(unit.step->estimate);
+        ++pace.runs;
+    }
+}
+
+auto Dispatcher::State::slowZones() const -> std::set<ZoneName>
+{
+    std::set<ZoneName> out;
+    double best = 0;
+    for (const auto &[zone, pace] : zonePaces) {
+        const auto mean = pace.sum / static_cast<double>(pace.runs);
+        best = pace.runs >= minPaceRuns && (best <= 0 || mean < best) ? mean : best;
+    }
+    for (const auto &[zone, pace] : zonePaces) {
+        if (pace.runs >= minPaceRuns && pace.sum / static_cast<double>(pace.runs) > best * slowZoneRatio) {
+            out.insert(zone);
+        }
+    }
+    return out;
+}
+
 auto Dispatcher::State::goneAt(const Worker &worker) const -> TimePoint
 {
     const auto lease = std::chrono::duration_cast<Duration>(settings.lease * (1.0 + settings.workerClockDrift)) + leaseSlack;
--- a/packages/workflow/src/placement.cpp
+++ b/packages/workflow/src/placement.cpp
@@ -60,12 +60,17 @@
     return request.sameRack ? byRack(candidates) : std::vector<Group>(1, wholePool(candidates));
 }
 
+auto reluctance(const Candidate &candidate) -> int
+{
+    return (candidate.avoided ? 2 : 0) + (candidate.slow ? 1 : 0);
+}
+
 /// Fills the workers of a group, the fullest first.
 auto fill(std::span<const Candidate> candidates, Group group, const PlacementRequest &request) -> std::optional<Seats>
 {
     const auto order = [&](std::size_t a, std::size_t b) {
         const auto key = [&](std::size_t i) {
-            return std::tuple(candidates[i].avoided, candidates[i].free.accelerators, candidates[i].free.milliCores, i);
+            return std::tuple(reluctance(candidates[i]), candidates[i].free.accelerators, candidates[i].free.milliCores, i);
         };
         return key(a) < key(b);
     };
@@ -96,6 +101,11 @@
     return std::count_if(seats.begin(), seats.end(), [&](std::size_t i) { return candidates[i].avoided; });
 }
 
+auto slowSeats(std::span<const Candidate> candidates, const Seats &seats) -> std::ptrdiff_t
+{
+    return std::count_if(seats.begin(), seats.end(), [&](std::size_t i) { return candidates[i].slow; });
+}
+
 /// Chooses victims for one request within one group of workers.
 class GreedyPreemption
 {
@@ -214,13 +224,13 @@
 auto place(std::span<const Candidate> candidates, const PlacementRequest &request) -> std::optional<Seats>
 {
     std::optional<Seats> best;
-    auto bestKey = std::tuple(std::numeric_limits<std::ptrdiff_t>::max(), std::int64_t{0});
+    auto bestKey = std::tuple(std::numeric_limits<std::ptrdiff_t>::max(), std::ptrdiff_t{0}, std::int64_t{0});
     for (const auto &group : groupsFor(candidates, request)) {
         auto seats = fill(candidates, group, request);
         if (!seats) {
             continue;
         }
-        const auto key = std::tuple(avoidedSeats(candidates, *seats), freeAccelerators(candidates, group));
+        const auto key = std::tuple(avoidedSeats(candidates, *seats), slowSeats(candidates, *seats), freeAccelerators(candidates, group));
         if (!best || key < bestKey) {
             best = std::move(seats);
             bestKey = key;
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -183,6 +183,77 @@
     BOOST_TEST(fleet.violations.empty());
 }
 
+BOOST_AUTO_TEST_CASE(urgentWorkGoesToTheZoneInWhichRunsAreQuick)
+{
+    // Two zones of equal workers, one 1.3 times slower; the tasks' estimates say nothing about it.
+    auto fleet = makeFleet();
+    for (auto &[name, worker] : fleet.workers) {
+        const bool slow = worker.info.rack == RackName("rack0");
+        worker.info.zone = ZoneName(slow ? "slow" : "quick");
+        worker.slowness = slow ? 1.3 : 1.0;
+    }
+    fleet.takeOver();
+    for (int i = 0; i < 40; ++i) {
+        auto step = gangStep(1, 8);
+        step.gang = false;
+        fleet.submit(simpleJob("background" + std::to_string(i), "background", step));
+    }
+    fleet.run(60s);
+    for (int i = 0; i < 4; ++i) {
+        fleet.submit(simpleJob("urgent" + std::to_string(i), "urgent", gangStep(1, 4)));
+    }
+    fleet.run(200ms);
+    BOOST_REQUIRE(fleet.starts.size() == 44U);
+    for (auto it = fleet.starts.end() - 4; it != fleet.starts.end(); ++it) {
+        BOOST_TEST(fleet.workers.at(it->worker).info.zone == ZoneName("quick"));
+    }
+}
+
+struct BurstCase
+{
+    const char *load;
+    std::uint32_t priority;
+    std::int64_t guaranteed;
+    /// Latest time from the submission of the gang to the start of all its tasks.
+    Duration atMost;
+    bool preempts;
+};
+
+auto operator<<(std::ostream &out, const BurstCase &c) -> std::ostream &
+{
+    return out << c.load;
+}
+
+const std::vector<BurstCase> burstCases{
+    {"urgent gang onto a fleet full of long singles", 0, 0, 500ms, true},
+    {"guaranteed urgent gang", 0, 32, 500ms, true},
+    {"a normal gang waits for its turn", 1, 0, 25s, false},
+};
+
+BOOST_DATA_TEST_CASE(anUrgentGangMakesRoomForItself, data::make(burstCases), c)
+{
+    auto fleet = makeFleet();
+    fleet.configuration->organisations.push_back({OrganisationName("org"), c.guaranteed});
+    fleet.duration = [](const TaskId &t) { return t.job.str() == "gang" ? Duration(2s) : Duration(20s); };
+    for (int i = 0; i < 32; ++i) {
+        auto step = gangStep(1, 1);
+        step.gang = false;
+        step.estimate = 20s;
+        fleet.submit(simpleJob("single" + std::to_string(i), "background", step));
+    }
+    fleet.run(1s);
+    auto step = gangStep(2, 8);
+    step.sameRack = true;
+    step.estimate = 20s;
+    fleet.submit(simpleJob("gang", c.priority == 0 ? "urgent" : "normal", step));
+    const auto submitted = fleet.now();
+    BOOST_TEST(fleet.runUntil([&] { return runsOf(fleet, "gang", 0).size() == 1 && runsOf(fleet, "gang", 1).size() == 1; }, 60s));
+    BOOST_TEST((fleet.now() - submitted <= c.atMost));
+    BOOST_TEST((fleet.stats().preemptions > 0) == c.preempts);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("gang").has_value(); }, 60s));
+    BOOST_TEST(fleet.violations.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -30,8 +30,8 @@
     m_now = end;
 }
 
-auto FakeStore::roundTrip(const std::shared_ptr<bool> &reachable, std::function<void()> call, std::function<void()> failed, Duration timeout)
-    -> void
+auto FakeStore::roundTrip(const std::shared_ptr<bool> &reachable, std::function<void()> call, std::function<void()> failed,
+                          Duration timeout) -> void
 {
     if (down || !*reachable) {
         m_clock.schedule(timeout, std::move(failed));
--- a/tests/workflow/sim_world.h
+++ b/tests/workflow/sim_world.h
@@ -77,7 +77,8 @@
 
 private:
     auto append(const AppendRequest &request) -> AppendResult;
-    auto roundTrip(const std::shared_ptr<bool> &reachable, std::function<void()> call, std::function<void()> failed, Duration timeout) -> void;
+    auto roundTrip(const std::shared_ptr<bool> &reachable, std::function<void()> call, std::function<void()> failed, Duration timeout)
+        -> void;
     auto poll(const std::string &topic, std::uint64_t from, TimePoint until, const std::shared_ptr<bool> &reachable,
               std::function<void(ReadResult)> done) -> void;
 
