Answer a question about a running job when the job ends, after 150 ms at the latest

Cause: callers ask within 30 ms of the end of the last task, before the end has been listed, recorded and read; they ask again 250 ms later, which made urgent jobs late. Change: such a question waits for the job's end; an instance that is not the holder reads the state topic meanwhile.

--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -38,6 +38,9 @@
     Duration appendTimeout = 1s;
     /// Pause before the holder repeats an append that failed.
     Duration appendRetry = 100ms;
+    /// A question about a running job is answered after this long, or as soon as the job has ended. Callers ask when the last task has ended,
+    /// which takes a look, an append and a read to become known here; who asks in between would ask again much later.
+    Duration lookupWait = 150ms;
     /// Pace of the holder's decisions when nothing happens.
     Duration holderTick = 50ms;
     /// Events this close together are decided upon at once; bounds the processor time of a burst.
@@ -141,7 +144,8 @@
     auto submit(const JobSpec &spec, std::function<void(SubmitOutcome)> done) -> void;
     /// Cancels a job. \a done may be called from inside. \pre none.
     auto cancel(const JobId &job, std::function<void(SubmitOutcome)> done) -> void;
-    /// Looks a job up as of now; as of the last contact when the store cannot be reached. \pre none.
+    /// Looks a job up as of now; as of the last contact when the store cannot be reached. Waits for a running job to end, for
+    /// EngineSettings::lookupWait at most. \pre none.
     auto lookup(const JobId &job, std::function<void(const LookupResult &)> done) -> void;
     /// Returns the accepted jobs of a queue that have not begun. \pre none.
     [[nodiscard]] auto waiting(const QueueName &queue) const -> std::size_t;
--- a/packages/workflow/include/acaciarail/workflow/topic_follower.h
+++ b/packages/workflow/include/acaciarail/workflow/topic_follower.h
@@ -52,6 +52,9 @@
     /// Reads up to the topic's present end and calls \a done with whether that succeeded. \pre started.
     auto refresh(std::function<void(bool ok)> done) -> void;
 
+    /// Reads records as they come, for \a wait at most; several calls share one read. \pre started.
+    auto awaitRecords(Duration wait) -> void;
+
     /// Offset that the next record is read from. \pre none.
     [[nodiscard]] auto position() const noexcept -> std::uint64_t;
 
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -15,6 +15,8 @@
 /// Pace at which an instance considers to become the holder.
 constexpr Duration claimTick = 100ms;
 constexpr Duration introducePause = 1s;
+/// Pace at which a further read begins while a caller waits for a job to end.
+constexpr Duration waiterTick = 20ms;
 
 } // namespace
 
@@ -123,7 +125,7 @@
         const auto *claim = std::get_if<HolderRecord>(&entry);
         if (claim == nullptr) {
             lease.activity(now());
-            directory.apply(entry);
+            applyState(entry);
             return;
         }
         const bool held = lease.holds();
@@ -199,7 +201,7 @@
     {
         StateEntry entry;
         if (!decodeState(record, entry) && !std::holds_alternative<HolderRecord>(entry)) {
-            directory.apply(entry);
+            applyState(entry);
         }
     }
 
@@ -216,10 +218,87 @@
         intake->setPace(Duration::zero(), settings.intakePace);
     }
 
+    /// Looks a job up as of now.
+    auto find(const JobId &job, std::function<void(const LookupResult &)> done) -> void
+    {
+        const auto known = directory.phase(job);
+        const bool current = known && (isFinal(*known) || lease.valid(now()));
+        if (current || !storeHealthy) {
+            done({known, current});
+            return;
+        }
+        state->refresh([weak = weak_from_this(), job, done = std::move(done)](bool stateRead) {
+            const auto self = weak.lock();
+            const auto phase = self ? self->directory.phase(job) : std::nullopt;
+            if (!self || phase) {
+                done({phase, stateRead});
+                return;
+            }
+            self->intake->refresh([weak, job, stateRead, done](bool intakeRead) {
+                const auto s = weak.lock();
+                done({s ? s->directory.phase(job) : std::nullopt, stateRead && intakeRead});
+            });
+        });
+    }
+
+    /// Answers when the job has ended, or the wait is over.
+    auto awaitOutcome(const JobId &job, std::function<void(const LookupResult &)> done) -> void
+    {
+        const auto until = now() + settings.lookupWait;
+        const auto waiter = std::make_shared<std::function<void(const LookupResult &)>>(std::move(done));
+        waiters[job].push_back(waiter);
+        readForWaiters(until);
+        hooks.clock.schedule(settings.lookupWait, [weak = weak_from_this(), job, waiter] {
+            if (const auto self = weak.lock()) {
+                self->answerWaiter(job, waiter);
+            }
+        });
+    }
+
+    using Waiter = std::shared_ptr<std::function<void(const LookupResult &)>>;
+
+    auto answerWaiter(const JobId &job, const Waiter &waiter) -> void
+    {
+        const auto it = waiters.find(job);
+        if (it != waiters.end() && std::erase(it->second, waiter) > 0) {
+            if (it->second.empty()) {
+                waiters.erase(it);
+            }
+            (*waiter)({directory.phase(job), true});
+        }
+    }
+
+    /// Keeps reading while somebody waits; the holder learns of outcomes first hand.
+    auto readForWaiters(TimePoint until) -> void
+    {
+        if (!holder && !waiters.empty() && now() < until) {
+            state->awaitRecords(until - now());
+            hooks.clock.schedule(waiterTick, [weak = weak_from_this(), until] {
+                if (const auto self = weak.lock()) {
+                    self->readForWaiters(until);
+                }
+            });
+        }
+    }
+
+    auto applyState(const StateEntry &entry) -> void
+    {
+        directory.apply(entry);
+        if (const auto *outcome = std::get_if<OutcomeEntry>(&entry)) {
+            const auto it = waiters.find(outcome->job);
+            if (it != waiters.end()) {
+                for (const auto &waiter : std::vector<Waiter>(it->second)) {
+                    answerWaiter(outcome->job, waiter);
+                }
+            }
+        }
+    }
+
     EngineSettings settings;
     EngineHooks hooks;
     LogLease lease;
     JobDirectory directory;
+    std::map<JobId, std::vector<Waiter>> waiters;
     std::unique_ptr<TopicFollower> intake;
     std::unique_ptr<TopicFollower> state;
     std::shared_ptr<const Configuration> configuration;
@@ -339,7 +418,7 @@
 
 auto Engine::cancel(const JobId &job, std::function<void(SubmitOutcome)> done) -> void
 {
-    lookup(job, [weak = std::weak_ptr(m_state), job, done = std::move(done)](const LookupResult &found) {
+    m_state->find(job, [weak = std::weak_ptr(m_state), job, done = std::move(done)](const LookupResult &found) {
         const auto self = weak.lock();
         if (!self || !found.phase) {
             done(found.certain ? SubmitOutcome::NoSuchJob : SubmitOutcome::Refused);
@@ -363,23 +442,13 @@
 auto Engine::lookup(const JobId &job, std::function<void(const LookupResult &)> done) -> void
 {
     auto &s = *m_state;
-    const auto known = s.directory.phase(job);
-    const bool current = known && (isFinal(*known) || s.lease.valid(s.now()));
-    if (current || !s.storeHealthy) {
-        done({known, current});
-        return;
-    }
-    s.state->refresh([weak = std::weak_ptr(m_state), job, done = std::move(done)](bool stateRead) {
+    s.find(job, [weak = std::weak_ptr(m_state), job, done = std::move(done)](const LookupResult &found) {
         const auto self = weak.lock();
-        const auto phase = self ? self->directory.phase(job) : std::nullopt;
-        if (!self || phase) {
-            done({phase, stateRead});
-            return;
+        if (self && found.certain && found.phase == JobPhase::Running) {
+            self->awaitOutcome(job, done);
+        } else {
+            done(found);
         }
-        self->intake->refresh([weak, job, stateRead, done](bool intakeRead) {
-            const auto s2 = weak.lock();
-            done({s2 ? s2->directory.phase(job) : std::nullopt, stateRead && intakeRead});
-        });
     });
 }
 
--- a/packages/workflow/src/topic_follower.cpp
+++ b/packages/workflow/src/topic_follower.cpp
@@ -147,6 +147,20 @@
         }
     }
 
+    auto awaitRecords(Duration wait) -> void
+    {
+        if (!loaded || std::exchange(awaiting, true)) {
+            return;
+        }
+        const auto sentAt = clock.now();
+        store.read(settings.topic, next, wait, [weak = weak_from_this(), sentAt, wait](const ReadResult &result) {
+            if (const auto self = weak.lock()) {
+                self->awaiting = false;
+                self->readDone(result, sentAt, wait);
+            }
+        });
+    }
+
     auto readNow() -> void
     {
         refreshing = true;
@@ -178,6 +192,7 @@
     bool loaded = false;
     bool caughtUp = false;
     bool refreshing = false;
+    bool awaiting = false;
     std::set<std::string> keys;
     std::set<std::string> loadedKeys;
     std::vector<std::function<void(bool)>> waiting;
@@ -206,6 +221,11 @@
     m_state->refresh(std::move(done));
 }
 
+auto TopicFollower::awaitRecords(Duration wait) -> void
+{
+    m_state->awaitRecords(wait);
+}
+
 auto TopicFollower::position() const noexcept -> std::uint64_t
 {
     return m_state->next;
