Do not return to a worker that a run has just left

A further urgent task without siblings ran 8 s on a slow worker, since slowness was judged among siblings only. Change: seats on avoided workers are taken by urgent units only when neither placement nor preemption finds others, by other units after 2.5 s; a single urgent task leaves a worker when its progress points to four times its estimate. The tests failed before.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -47,6 +47,9 @@
     Duration stallTimeout = 2s;
     /// A worker is avoided for this long after a run failed or stood still there; about the length of the users' disruptions of workers.
     Duration avoidTime = 6s;
+    /// A unit that has waited for this long takes a seat on an avoided worker; below the time after which the platform counts a job with
+    /// room as lost.
+    Duration avoidedPatience = 2500ms;
     /// A preemption that has not made room for this long is planned anew; the stop, two looks and their round trips.
     Duration reservationTimeout = 1200ms;
     /// A run is started anew without its slowest worker when that is expected to end this many times earlier.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -148,6 +148,7 @@
         const auto &needs = unit.step->dependsOn;
         if (unit.stage == UnitStage::Blocked && std::none_of(needs.begin(), needs.end(), isOpen)) {
             unit.stage = UnitStage::Waiting;
+            unit.waitingSince = now;
             unit.readySince = occurrence == 0 && needs.empty() && job.spec.occurrences == 0 ? job.acceptedAt : now;
         }
     }
@@ -223,6 +224,7 @@
     unit.members.clear();
     unit.dirty = true;
     unit.stage = UnitStage::Waiting;
+    unit.waitingSince = now;
     unit.readySince = std::min(unit.readySince == TimePoint{} ? now : unit.readySince, now);
     if (unit.record.failures >= policy(*unit.job).maxAttempts && !unit.step->longRunning && !unit.job->cancelled) {
         unit.stage = UnitStage::Failed;
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -48,6 +48,16 @@
             step.sameRack, step.requiredLabel, step.dataRack,    step.maxPerWorker};
 }
 
+auto withoutAvoided(std::vector<Candidate> candidates) -> std::vector<Candidate>
+{
+    for (auto &it : candidates) {
+        it.free = it.avoided ? noRoom : it.free;
+    }
+    return candidates;
+}
+
+} // namespace
+
 /// One round of placement over the whole pool.
 class Round
 {
@@ -69,9 +79,11 @@
     }
 
     /// Returns the workers as candidates for \a unit.
-    auto candidates(const Unit &unit, const ServiceName &service, bool dataRackOnly) const -> std::vector<Candidate>
+    auto candidates(const Unit &unit, const ServiceName &service, TimePoint now) const -> std::vector<Candidate>
     {
         std::vector<Candidate> out(m_workers.size());
+        // Elsewhere the tasks take several times as long, so it pays to wait for a run's length.
+        const bool dataRackOnly = now < unit.readySince + unit.step->estimate;
         const auto sameStep = tasksOfStep(unit);
         const bool urgent = m_state.policy(*unit.job).priority == 0;
         for (std::size_t i = 0; i < out.size(); ++i) {
@@ -170,6 +182,8 @@
     std::set<const Job *> m_guaranteed;
 };
 
+namespace {
+
 /// Returns the urgent jobs that their organisations' guarantees cover: all of an organisation's, when together they need no more.
 auto guaranteedJobs(const Dispatcher::State &state) -> std::set<const Job *>
 {
@@ -300,45 +314,68 @@
         if (!urgent && failed.contains(shapeOf(unit))) {
             continue;
         }
-        PlacementRequest request{unit.tasks(), unit.demand(), unit.step->sameRack, unit.step->maxPerWorker};
-        const bool nearDataOnly = now < unit.readySince + unit.step->estimate;
-        auto pool = round.candidates(unit, it.policy.service, nearDataOnly);
-        if (const auto seats = place(pool, request)) {
-            assign(unit, round.workersAt(*seats), now);
+        if (tryPlace(round, unit, it.policy, now)) {
             continue;
         }
         failed.insert(shapeOf(unit));
-        if (!urgent || now < unit.nextPreempt) {
-            continue;
-        }
-        unit.nextPreempt = now + settings.preemptPace;
-        std::vector<Unit *> others;
-        const auto victims = round.victims(unit, it.position.guaranteed, others);
-        const auto gain = unit.cores() * seconds(unit.step->estimate);
-        const auto cap = it.position.guaranteed ? std::numeric_limits<double>::infinity() : gain * settings.preemptionCap;
-        auto plan = planPreemption(pool, victims, request, cap);
-        if (!plan && it.position.guaranteed && request.sameRack) {
-            request.sameRack = false;
-            plan = planPreemption(pool, victims, request, cap);
-        }
-        if (!plan) {
-            continue;
-        }
-        unit.stage = UnitStage::Reserved;
-        unit.reservedAt = now;
-        unit.reserved = round.workersAt(plan->seats);
-        for (auto *w : unit.reserved) {
-            w->pledged += unit.demand();
+        if (urgent && now >= unit.nextPreempt) {
+            unit.nextPreempt = now + settings.preemptPace;
+            tryPreempt(round, unit, it.policy, it.position.guaranteed, now);
         }
-        for (const auto v : plan->victims) {
-            preemptions += others[v]->ending || others[v]->stage == UnitStage::Done ? 0 : 1;
-            beginEnding(*others[v], "preempted-by-" + unit.id.job.str());
+    }
+}
+
+auto Dispatcher::State::tryPlace(const Round &round, Unit &unit, const QueuePolicy &rules, TimePoint now) -> bool
+{
+    const PlacementRequest request{unit.tasks(), unit.demand(), unit.step->sameRack, unit.step->maxPerWorker};
+    auto pool = round.candidates(unit, rules.service, now);
+    // A worker on which runs just failed or stood still would take the same unit again and again, as its room is the first to be free.
+    const bool useAvoided = rules.priority != 0 && now >= unit.waitingSince + settings.avoidedPatience;
+    const auto seats = place(useAvoided ? pool : withoutAvoided(pool), request);
+    if (seats) {
+        assign(unit, round.workersAt(*seats), now);
+    }
+    return seats.has_value();
+}
+
+auto Dispatcher::State::tryPreempt(const Round &round, Unit &unit, const QueuePolicy &rules, bool guaranteed, TimePoint now) -> void
+{
+    PlacementRequest request{unit.tasks(), unit.demand(), unit.step->sameRack, unit.step->maxPerWorker};
+    const auto pool = round.candidates(unit, rules.service, now);
+    std::vector<Unit *> others;
+    const auto victims = round.victims(unit, guaranteed, others);
+    const auto gain = unit.cores() * seconds(unit.step->estimate);
+    const auto cap = guaranteed ? std::numeric_limits<double>::infinity() : gain * settings.preemptionCap;
+    auto plan = planPreemption(withoutAvoided(pool), victims, request, cap);
+    if (!plan) {
+        if (const auto seats = place(pool, request)) {
+            assign(unit, round.workersAt(*seats), now);
+            return;
         }
-        preemptedWork += plan->loss;
-        event("room-reserved", unit.id.job,
-              "victims=" + std::to_string(plan->victims.size()) + " lost_core_s=" + std::to_string(static_cast<std::int64_t>(plan->loss))
-                  + " gained_core_s=" + std::to_string(static_cast<std::int64_t>(gain)));
+        plan = planPreemption(pool, victims, request, cap);
+    }
+    if (!plan && guaranteed && request.sameRack) {
+        // A guarantee is kept also where no rack can be cleared.
+        request.sameRack = false;
+        plan = planPreemption(pool, victims, request, cap);
+    }
+    if (!plan) {
+        return;
+    }
+    unit.stage = UnitStage::Reserved;
+    unit.reservedAt = now;
+    unit.reserved = round.workersAt(plan->seats);
+    for (auto *w : unit.reserved) {
+        w->pledged += unit.demand();
+    }
+    for (const auto v : plan->victims) {
+        preemptions += others[v]->ending || others[v]->stage == UnitStage::Done ? 0 : 1;
+        beginEnding(*others[v], "preempted-by-" + unit.id.job.str());
     }
+    preemptedWork += plan->loss;
+    event("room-reserved", unit.id.job,
+          "victims=" + std::to_string(plan->victims.size()) + " lost_core_s=" + std::to_string(static_cast<std::int64_t>(plan->loss))
+              + " gained_core_s=" + std::to_string(static_cast<std::int64_t>(gain)));
 }
 
 auto Dispatcher::State::collectRecords(Decisions &out) -> void
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -29,6 +29,7 @@
 
 struct Unit;
 struct Worker;
+class Round;
 
 /// One task of the newest run of a unit.
 struct Member
@@ -77,6 +78,8 @@
     bool dirty = false;
     bool storing = false;
     TimePoint readySince;
+    /// Since when it waits for its next run.
+    TimePoint waitingSince;
     TimePoint runStartedAt;
     TimePoint reservedAt;
     TimePoint nextPreempt;
@@ -196,11 +199,14 @@
     auto expireWorkers(TimePoint now) -> void;
     auto watchProgress(TimePoint now) -> void;
     auto restartSlowRuns(TimePoint now) -> void;
+    auto restartSlowSingle(Unit &unit, TimePoint now) -> void;
     auto extensionPace(const Worker &worker, TimePoint now) const -> Duration;
     auto evacuate(TimePoint now) -> void;
 
     // dispatcher_schedule.cpp: placement and orders
     auto schedule(TimePoint now) -> void;
+    auto tryPlace(const Round &round, Unit &unit, const QueuePolicy &rules, TimePoint now) -> bool;
+    auto tryPreempt(const Round &round, Unit &unit, const QueuePolicy &rules, bool guaranteed, TimePoint now) -> void;
     auto placeReserved(TimePoint now) -> void;
     auto assign(Unit &unit, const std::vector<Worker *> &seats, TimePoint now) -> void;
     auto release(Unit &unit) -> void;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -16,6 +16,10 @@
 constexpr double slowZoneRatio = 1.15;
 /// Rates of members are compared once each was reported this long after its start.
 constexpr Duration minRateSpan = 300ms;
+/// A task without siblings is slow when its progress, over this long, ...
+constexpr Duration minSingleSpan = 700ms;
+/// ... points to a run this many times its estimate; estimates are off by half and zones by a third.
+constexpr double maxEstimateError = 4.0;
 /// Time that a restart takes beside the work: the stop, the record and the start.
 constexpr Duration restartCost = 500ms;
 /// Added to the end of a lease for the worker's timer and the way there.
@@ -442,6 +446,26 @@
     }
 }
 
+auto Dispatcher::State::restartSlowSingle(Unit &unit, TimePoint now) -> void
+{
+    if (unit.stage != UnitStage::Active || unit.ending || unit.members.size() != 1 || unit.step->longRunning
+        || unit.step->estimate <= Duration::zero() || policy(*unit.job).priority != 0) {
+        return;
+    }
+    const auto &member = unit.members.front();
+    const auto span = member.lastReport - member.firstSeen;
+    if (member.phase != MemberPhase::Running || span < minSingleSpan || member.percent >= fullPercent) {
+        return;
+    }
+    const auto whole = std::chrono::duration<double>(span) * fullPercent / std::max(member.percent - member.firstPercent, 1U);
+    if (whole > std::chrono::duration<double>(unit.step->estimate) * maxEstimateError) {
+        member.worker->avoidUntil = now + settings.avoidTime;
+        event("run-slow", unit.id.job,
+              workerDetail(*member.worker) + " run=" + std::to_string(unit.record.run) + " percent=" + std::to_string(member.percent));
+        beginEnding(unit, "slow-worker");
+    }
+}
+
 auto Dispatcher::State::restartSlowRuns(TimePoint now) -> void
 {
     const auto rate = [](const Member &m) {
@@ -450,6 +474,7 @@
     };
     for (auto &[id, job] : jobs) {
         for (auto &[key, unit] : job->units) {
+            restartSlowSingle(*unit, now);
             const bool measured = unit->stage == UnitStage::Active && !unit->ending && unit->members.size() > 1 && !unit->step->longRunning
                 && std::all_of(unit->members.begin(), unit->members.end(), [](const Member &m) {
                                       return m.phase == MemberPhase::Running && m.lastReport >= m.firstSeen + minRateSpan;
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -254,6 +254,57 @@
     BOOST_TEST(fleet.violations.empty());
 }
 
+BOOST_AUTO_TEST_CASE(anUrgentGangLeavesAStalledWorkerForGood)
+{
+    // The stalled worker's room is the first to be free again; the other rack has to be cleared for the second run.
+    auto fleet = makeFleet();
+    fleet.duration = [](const TaskId &t) { return t.job.str() == "gang" ? Duration(3s) : Duration(30s); };
+    for (int i = 0; i < 2; ++i) {
+        auto step = gangStep(1, 8);
+        step.gang = false;
+        step.estimate = 30s;
+        auto job = simpleJob("background" + std::to_string(i), "background", step);
+        job.steps[0].requiredLabel = "rack1";
+        fleet.submit(job);
+    }
+    fleet.run(1s);
+    auto step = gangStep(2, 8);
+    step.sameRack = true;
+    step.estimate = 30s;
+    fleet.submit(simpleJob("gang", "urgent", step));
+    fleet.run(500ms);
+    fleet.workers.at(WorkerName("w0-0")).slowness = 0;
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("gang").has_value(); }, 15s));
+    BOOST_TEST(runsOf(fleet, "gang", 0).size() == 2U);
+}
+
+struct SingleCase
+{
+    const char *name;
+    double slowness;
+    std::size_t runs;
+};
+
+auto operator<<(std::ostream &out, const SingleCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<SingleCase> singleCases{
+    {"as estimated", 1.0, 1},
+    {"twice the estimate is within its error", 2.0, 1},
+    {"six times as long", 6.0, 2},
+};
+
+BOOST_DATA_TEST_CASE(anUrgentTaskWithoutSiblingsLeavesAMuchSlowerWorker, data::make(singleCases), c)
+{
+    auto fleet = makeFleet();
+    fleet.workers.at(WorkerName("w0-0")).slowness = c.slowness;
+    fleet.submit(simpleJob("j1", "urgent", gangStep(1, 8)));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 30s));
+    BOOST_TEST(runsOf(fleet, "j1", 0).size() == c.runs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
