--- a/packages/core/include/acaciarail/core/logging.h
+++ b/packages/core/include/acaciarail/core/logging.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -38,14 +39,25 @@
     }
 };
 
-enum class LogOutput {
-    StandardError,
-    StandardOutput,
+/// Configures the process-wide logger to write to standard error.
+/// \pre called once, before the first event is logged. Not thread-safe.
+auto configureLogging(LogLevel minimum) -> void;
+
+struct LogBudget
+{
+    /// Lines a second in the long run; a holder of 350 workers under overload writes about half of it.
+    std::uint32_t linesPerSecond = 500;
+    /// Lines beyond that in a burst.
+    std::uint32_t burst = 2000;
 };
 
-/// Configures the process-wide logger.
-/// \pre called once, before the first event is logged. Not thread-safe.
-auto configureLogging(LogLevel minimum, LogOutput output = LogOutput::StandardError) -> void;
+/// Configures the process-wide logger to write to the descriptor \a fd without ever blocking. Lines beyond the budget, and lines that a
+/// reader which does not keep up leaves no room for, are left out; the next line that is written follows one that says how many were.
+/// Errors are written beyond the budget. \pre called once, before the first event is logged; \a fd stays open. Not thread-safe.
+auto configureBoundedLogging(LogLevel minimum, int fd, LogBudget budget) -> void;
+
+/// Returns how many lines were left out so far. \pre none. Thread-safe.
+[[nodiscard]] auto droppedLogLines() noexcept -> std::uint64_t;
 
 /// Writes one line `event=NAME key=value ...`.
 /// \pre none. Thread-safe.
--- a/packages/core/src/logging.cpp
+++ b/packages/core/src/logging.cpp
@@ -1,5 +1,6 @@
 #include <acaciarail/core/logging.h>
 
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -7,6 +8,11 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <chrono>
+#include <fcntl.h>
+#include <unistd.h>
+#include <utility>
 
 namespace Acaciarail {
 
@@ -39,18 +45,128 @@
     return instance;
 }
 
+auto makeLayout() -> log4cxx::LayoutPtr
+{
+    return std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n"));
+}
+
+std::atomic<std::uint64_t> dropped{0};
+
+/// Writes whole lines to a descriptor that does not block.
+class BoundedAppender : public log4cxx::AppenderSkeleton
+{
+public:
+    BoundedAppender(int fd, LogBudget budget)
+        : m_layout(makeLayout())
+        , m_fd(fd)
+        , m_budget(budget)
+        , m_tokens(budget.burst)
+        , m_filledAt(std::chrono::steady_clock::now())
+    {
+    }
+
+    auto append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) -> void override
+    {
+        refill();
+        const bool error = event->getLevel()->isGreaterOrEqual(log4cxx::Level::getError());
+        if (m_tokens < 1 && !error) {
+            leaveOut();
+            return;
+        }
+        log4cxx::LogString line;
+        m_layout->format(line, event, pool);
+        if (m_leftOut > 0 && !writeLine("level=WARN event=log-lines-dropped lines=" + std::to_string(m_leftOut) + '\n')) {
+            leaveOut();
+            return;
+        }
+        m_leftOut = 0;
+        m_tokens -= 1;
+        if (!writeLine(line)) {
+            leaveOut();
+        }
+    }
+
+    auto close() -> void override
+    {
+    }
+
+    auto requiresLayout() const -> bool override
+    {
+        return false;
+    }
+
+private:
+    auto refill() -> void
+    {
+        const auto now = std::chrono::steady_clock::now();
+        m_tokens = std::min<double>(
+            m_budget.burst,
+            m_tokens + std::chrono::duration<double>(now - std::exchange(m_filledAt, now)).count() * m_budget.linesPerSecond);
+    }
+
+    auto leaveOut() -> void
+    {
+        ++m_leftOut;
+        dropped.fetch_add(1, std::memory_order_relaxed);
+    }
+
+    /// Returns whether the line was written. The rest of one that was cut off by a full pipe goes ahead of the next line.
+    auto writeLine(const std::string &line) -> bool
+    {
+        if (!m_rest.empty() && !drain()) {
+            return false;
+        }
+        m_rest = line;
+        drain();
+        if (m_rest.size() == line.size()) {
+            m_rest.clear();
+            return false;
+        }
+        return true;
+    }
+
+    /// Writes what is left of the last line; returns whether nothing is left.
+    auto drain() -> bool
+    {
+        const auto n = ::write(m_fd, m_rest.data(), m_rest.size());
+        if (n > 0) {
+            m_rest.erase(0, static_cast<std::size_t>(n));
+        }
+        return m_rest.empty();
+    }
+
+    log4cxx::LayoutPtr m_layout;
+    int m_fd;
+    LogBudget m_budget;
+    double m_tokens;
+    std::chrono::steady_clock::time_point m_filledAt;
+    std::uint64_t m_leftOut = 0;
+    std::string m_rest;
+};
+
 } // namespace
 
-auto configureLogging(LogLevel minimum, LogOutput output) -> void
+auto configureLogging(LogLevel minimum) -> void
 {
-    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n"));
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, output == LogOutput::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(makeLayout(), log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(toLog4cxx(minimum));
 }
 
+auto configureBoundedLogging(LogLevel minimum, int fd, LogBudget budget) -> void
+{
+    fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(std::make_shared<BoundedAppender>(fd, budget));
+    logger()->setLevel(toLog4cxx(minimum));
+}
+
+auto droppedLogLines() noexcept -> std::uint64_t
+{
+    return dropped.load(std::memory_order_relaxed);
+}
+
 auto logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) -> void
 {
     logEvent(level, event, fields, {});
--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -69,6 +69,9 @@
     JobId job;
     /// Details as `key=value` pairs.
     std::string details;
+    /// Of a unit that was placed: how long it had waited since it could run, and the priority of its queue.
+    Duration waited{};
+    std::uint32_t priority = 0;
 };
 
 /// What a holder has to do next.
@@ -114,7 +117,7 @@
     /// Internal.
     struct State;
 
-    /// \pre none. \a previousGrants is the latest time at which an earlier holder may have extended a lease.
+    /// \pre \a observe is callable. \a previousGrants is the latest time at which an earlier holder may have extended a lease.
     Dispatcher(DispatcherSettings settings, std::function<void(const DispatchEvent &)> observe, TimePoint previousGrants);
     ~Dispatcher();
     Dispatcher(const Dispatcher &) = delete;
--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -79,6 +79,10 @@
     StoreHooks store;
     WorkerHooks workers;
     ClockHooks clock;
+    /// Called for each decision of the holder, after its log line; may be empty.
+    std::function<void(const DispatchEvent &)> observe = {};
+    /// Called with the time from the claim to the first decision of a holder; may be empty.
+    std::function<void(Duration)> tookOver = {};
 };
 
 enum class Admission : std::uint8_t {
@@ -116,6 +120,17 @@
     bool certain = false;
 };
 
+/// What an instance knows, for its metrics.
+struct InstanceState
+{
+    std::uint64_t term = 0;
+    std::size_t knownJobs = 0;
+    std::uint64_t configurationVersion = 0;
+    /// Since the configuration was last confirmed to be the newest.
+    Duration configurationAge{};
+    Duration storeSilence{};
+};
+
 /// An instance: it accepts jobs, answers questions about them, and, while it holds the lease, runs them. Everything durable is in the
 /// store; an instance that starts anew knows nothing. Not thread-safe.
 class Engine
@@ -162,8 +177,10 @@
     /// Hands the holder's role over and calls \a done; requests are still served. \pre none.
     auto leave(std::function<void()> done) -> void;
 
-    /// \pre none.
+    /// Returns the figures of the holder; zeros where this instance is not. \pre none.
     [[nodiscard]] auto stats() const -> DispatcherStats;
+    /// \pre none.
+    [[nodiscard]] auto instanceState() const -> InstanceState;
 
 private:
     struct State;
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -114,9 +114,7 @@
 
 auto Dispatcher::State::event(std::string_view name, const JobId &job, std::string details) const -> void
 {
-    if (observe) {
-        observe({name, job, std::move(details)});
-    }
+    observe({name, job, std::move(details), {}, 0});
 }
 
 auto Dispatcher::State::createOccurrence(Job &job, std::uint32_t occurrence, TimePoint now) -> void
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -240,10 +240,13 @@
         unit.record.workers.push_back(seats[i]->info.name);
         names += (i > 0 ? "," : "") + seats[i]->info.name.str();
     }
-    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - unit.readySince);
-    event("unit-placed", unit.id.job,
-          "step=" + std::to_string(unit.id.step) + " index=" + std::to_string(unit.id.index) + " run=" + std::to_string(unit.record.run)
-              + " waited_ms=" + std::to_string(waited.count()) + " workers=" + names);
+    const auto waited = now - unit.waitingSince;
+    const auto priority = policy(*unit.job).priority;
+    const auto waitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(waited);
+    observe({"unit-placed", unit.id.job,
+             "step=" + std::to_string(unit.id.step) + " index=" + std::to_string(unit.id.index) + " run=" + std::to_string(unit.record.run)
+                 + " priority=" + std::to_string(priority) + " waited_ms=" + std::to_string(waitedMs.count()) + " workers=" + names,
+             waited, priority});
 }
 
 auto Dispatcher::State::release(Unit &unit) -> void
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -506,6 +506,14 @@
     });
 }
 
+auto Engine::instanceState() const -> InstanceState
+{
+    const auto &s = *m_state;
+    const auto now = s.now();
+    return {s.lease.term(), s.directory.size(), s.configuration ? s.configuration->version : 0, now - s.configurationAt,
+            now - s.lastContact};
+}
+
 auto Engine::stats() const -> DispatcherStats
 {
     return m_state->holder ? m_state->holder->stats() : DispatcherStats{};
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -44,8 +44,13 @@
 auto Holder::begin(std::uint64_t sequence, std::shared_ptr<const Configuration> configuration) -> void
 {
     m_sequence = sequence;
-    m_dispatcher =
-        std::make_unique<Dispatcher>(m_settings.dispatcher, logDecision, m_lease.previousGrants(m_began, m_hooks.clock.unixNow()));
+    const auto decided = [this](const DispatchEvent &event) {
+        logDecision(event);
+        if (m_hooks.observe) {
+            m_hooks.observe(event);
+        }
+    };
+    m_dispatcher = std::make_unique<Dispatcher>(m_settings.dispatcher, decided, m_lease.previousGrants(m_began, m_hooks.clock.unixNow()));
     m_dispatcher->setConfiguration(std::move(configuration));
     // The claim may have been stored some time ago; this renewal says since when the lease counts.
     append({}, guarded([](Holder &self) {
@@ -134,6 +139,9 @@
               {"ended", m_loadedOutcomes.size()},
               {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - m_began).count()}});
     m_loadedOutcomes.clear();
+    if (m_hooks.tookOver) {
+        m_hooks.tookOver(now - m_began);
+    }
     wake(Duration::zero());
 }
 
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -300,7 +300,7 @@
         });
     };
     return std::make_unique<Engine>(
-        settings, EngineHooks{store.hooks(instance.storeReachable), workers.hooks(instance.workersReachable, watch), hooks});
+        settings, EngineHooks{store.hooks(instance.storeReachable), workers.hooks(instance.workersReachable, watch), hooks, {}, {}});
 }
 
 auto SimWorld::restart(std::size_t i) -> void
