--- a/apps/acaciaraild/main.cpp
+++ b/apps/acaciaraild/main.cpp
@@ -35,6 +35,7 @@
 DEFINE_string(instance_list_interval_ms, "", "Overrides the setting instance_list_interval_ms");
 DEFINE_string(heartbeat_interval_ms, "", "Overrides the setting heartbeat_interval_ms");
 DEFINE_string(shutdown_grace_ms, "", "Overrides the setting shutdown_grace_ms");
+DEFINE_uint32(metrics_port, 0, "Port of the metrics on the users' platform; 0 takes the first internal port");
 DEFINE_uint64(seed, 0, "Seed of all random choices; 0 takes one from the system");
 
 namespace {
@@ -82,11 +83,11 @@
 {
     // A write to a connection that the other side closed is reported as an error.
     std::signal(SIGPIPE, SIG_IGN);
-    if (const auto *path = std::getenv(Adapter::settingsVariable); path != nullptr && argc == 1) {
-        return Adapter::runInstance(path);
-    }
     gflags::SetUsageMessage("acaciaraild --config FILE [--KEY VALUE ...]: an entry instance of acaciarail");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (const auto *path = std::getenv(Adapter::settingsVariable); path != nullptr && FLAGS_config.empty()) {
+        return Adapter::runInstance(path, static_cast<std::uint16_t>(FLAGS_metrics_port));
+    }
     const auto parsed = Operator::loadSettings(FLAGS_config, overridesFromFlags());
     for (const auto &it : parsed.faults) {
         std::cerr << "error: " << it.file << ':' << it.line << ':' << it.column << ": expected " << it.expected << ", found " << it.found
