--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -36,6 +36,10 @@
     Duration declineTime = 1s;
     /// Pause before a worker that did not answer is asked again.
     Duration lookRetry = 300ms;
+    /// An order to start that is not answered is repeated this often; the worker takes a run that is there already for the same.
+    std::uint32_t startAttempts = 4;
+    /// A worker is unreachable when this many looks in a row were not answered; single ones are lost while the worker works.
+    std::uint32_t lookAttempts = 2;
     /// Pace of placement, and of a further attempt to preempt for the same unit; they bound the processor time under load.
     Duration schedulePace = 10ms;
     Duration preemptPace = 100ms;
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -48,6 +48,8 @@
     std::string checkpoint;
     bool stopping = false;
     TimePoint stopSentAt;
+    /// Orders to start this run that were not answered.
+    std::uint32_t unansweredStarts = 0;
     /// A look sent at or after this time that does not list the run proves that it is gone.
     std::optional<TimePoint> provableSince;
 };
@@ -137,6 +139,8 @@
     TimePoint nextExtension;
     /// Time of sending of the last look that was answered in this term.
     std::optional<TimePoint> answeredAt;
+    /// Looks in a row that were not answered.
+    std::uint32_t unansweredLooks = 0;
     std::optional<TimePoint> failingSince;
     /// First order in a row that may have extended the lease and had no answer.
     std::optional<TimePoint> unansweredGrant;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -150,16 +150,18 @@
     const bool extends = order.lease > Duration::zero();
     (extends ? worker.extensionOutstanding : worker.lookOutstanding) = false;
     if (!report) {
-        if (!worker.failingSince) {
-            worker.failingSince = sentAt;
-            s.event("worker-unreachable", {}, workerDetail(worker));
-        }
         if (extends) {
             worker.unansweredGrant = worker.unansweredGrant.value_or(sentAt);
         }
-        worker.nextLook = now + s.settings.lookRetry;
+        ++worker.unansweredLooks;
+        if (worker.unansweredLooks >= s.settings.lookAttempts && !worker.failingSince) {
+            worker.failingSince = sentAt;
+            s.event("worker-unreachable", {}, workerDetail(worker));
+        }
+        worker.nextLook = worker.failingSince ? now + s.settings.lookRetry : now;
         return;
     }
+    worker.unansweredLooks = 0;
     if (extends) {
         worker.extendedAt = now;
         worker.nextExtension = now + s.extensionPace(worker, now);
@@ -317,6 +319,10 @@
         member->lastProgress = now;
         return;
     }
+    if (outcome == StartOutcome::Unknown && !unit->ending && ++member->unansweredStarts < s.settings.startAttempts) {
+        s.pendingStarts.push_back(order);
+        return;
+    }
     if (outcome == StartOutcome::Unknown) {
         member->phase = MemberPhase::Unsure;
         member->startedAt = now;
@@ -337,10 +343,14 @@
 {
     auto &s = *m_state;
     auto *unit = s.findUnit(order.task);
-    if (!answered || unit == nullptr || unit->record.run != order.run) {
+    if (unit == nullptr || unit->record.run != order.run) {
         return;
     }
     auto *member = s.memberOn(*unit, s.worker(order.worker), order.task);
+    if (member != nullptr && !answered) {
+        member->stopSentAt = {};
+        return;
+    }
     if (member != nullptr && !member->provableSince && member->phase != MemberPhase::Gone) {
         // The worker refuses this run from now on, and ends it within its stop time if it is there.
         member->provableSince = now;
