Do not take a refusal after a lost answer for proof that nothing started

Change: once an order to start was not answered, only a stop and a look prove that the run is not there.

--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -323,7 +323,8 @@
         s.pendingStarts.push_back(order);
         return;
     }
-    if (outcome == StartOutcome::Unknown) {
+    if (outcome == StartOutcome::Unknown || member->unansweredStarts > 0) {
+        // A refusal speaks for its own order only; an earlier one without an answer may have started the run.
         member->phase = MemberPhase::Unsure;
         member->startedAt = now;
         member->stopping = true;
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -305,6 +305,40 @@
     BOOST_TEST(runsOf(fleet, "j1", 0).size() == c.runs);
 }
 
+struct LostStartCase
+{
+    const char *name;
+    std::vector<StartOutcome> answers;
+    /// Runs that it takes.
+    std::size_t runs;
+};
+
+auto operator<<(std::ostream &out, const LostStartCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<LostStartCase> lostStartCases{
+    {"an answer lost once", {StartOutcome::Unknown}, 1},
+    {"lost three times", {StartOutcome::Unknown, StartOutcome::Unknown, StartOutcome::Unknown}, 1},
+    {"lost, then no connection", {StartOutcome::Unknown, StartOutcome::Declined}, 2},
+    {"lost, then no room", {StartOutcome::Unknown, StartOutcome::NoRoom}, 2},
+    {"lost, then too late", {StartOutcome::Unknown, StartOutcome::Late}, 2},
+};
+
+BOOST_DATA_TEST_CASE(aRefusalAfterALostAnswerProvesNothing, data::make(lostStartCases), c)
+{
+    auto fleet = makeFleet();
+    fleet.workers.at(WorkerName("w0-0")).scriptedAnswers = c.answers;
+    auto step = gangStep(1, 8);
+    step.gang = false;
+    fleet.submit(simpleJob("j1", "background", step));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 20s));
+    BOOST_TEST(fleet.violations.empty());
+    const auto runs = runsOf(fleet, "j1", 0);
+    BOOST_TEST((runs.empty() ? 0U : runs.back()) == c.runs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -181,6 +181,21 @@
         m_dispatcher->startAnswered(order, StartOutcome::Unknown, m_now);
         return;
     }
+    auto answer = StartOutcome::Started;
+    if (!worker.scriptedAnswers.empty()) {
+        answer = worker.scriptedAnswers.front();
+        worker.scriptedAnswers.erase(worker.scriptedAnswers.begin());
+    }
+    const auto isThere = [&](const Run &run) { return run.order.task == order.task && run.order.run == order.run; };
+    if (std::none_of(worker.runs.begin(), worker.runs.end(), isThere)) {
+        checkStart(order);
+        worker.runs.push_back({order, m_now, m_now + byWorkerClock(order.lease), std::nullopt, {}});
+    }
+    m_dispatcher->startAnswered(order, answer, m_now);
+}
+
+auto FakeFleet::checkStart(const StartOrder &order) -> void
+{
     for (const auto &[name, other] : workers) {
         for (const auto &run : other.runs) {
             if (!run.end && run.order.task == order.task) {
@@ -191,8 +206,6 @@
             }
         }
     }
-    worker.runs.push_back({order, m_now, m_now + byWorkerClock(order.lease), std::nullopt, {}});
-    m_dispatcher->startAnswered(order, worker.answersStarts ? StartOutcome::Started : StartOutcome::Unknown, m_now);
 }
 
 auto FakeFleet::end(FakeWorker &worker, Run &run, EndKind kind) -> void
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -47,7 +47,8 @@
     {
         WorkerInfo info;
         bool reachable = true;
-        bool answersStarts = true;
+        /// Answers to the next orders to start, whatever comes of them; the first is carried out. Later orders are answered truly.
+        std::vector<StartOutcome> scriptedAnswers;
         /// Times as long as on a sound worker; 0 for no progress at all.
         double slowness = 1.0;
         bool failsAll = false;
@@ -76,6 +77,7 @@
     auto answerLook(FakeWorker &worker) -> void;
     auto answer(FakeWorker &worker, const LookOrder &order, TimePoint sentAt) -> void;
     auto start(const StartOrder &order) -> void;
+    auto checkStart(const StartOrder &order) -> void;
     auto end(FakeWorker &worker, Run &run, EndKind kind) -> void;
     auto wholeWork(const FakeWorker &worker, const Run &run) const -> Duration;
     auto listed(const FakeWorker &worker) const -> WorkerReport;
