--- /dev/null
+++ b/tests/adapter/node_settings_test.cpp
@@ -0,0 +1,133 @@
+#include "node_settings.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <ostream>
+#include <string>
+
+namespace Acaciarail::Adapter::Tests {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+const std::string complete = R"(node = "frontend-1"
+ip = "10.1.0.19"
+zone = "zone-a"
+region = "region"
+internalPorts = [7000, 7015]
+unknownKey = { any = "thing" }
+[listen]
+front = "10.1.0.19:8521"
+readiness = "10.1.0.19:8523"
+[limits]
+cpuShare = 0.25
+[bounds]
+holdMaxMs = 10000
+graceS = 6
+[platform]
+address = "10.200.1.7:8524"
+)";
+
+auto without(const std::string &line) -> std::string
+{
+    auto text = complete;
+    const auto at = text.find(line);
+    return text.erase(at, text.find('\n', at) + 1 - at);
+}
+
+auto with(const std::string &line, const std::string &replacement) -> std::string
+{
+    auto text = complete;
+    return text.replace(text.find(line), line.size(), replacement);
+}
+
+/// A file that is removed at the end of a test.
+class TemporaryFile
+{
+public:
+    explicit TemporaryFile(const std::string &text)
+        : m_path("/tmp/acaciarail-settings-XXXXXX")
+    {
+        close(mkstemp(m_path.data()));
+        std::ofstream(m_path) << text;
+    }
+    TemporaryFile(const TemporaryFile &) = delete;
+    auto operator=(const TemporaryFile &) -> TemporaryFile & = delete;
+    ~TemporaryFile()
+    {
+        std::remove(m_path.c_str());
+    }
+    [[nodiscard]] auto path() const -> const std::string &
+    {
+        return m_path;
+    }
+
+private:
+    std::string m_path;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(nodeSettings)
+
+struct SettingsCase
+{
+    const char *name;
+    std::string text;
+    /// Key of the only fault; empty for none.
+    std::string fault;
+};
+
+auto operator<<(std::ostream &out, const SettingsCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<SettingsCase> settingsCases{
+    {"complete, with unknown keys", complete, ""},
+    {"a bound that is not given", without("holdMaxMs"), ""},
+    {"no name", without("node ="), "node"},
+    {"no store", without("address"), "platform.address"},
+    {"a name for an address", with("10.200.1.7:8524", "store:8524"), "platform.address"},
+    {"a bound of another type", with("holdMaxMs = 10000", "holdMaxMs = \"long\""), "bounds.holdMaxMs"},
+    {"ports of another type", with("[7000, 7015]", "7000"), "internalPorts"},
+};
+
+BOOST_DATA_TEST_CASE(faultsNameTheirKey, data::make(settingsCases), c)
+{
+    const TemporaryFile file(c.text);
+    const auto loaded = loadNodeSettings(file.path());
+    BOOST_TEST(loaded.faults.size() == (c.fault.empty() ? 0U : 1U));
+    if (!loaded.faults.empty()) {
+        BOOST_TEST(loaded.faults.front().key == c.fault);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(valuesHaveTheirUnits)
+{
+    const TemporaryFile file(complete);
+    const auto settings = loadNodeSettings(file.path()).settings;
+    BOOST_TEST((settings.maxLease == 10s && settings.grace == 6s));
+    BOOST_TEST(settings.processorShare == 0.25);
+    BOOST_TEST(settings.metrics.str() == "10.1.0.19:7000");
+    BOOST_TEST(settings.callers.str() == "10.1.0.19:8521");
+}
+
+BOOST_AUTO_TEST_CASE(anUnreadableFileIsAFault)
+{
+    BOOST_TEST(loadNodeSettings("/nonexistent/settings.toml").faults.size() == 1U);
+    const TemporaryFile file("node = [");
+    BOOST_TEST(loadNodeSettings(file.path()).faults.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Acaciarail::Adapter::Tests
--- /dev/null
+++ b/tests/adapter/wire_codec_test.cpp
@@ -0,0 +1,166 @@
+#include "wire_codec.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+
+namespace Acaciarail::Adapter::Tests {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(wireCodec)
+
+struct BodyCase
+{
+    const char *name;
+    std::string body;
+    bool accepted;
+};
+
+auto operator<<(std::ostream &out, const BodyCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<BodyCase> jobCases{
+    {"one step", R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900}]})", true},
+    {"unknown fields", R"({"spec":"x","later":[1],"steps":[{"count":1,"odd":{}}]})", true},
+    {"an earlier step", R"({"steps":[{"count":1},{"count":2,"dependsOn":[0]}]})", true},
+    {"no steps", R"({"spec":"x","steps":[]})", false},
+    {"a later step", R"({"steps":[{"count":1,"dependsOn":[0]}]})", false},
+    {"a negative demand", R"({"steps":[{"count":1,"cpu":-5}]})", false},
+    {"a huge count", R"({"steps":[{"count":4000000000}]})", false},
+    {"steps of another type", R"({"steps":{"count":1}})", false},
+    {"a step of another type", R"({"steps":[3]})", false},
+    {"not JSON", "\x01\xff{", false},
+    {"empty", "", false},
+    {"cut off", R"({"steps":[{"count")", false},
+};
+
+BOOST_DATA_TEST_CASE(jobsAreDecodedOrRefused, data::make(jobCases), c)
+{
+    Workflow::JobSpec spec;
+    BOOST_TEST(!decodeJob(c.body, spec) == c.accepted);
+}
+
+BOOST_AUTO_TEST_CASE(aJobHoldsWhatTheCallerSaid)
+{
+    Workflow::JobSpec spec;
+    BOOST_REQUIRE(
+        !decodeJob(R"({"spec":"text","repeatCount":3,"firstRunMs":1000,"intervalMs":20,"steps":[{"count":2,"cpu":500,"memMb":64,"gpus":8,
+        "estimateMs":900,"gang":true,"sameRack":true,"checkpoints":true,"requires":"a","affinity":"r1-3","antiAffinity":2,"longRunning":true,
+        "fills":true,"mayMiss":1}]})",
+                   spec));
+    BOOST_TEST(spec.payload == "text");
+    BOOST_TEST(spec.occurrences == 3U);
+    BOOST_TEST((spec.firstRun == std::chrono::seconds(1) && spec.interval == std::chrono::milliseconds(20)));
+    const auto &step = spec.steps.at(0);
+    BOOST_TEST((step.each == Workflow::Demand{500, 64, 8}));
+    BOOST_TEST((step.count == 2 && step.gang && step.sameRack && step.checkpoints && step.longRunning && step.fills));
+    BOOST_TEST(step.requiredLabel == "a");
+    BOOST_TEST(step.dataRack == RackName("r1-3"));
+    BOOST_TEST((step.maxPerWorker == 2 && step.toleratedAbsences == 1 && step.estimate == 900ms));
+}
+
+const std::string goodEntry = R"({"service":"s","address":"10.0.0.9:8080","zone":"z","state":"ready","born":17,
+    "capacity":{"cpu":16000,"memMb":32768,"gpus":8},"labels":["a","r1-3"],"sequence":4})";
+
+const std::vector<BodyCase> entryCases{
+    {"complete", goodEntry, true},
+    {"draining", R"({"service":"s","address":"10.0.0.9:80","state":"draining","remainingMs":900,"capacity":{}})", true},
+    {"no address", R"({"service":"s","state":"ready","capacity":{}})", false},
+    {"an address that is a name", R"({"service":"s","address":"host:80","state":"ready","capacity":{}})", false},
+    {"an unknown state", R"({"service":"s","address":"10.0.0.9:80","state":"asleep","capacity":{}})", false},
+    {"a capacity of another type", R"({"service":"s","address":"10.0.0.9:80","state":"ready","capacity":7})", false},
+    {"no service", R"({"address":"10.0.0.9:80","state":"ready","capacity":{}})", false},
+    {"damaged", "\x80\x81", false},
+};
+
+BOOST_DATA_TEST_CASE(foreignEntriesNameNoWorker, data::make(entryCases), c)
+{
+    WorkerEntry entry;
+    BOOST_TEST(!decodeWorkerEntry("w1", c.body, entry) == c.accepted);
+}
+
+BOOST_AUTO_TEST_CASE(anEntryNamesRackAndLife)
+{
+    WorkerEntry entry;
+    BOOST_REQUIRE(!decodeWorkerEntry("w1", goodEntry, entry));
+    BOOST_TEST(entry.info.rack == RackName("r1-3"));
+    BOOST_TEST(entry.info.life == 17);
+    BOOST_TEST((entry.info.capacity == Workflow::Demand{16'000, 32'768, 8}));
+    BOOST_TEST(entry.address.str() == "10.0.0.9:8080");
+}
+
+struct ReportCase
+{
+    const char *name;
+    std::string body;
+    bool accepted;
+    std::size_t running;
+    std::size_t ended;
+    std::size_t skipped;
+};
+
+auto operator<<(std::ostream &out, const ReportCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<ReportCase> reportCases{
+    {"both lists", R"({"clockMs":5,"born":2,"running":[["j.0.1.17",2,"c",41,3]],"ended":[[58,"j.0.1.9",1,"done",""]]})", true, 1, 1, 0},
+    {"foreign task names", R"({"running":[["foreign",2,"c",41]],"ended":[]})", true, 0, 0, 1},
+    {"an unknown end", R"({"running":[],"ended":[[1,"j.0.1.9",1,"vanished",""]]})", true, 0, 0, 1},
+    {"a row of another type", R"({"running":[7],"ended":[{}]})", true, 0, 0, 2},
+    {"no lists", R"({"clockMs":5})", false, 0, 0, 0},
+    {"damaged", "{", false, 0, 0, 0},
+};
+
+BOOST_DATA_TEST_CASE(reportsAreReadRowByRow, data::make(reportCases), c)
+{
+    Workflow::WorkerReport report;
+    OrderAnswer answer;
+    BOOST_TEST(!decodeReport(c.body, report, answer) == c.accepted);
+    BOOST_TEST(report.running.size() == c.running);
+    BOOST_TEST(report.ended.size() == c.ended);
+    BOOST_TEST(answer.skippedRows == c.skipped);
+}
+
+BOOST_AUTO_TEST_CASE(taskNamesAreReversible)
+{
+    const Workflow::TaskId task{JobId("5c0e7a21d94b36f8"), 3, 1, 17};
+    BOOST_TEST(taskName(task) == "5c0e7a21d94b36f8.3.1.17");
+    BOOST_TEST((parseTaskName(taskName(task)) == task));
+    for (const auto *it : {"", "j", "j.1", "j.1.2", "j.1.2.3.4", "j.a.2.3", "j.1.2.-3"}) {
+        BOOST_TEST(!parseTaskName(it).has_value(), it);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aConfigurationNamesQueuesOrganisationsAndKeys)
+{
+    Workflow::Configuration configuration;
+    BOOST_REQUIRE(!decodeConfiguration(R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s","priority":2,
+        "maxAttempts":3,"stretch":1.5,"targetLatencyMs":300},{"name":"q","host":"h","pathPrefix":"/p/long/"},17],
+        "tenants":[{"name":"o","apiKeys":["k1","k2",3],"guaranteed":{"gpus":120}},{"name":"u"}]})",
+                                       configuration));
+    BOOST_TEST(configuration.version == 7U);
+    BOOST_REQUIRE(configuration.findQueue("h", "/p/x") != nullptr);
+    BOOST_TEST(configuration.findQueue("h", "/p/x")->name == Workflow::QueueName("r"));
+    BOOST_TEST(configuration.findQueue("h", "/p/long/x")->name == Workflow::QueueName("q"));
+    BOOST_TEST(configuration.findQueue("other", "/p/x") == nullptr);
+    BOOST_TEST(configuration.guaranteed(OrganisationName("o")) == 120);
+    BOOST_TEST(configuration.guaranteed(OrganisationName("u")) == 0);
+    BOOST_TEST(configuration.keys.size() == 2U);
+    BOOST_TEST(!!decodeConfiguration(R"({"routes":[]})", configuration));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Acaciarail::Adapter::Tests
