--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -241,7 +241,7 @@
         unit->record.checkpoint = end.checkpoint;
         unit->dirty = unit->stage == UnitStage::Active;
     }
-    if (end.kind == EndKind::Done) {
+    if (end.kind == EndKind::Done && !unit->step->longRunning) {
         notePace(*unit, now);
         setDone(*unit, now);
         for (auto &it : unit->members) {
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -9,12 +9,12 @@
 
 namespace {
 
-auto logDecision(const DispatchEvent &event) -> void
+auto logDecision(const DispatchEvent &event, std::uint64_t term) -> void
 {
     if (event.job.empty()) {
-        logEvent(LogLevel::Info, event.name, {}, event.details);
+        logEvent(LogLevel::Info, event.name, {{"term", term}}, event.details);
     } else {
-        logEvent(LogLevel::Info, event.name, {{"job", event.job.str()}}, event.details);
+        logEvent(LogLevel::Info, event.name, {{"job", event.job.str()}, {"term", term}}, event.details);
     }
 }
 
@@ -45,7 +45,7 @@
 {
     m_sequence = sequence;
     const auto decided = [this](const DispatchEvent &event) {
-        logDecision(event);
+        logDecision(event, m_term);
         if (m_hooks.observe) {
             m_hooks.observe(event);
         }
