Keep workers for gangs that wait for their turn

Change: up to four waiting gangs, in the order of the queue, have the workers kept for them on which most of their tasks already fit; less urgent work does not start there. The replay of a stream of background tasks fails without it.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -62,6 +62,8 @@
     double slowRatio = 0.5;
     /// What stopping a run costs beside the work that it throws away, as time of its cores: the stop, the wait and the start.
     Duration preemptionCost = 500ms;
+    /// Gangs that wait for their turn and have workers kept for them, on which no less urgent work starts.
+    std::size_t heldGangs = 4;
     /// Urgent work may throw away this many times its own core-seconds.
     double preemptionCap = 3.0;
 };
--- a/packages/workflow/include/acaciarail/workflow/placement.h
+++ b/packages/workflow/include/acaciarail/workflow/placement.h
@@ -42,6 +42,14 @@
 /// over, so that whole workers and racks stay free. \pre none. Thread-safe.
 [[nodiscard]] auto place(std::span<const Candidate> candidates, const PlacementRequest &request) -> std::optional<Seats>;
 
+/// Chooses the workers to keep for a gang that finds no place: those of one rack, or of the pool, on which most of its tasks already fit.
+/// Returns nothing when the group is too small for the gang even when it is empty.
+///
+/// Answers the load in which single tasks of less urgent work take each piece of room that comes free, so that gangs never find enough of
+/// it. \pre \a capacities has an entry for each candidate. Thread-safe.
+[[nodiscard]] auto chooseHeld(std::span<const Candidate> candidates, std::span<const Demand> capacities, const PlacementRequest &request)
+    -> std::optional<Seats>;
+
 /// A running unit that may be stopped to make room.
 struct Victim
 {
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -85,7 +85,8 @@
         // Elsewhere the tasks take several times as long, so it pays to wait for a run's length.
         const bool dataRackOnly = now < unit.readySince + unit.step->estimate;
         const auto sameStep = tasksOfStep(unit);
-        const bool urgent = m_state.policy(*unit.job).priority == 0;
+        const auto priority = m_state.policy(*unit.job).priority;
+        const bool urgent = priority == 0;
         for (std::size_t i = 0; i < out.size(); ++i) {
             const auto &w = *m_workers[i];
             const auto &step = *unit.step;
@@ -94,7 +95,9 @@
             const bool nearData = !dataRackOnly || step.dataRack.empty() || w.info.rack == step.dataRack;
             const auto count = sameStep.find(&w);
             const bool crowded = step.maxPerWorker > 0 && count != sameStep.end() && count->second >= step.maxPerWorker;
-            const bool allowed = w.info.service == service && labelled && nearData && !crowded;
+            const auto heldFor = m_held.find(&w);
+            const bool kept = heldFor != m_held.end() && heldFor->second < priority;
+            const bool allowed = w.info.service == service && labelled && nearData && !crowded && !kept;
             out[i] = {m_racks[i], allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil,
                       urgent && m_slowZones.contains(w.info.zone)};
         }
@@ -126,6 +129,27 @@
         return out;
     }
 
+    /// Keeps workers for a gang from less urgent units of this round; returns whether there are any.
+    auto hold(const Unit &unit, const QueuePolicy &rules, TimePoint now) -> bool
+    {
+        const auto pool = candidates(unit, rules.service, now);
+        std::vector<Demand> capacities;
+        capacities.reserve(pool.size());
+        for (std::size_t i = 0; i < pool.size(); ++i) {
+            capacities.push_back(pool[i].free == noRoom ? noRoom : m_workers[i]->info.capacity);
+        }
+        const PlacementRequest request{unit.tasks(), unit.demand(), unit.step->sameRack, unit.step->maxPerWorker};
+        const auto seats = chooseHeld(pool, capacities, request);
+        if (!seats) {
+            return false;
+        }
+        for (const auto i : *seats) {
+            const auto [it, added] = m_held.emplace(m_workers[i], rules.priority);
+            it->second = std::min(it->second, rules.priority);
+        }
+        return true;
+    }
+
     [[nodiscard]] auto workersAt(const Seats &seats) const -> std::vector<Worker *>
     {
         std::vector<Worker *> out;
@@ -177,6 +201,8 @@
     std::vector<Worker *> m_workers;
     std::vector<std::size_t> m_racks;
     std::map<const Worker *, std::size_t> m_index;
+    /// Workers that are kept, with the priority of the gang that they are kept for.
+    std::map<const Worker *, std::uint32_t> m_held;
 
 public:
     std::set<const Job *> m_guaranteed;
@@ -311,6 +337,7 @@
     std::stable_sort(queue.begin(), queue.end(), [](const Waiting &a, const Waiting &b) { return goesBefore(a.position, b.position); });
 
     std::set<Shape> failed;
+    std::size_t held = 0;
     for (const auto &it : queue) {
         auto &unit = *it.unit;
         const bool urgent = it.policy.priority == 0;
@@ -321,6 +348,9 @@
             continue;
         }
         failed.insert(shapeOf(unit));
+        if (!urgent && unit.step->gang && !it.position.hopeless && held < settings.heldGangs) {
+            held += round.hold(unit, it.policy, now) ? 1 : 0;
+        }
         if (urgent && now >= unit.nextPreempt) {
             unit.nextPreempt = now + settings.preemptPace;
             tryPreempt(round, unit, it.policy, it.position.guaranteed, now);
--- a/packages/workflow/src/placement.cpp
+++ b/packages/workflow/src/placement.cpp
@@ -239,6 +239,35 @@
     return best;
 }
 
+auto chooseHeld(std::span<const Candidate> candidates, std::span<const Demand> capacities, const PlacementRequest &request)
+    -> std::optional<Seats>
+{
+    std::optional<Seats> best;
+    std::uint32_t bestFit = 0;
+    for (auto group : groupsFor(candidates, request)) {
+        const auto fitNow = [&](std::size_t i) { return fitting(candidates[i].free, request.each, perWorkerLimit(request)); };
+        std::stable_sort(group.begin(), group.end(), [&](std::size_t a, std::size_t b) { return fitNow(a) > fitNow(b); });
+        Seats held;
+        std::uint32_t room = 0;
+        std::uint32_t fit = 0;
+        for (const auto i : group) {
+            const bool usable = !candidates[i].avoided;
+            const auto whole = usable ? fitting(capacities[i], request.each, perWorkerLimit(request)) : 0U;
+            if (room >= request.tasks || whole == 0) {
+                continue;
+            }
+            held.push_back(i);
+            room += whole;
+            fit += fitNow(i);
+        }
+        if (room >= request.tasks && (!best || fit > bestFit)) {
+            best = std::move(held);
+            bestFit = fit;
+        }
+    }
+    return best;
+}
+
 auto planPreemption(std::span<const Candidate> candidates, std::span<const Victim> victims, const PlacementRequest &request, double maxLoss)
     -> std::optional<PreemptionPlan>
 {
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -339,6 +339,37 @@
     BOOST_TEST((runs.empty() ? 0U : runs.back()) == c.runs);
 }
 
+BOOST_AUTO_TEST_CASE(aNormalGangFindsRoomInAStreamOfBackgroundTasks)
+{
+    // Background tasks of one accelerator come faster than they end, so that room for a whole worker never appears by itself.
+    auto fleet = makeFleet();
+    fleet.duration = [](const TaskId &t) { return Duration(4s + std::chrono::milliseconds(t.index * 300)); };
+    int n = 0;
+    const auto stream = [&] {
+        auto step = gangStep(8, 1);
+        step.gang = false;
+        step.estimate = 4s;
+        fleet.submit(simpleJob("background" + std::to_string(n++), "background", step));
+    };
+    for (int i = 0; i < 5; ++i) {
+        stream();
+    }
+    fleet.run(1s);
+    auto step = gangStep(2, 8);
+    step.sameRack = true;
+    step.estimate = 4s;
+    fleet.submit(simpleJob("gang", "normal", step));
+    const auto submitted = fleet.now();
+    while (fleet.now() < submitted + 12s && runsOf(fleet, "gang", 0).empty()) {
+        stream();
+        fleet.run(1s);
+    }
+    // The longest background task, and a round of looks.
+    BOOST_TEST((fleet.now() - submitted <= 8s));
+    BOOST_TEST(runsOf(fleet, "gang", 1).size() == 1U);
+    BOOST_TEST(fleet.stats().preemptions == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/placement_test.cpp
+++ b/tests/workflow/placement_test.cpp
@@ -146,6 +146,39 @@
     }
 }
 
+struct HoldCase
+{
+    const char *load;
+    std::vector<Candidate> candidates;
+    PlacementRequest request;
+    /// Empty when no group is large enough.
+    Seats held;
+};
+
+auto operator<<(std::ostream &out, const HoldCase &c) -> std::ostream &
+{
+    return out << c.load;
+}
+
+const std::vector<HoldCase> holdCases{
+    {"the rack in which most of the gang already fits",
+     {withFree(0, 0), withFree(0, 2), withFree(1, 8), withFree(1, 1)},
+     request(2, 8, true),
+     {2, 3}},
+    {"only as many workers as the gang needs", {withFree(0, 4), withFree(0, 8), withFree(0, 0)}, request(1, 8, true), {1}},
+    {"no rack is large enough", {withFree(0, 0), withFree(1, 0)}, request(2, 8, true), {}},
+    {"a gang that may spread keeps the freest of the pool", {withFree(0, 0), withFree(1, 8)}, request(1, 8, false), {1}},
+    {"avoided workers are not kept", {avoided(withFree(0, 8)), withFree(0, 0)}, request(1, 8, true), {1}},
+};
+
+BOOST_DATA_TEST_CASE(workersAreKeptForAGang, data::make(holdCases), c)
+{
+    const std::vector<Demand> capacities(c.candidates.size(), whole);
+    const auto held = chooseHeld(c.candidates, capacities, c.request);
+    BOOST_TEST(held.has_value() == !c.held.empty());
+    BOOST_TEST(held.value_or(Seats{}) == c.held, boost::test_tools::per_element());
+}
+
 struct OrderCase
 {
     const char *load;
