Keep workers for urgent work up to what it has used of late

Change: the use of accelerators by urgent work is averaged over 4 s; workers with 1.25 times that many, always the same ones, in quick zones first, get no other work. Urgent units take their seats there before others.

--- a/packages/platform/src/instance_list_client.cpp
+++ b/packages/platform/src/instance_list_client.cpp
@@ -207,7 +207,7 @@
 
 struct InstanceListClient::State
 {
-    State(Runtime::EventLoop &loop, PlatformSettings s)
+    State(Runtime::EventLoop &loop, const PlatformSettings &s)
         : timeout(s.requestTimeout)
         , http(loop, Detail::httpSettings(s))
     {
--- a/packages/platform/src/log_client.cpp
+++ b/packages/platform/src/log_client.cpp
@@ -197,7 +197,7 @@
 
 struct LogClient::State
 {
-    State(Runtime::EventLoop &loop, PlatformSettings s)
+    State(Runtime::EventLoop &loop, const PlatformSettings &s)
         : settings(s)
         , http(loop, Detail::httpSettings(s))
     {
--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -64,6 +64,10 @@
     Duration preemptionCost = 500ms;
     /// Gangs that wait for their turn and have workers kept for them, on which no less urgent work starts.
     std::size_t heldGangs = 4;
+    /// Workers are kept for urgent work up to this many times what it has used of late, so that most of it needs no preemption.
+    double urgentReserve = 1.25;
+    /// How fast that use is forgotten; about the length of a burst.
+    Duration urgentMemory = 4s;
     /// Urgent work may throw away this many times its own core-seconds.
     double preemptionCap = 3.0;
 };
--- a/packages/workflow/include/acaciarail/workflow/placement.h
+++ b/packages/workflow/include/acaciarail/workflow/placement.h
@@ -20,6 +20,8 @@
     bool avoided = false;
     /// Used when no equal worker that is faster has room.
     bool slow = false;
+    /// Used when no equal worker that is kept for such work has room.
+    bool unkept = false;
 };
 
 /// What is to be placed.
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <set>
 #include <tuple>
 
@@ -99,7 +100,7 @@
             const bool kept = heldFor != m_held.end() && heldFor->second < priority;
             const bool allowed = w.info.service == service && labelled && nearData && !crowded && !kept;
             out[i] = {m_racks[i], allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil,
-                      urgent && m_slowZones.contains(w.info.zone)};
+                      urgent && m_slowZones.contains(w.info.zone), urgent && heldFor == m_held.end()};
         }
         return out;
     }
@@ -129,6 +130,24 @@
         return out;
     }
 
+    /// Keeps workers with that many accelerators from all but urgent units: always the same ones, rack by rack, in quick zones first.
+    auto keepForUrgent(double accelerators) -> void
+    {
+        std::vector<std::size_t> order(m_workers.size());
+        std::iota(order.begin(), order.end(), 0);
+        const auto key = [&](std::size_t i) { return std::pair(m_slowZones.contains(m_workers[i]->info.zone), m_racks[i]); };
+        std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return key(a) < key(b); });
+        for (const auto i : order) {
+            if (accelerators <= 0) {
+                return;
+            }
+            if (m_now >= m_workers[i]->avoidUntil) {
+                m_held.emplace(m_workers[i], 0);
+                accelerators -= static_cast<double>(m_workers[i]->info.capacity.accelerators);
+            }
+        }
+    }
+
     /// Keeps workers for a gang from less urgent units of this round; returns whether there are any.
     auto hold(const Unit &unit, const QueuePolicy &rules, TimePoint now) -> bool
     {
@@ -247,6 +266,23 @@
 
 } // namespace
 
+auto Dispatcher::State::noteUrgentUse(TimePoint now) -> void
+{
+    double use = 0;
+    for (const auto &[id, job] : jobs) {
+        if (job->ended || policy(*job).priority != 0) {
+            continue;
+        }
+        for (const auto &[key, unit] : job->units) {
+            const bool counts = unit->stage == UnitStage::Active || unit->stage == UnitStage::Reserved || unit->stage == UnitStage::Waiting;
+            use += counts ? static_cast<double>(unit->step->each.accelerators * unit->tasks()) : 0;
+        }
+    }
+    const auto span = std::min(seconds(now - urgentUseAt) / seconds(settings.urgentMemory), 1.0);
+    urgentUse += (use - urgentUse) * span;
+    urgentUseAt = now;
+}
+
 auto Dispatcher::State::assign(Unit &unit, const std::vector<Worker *> &seats, TimePoint now) -> void
 {
     unit.stage = UnitStage::Active;
@@ -336,6 +372,8 @@
     }
     std::stable_sort(queue.begin(), queue.end(), [](const Waiting &a, const Waiting &b) { return goesBefore(a.position, b.position); });
 
+    noteUrgentUse(now);
+    round.keepForUrgent(urgentUse * settings.urgentReserve);
     std::set<Shape> failed;
     std::size_t held = 0;
     for (const auto &it : queue) {
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -181,6 +181,7 @@
     auto policy(const Job &job) const -> QueuePolicy;
     auto notePace(const Unit &unit, TimePoint now) -> void;
     auto slowZones() const -> std::set<ZoneName>;
+    auto noteUrgentUse(TimePoint now) -> void;
     auto findUnit(const TaskId &task) -> Unit *;
     auto setDone(Unit &unit, TimePoint now) -> void;
     auto beginEnding(Unit &unit, std::string_view reason) -> void;
@@ -229,6 +230,9 @@
     std::vector<StopOrder> strayStops;
     std::vector<Unit *> batchUnits;
     std::map<ZoneName, ZonePace> zonePaces;
+    /// Accelerators that urgent work uses or waits for, averaged over DispatcherSettings::urgentMemory.
+    double urgentUse = 0;
+    TimePoint urgentUseAt;
     bool batchInProgress = false;
     TimePoint nextSchedule;
     TimePoint nextWatch;
--- a/packages/workflow/src/placement.cpp
+++ b/packages/workflow/src/placement.cpp
@@ -62,7 +62,7 @@
 
 auto reluctance(const Candidate &candidate) -> int
 {
-    return (candidate.avoided ? 2 : 0) + (candidate.slow ? 1 : 0);
+    return (candidate.avoided ? 4 : 0) + (candidate.slow ? 2 : 0) + (candidate.unkept ? 1 : 0);
 }
 
 /// Fills the workers of a group, the fullest first.
@@ -101,6 +101,11 @@
     return std::count_if(seats.begin(), seats.end(), [&](std::size_t i) { return candidates[i].avoided; });
 }
 
+auto unkeptSeats(std::span<const Candidate> candidates, const Seats &seats) -> std::ptrdiff_t
+{
+    return std::count_if(seats.begin(), seats.end(), [&](std::size_t i) { return candidates[i].unkept; });
+}
+
 auto slowSeats(std::span<const Candidate> candidates, const Seats &seats) -> std::ptrdiff_t
 {
     return std::count_if(seats.begin(), seats.end(), [&](std::size_t i) { return candidates[i].slow; });
@@ -224,13 +229,14 @@
 auto place(std::span<const Candidate> candidates, const PlacementRequest &request) -> std::optional<Seats>
 {
     std::optional<Seats> best;
-    auto bestKey = std::tuple(std::numeric_limits<std::ptrdiff_t>::max(), std::ptrdiff_t{0}, std::int64_t{0});
+    auto bestKey = std::tuple(std::numeric_limits<std::ptrdiff_t>::max(), std::ptrdiff_t{0}, std::ptrdiff_t{0}, std::int64_t{0});
     for (const auto &group : groupsFor(candidates, request)) {
         auto seats = fill(candidates, group, request);
         if (!seats) {
             continue;
         }
-        const auto key = std::tuple(avoidedSeats(candidates, *seats), slowSeats(candidates, *seats), freeAccelerators(candidates, group));
+        const auto key = std::tuple(avoidedSeats(candidates, *seats), slowSeats(candidates, *seats), unkeptSeats(candidates, *seats),
+                                    freeAccelerators(candidates, group));
         if (!best || key < bestKey) {
             best = std::move(seats);
             bestKey = key;
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -370,6 +370,26 @@
     BOOST_TEST(fleet.stats().preemptions == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(steadyUrgentWorkNeedsNoPreemption)
+{
+    // Urgent gangs come one after the other onto a fleet that background tasks fill; the first ones preempt, later ones find room kept.
+    auto fleet = makeFleet();
+    fleet.duration = [](const TaskId &t) { return t.job.str().starts_with("urgent") ? Duration(2s) : Duration(4s); };
+    std::uint64_t preemptionsAtFirst = 0;
+    for (int i = 0; i < 20; ++i) {
+        auto step = gangStep(8, 1);
+        step.gang = false;
+        step.estimate = 4s;
+        fleet.submit(simpleJob("background" + std::to_string(3 * i), "background", step));
+        fleet.submit(simpleJob("background" + std::to_string(3 * i + 1), "background", step));
+        fleet.submit(simpleJob("urgent" + std::to_string(i), "urgent", gangStep(1, 8)));
+        fleet.run(2s);
+        preemptionsAtFirst = i == 9 ? fleet.stats().preemptions : preemptionsAtFirst;
+    }
+    BOOST_TEST(fleet.stats().preemptions == preemptionsAtFirst);
+    BOOST_TEST((fleet.latency("urgent18") < 3s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/placement_test.cpp
+++ b/tests/workflow/placement_test.cpp
@@ -17,7 +17,7 @@
 
 auto withFree(std::size_t rack, std::int64_t accelerators) -> Candidate
 {
-    return {rack, {4000 * accelerators, 8000 * accelerators, accelerators}, false, false};
+    return {rack, {4000 * accelerators, 8000 * accelerators, accelerators}, false, false, false};
 }
 
 auto avoided(Candidate candidate) -> Candidate
@@ -68,7 +68,7 @@
     {"a slow worker is taken before an avoided one", {avoided(withFree(0, 1)), slow(withFree(0, 8))}, request(1, 1, false), {1}},
     {"a rack of fast workers is taken before a fuller slow one", {slow(withFree(0, 2)), withFree(1, 8)}, request(1, 2, true), {1}},
     {"at most so many on a worker", {withFree(0, 8), withFree(0, 8)}, {2, {1000, 1000, 1}, false, 1}, {0, 1}},
-    {"cores bind where accelerators do not", {{0, {500, 64'000, 8}, false, false}, withFree(0, 8)}, request(1, 1, false), {1}},
+    {"cores bind where accelerators do not", {{0, {500, 64'000, 8}, false, false, false}, withFree(0, 8)}, request(1, 1, false), {1}},
 };
 
 BOOST_DATA_TEST_CASE(tasksGoWhereTheLeastIsLeftOver, data::make(placeCases), c)
