Start a run only once its own assignment is stored

A gang failed, its failure was in a batch whose append went unanswered for a second, and meanwhile it ended and got its next place; when the batch was stored, the new run was started although its assignment was in the next batch. The holder was killed, and its successor knew nothing of the run. Ruled out: late appends of an earlier term (fenced), an acknowledgement ahead of its record (the log shows each end in a stored batch). Change: a batch names the runs that it assigns, and only these start when it is stored. An end `done` of a run that was given up for lost counts, and stops the newer run. The bound for leases of an earlier life of the same instance is its end, not its last record. Tests: the fake fleet checks that each start is recorded; the replay of a slow store failed before.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -152,6 +152,8 @@
 
     /// A look that was sent at \a sentAt was answered, or was not. \pre none.
     auto lookAnswered(const LookOrder &order, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now) -> void;
+    /// Another worker answers at the address of this one, which has ended. \pre none.
+    auto workerReplaced(const LookOrder &order, TimePoint now) -> void;
     /// \pre none.
     auto startAnswered(const StartOrder &order, StartOutcome outcome, TimePoint now) -> void;
     /// \pre none.
--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -59,6 +59,8 @@
     {
         /// The worker has seen a higher term.
         bool fenced = false;
+        /// Another worker answers at its address: this one has ended, and what it ran with it.
+        bool replaced = false;
         /// Empty when there was no usable answer.
         std::optional<WorkerReport> report;
     };
--- a/packages/workflow/include/acaciarail/workflow/log_lease.h
+++ b/packages/workflow/include/acaciarail/workflow/log_lease.h
@@ -78,6 +78,7 @@
     /// When the holder that was last read of wrote, and whether it gave up its role then.
     std::chrono::milliseconds m_previousWrote{};
     bool m_previousReleased = false;
+    bool m_previousLifeEnded = false;
     std::optional<TimePoint> m_renewedAt;
     /// Since when the holder has been silent while the log could be read.
     std::optional<TimePoint> m_silentSince;
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -283,7 +283,10 @@
             worker->nextLook = now;
         }
     }
-    for (auto *unit : std::exchange(s.batchUnits, {})) {
+    for (const auto &[unit, run] : std::exchange(s.batchAssignments, {})) {
+        if (unit->record.run != run) {
+            continue;
+        }
         unit->storing = false;
         for (std::uint32_t i = 0; i < unit->members.size(); ++i) {
             auto &member = unit->members[i];
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -459,7 +459,9 @@
         for (auto &[key, unit] : job->units) {
             if (unit->dirty && !job->ended) {
                 out.records.push_back(unitRecord(key, unit->step->gang, unit->record));
-                batchUnits.push_back(unit.get());
+                if (unit->storing) {
+                    batchAssignments.emplace_back(unit.get(), unit->record.run);
+                }
             }
             unit->dirty = false;
         }
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -198,9 +198,11 @@
     auto reborn(Worker &worker, std::int64_t life, TimePoint now) -> void;
     auto processRunning(Worker &worker, const WorkerReport &report, TimePoint now) -> void;
     auto processEnd(Worker &worker, const EndedTask &end, TimePoint now) -> void;
+    auto processEarlierEnd(Unit &unit, const EndedTask &end, TimePoint now) -> void;
     auto processMissing(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> void;
     auto memberOn(Unit &unit, const Worker &worker, const TaskId &task) -> Member *;
     auto goneAt(const Worker &worker) const -> TimePoint;
+    auto giveUpWorker(Worker &worker, std::string_view reason, TimePoint now) -> void;
     auto expireWorkers(TimePoint now) -> void;
     auto watchProgress(TimePoint now) -> void;
     auto restartSlowRuns(TimePoint now) -> void;
@@ -228,7 +230,8 @@
     std::map<WorkerName, std::unique_ptr<Worker>> workers;
     std::vector<StartOrder> pendingStarts;
     std::vector<StopOrder> strayStops;
-    std::vector<Unit *> batchUnits;
+    /// Units whose assignment is in the batch under way, with the run that it assigns.
+    std::vector<std::pair<Unit *, std::uint32_t>> batchAssignments;
     std::map<ZoneName, ZonePace> zonePaces;
     /// Accelerators that urgent work uses or waits for, averaged over DispatcherSettings::urgentMemory.
     double urgentUse = 0;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -226,7 +226,11 @@
     }
     worker.seenEnds = end.number;
     auto *unit = findUnit(end.task);
-    if (unit == nullptr || unit->record.run != end.run) {
+    if (unit == nullptr) {
+        return;
+    }
+    if (unit->record.run != end.run) {
+        processEarlierEnd(*unit, end, now);
         return;
     }
     auto *member = memberOn(*unit, worker, end.task);
@@ -261,6 +265,20 @@
     settle(*unit, now);
 }
 
+auto Dispatcher::State::processEarlierEnd(Unit &unit, const EndedTask &end, TimePoint now) -> void
+{
+    // A run that was given up for lost has done the work all the same; nothing may start after its end is acknowledged.
+    if (end.kind != EndKind::Done || unit.stage == UnitStage::Done || unit.step->longRunning) {
+        return;
+    }
+    event("run-ended-late", end.task.job,
+          "step=" + std::to_string(end.task.step) + " index=" + std::to_string(end.task.index) + " run=" + std::to_string(end.run)
+              + " newest_run=" + std::to_string(unit.record.run));
+    release(unit);
+    beginEnding(unit, "done-by-an-earlier-run");
+    setDone(unit, now);
+}
+
 auto Dispatcher::State::processMissing(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> void
 {
     const auto units = worker.units;
@@ -395,6 +413,29 @@
     return (worker.unansweredGrant ? std::max(*worker.unansweredGrant + settings.lateOrder, extended) : extended) + lease;
 }
 
+auto Dispatcher::State::giveUpWorker(Worker &worker, std::string_view reason, TimePoint now) -> void
+{
+    event(reason, {}, workerDetail(worker) + " units=" + std::to_string(worker.units.size()));
+    const auto units = worker.units;
+    for (auto *unit : units) {
+        for (auto &member : unit->members) {
+            if (member.worker == &worker && member.phase != MemberPhase::Planned) {
+                leave(*unit, member);
+            }
+        }
+        beginEnding(*unit, reason);
+        settle(*unit, now);
+    }
+}
+
+auto Dispatcher::workerReplaced(const LookOrder &order, TimePoint now) -> void
+{
+    auto &worker = m_state->worker(order.worker);
+    if (!worker.units.empty()) {
+        m_state->giveUpWorker(worker, "worker-replaced", now);
+    }
+}
+
 auto Dispatcher::State::expireWorkers(TimePoint now) -> void
 {
     for (auto it = workers.begin(); it != workers.end();) {
@@ -402,17 +443,7 @@
         const bool silent = w.failingSince || (!w.answeredAt && !w.listed);
         const bool left = w.info.draining && !w.listed && w.failingSince && now > *w.failingSince + leftAfter;
         if (silent && !w.units.empty() && (left || now > goneAt(w))) {
-            event("worker-lost", {}, workerDetail(w) + " units=" + std::to_string(w.units.size()));
-            const auto units = w.units;
-            for (auto *unit : units) {
-                for (auto &member : unit->members) {
-                    if (member.worker == &w && member.phase != MemberPhase::Planned) {
-                        leave(*unit, member);
-                    }
-                }
-                beginEnding(*unit, "worker-lost");
-                settle(*unit, now);
-            }
+            giveUpWorker(w, "worker-lost", now);
         }
         const bool forget = !w.listed && w.units.empty() && !w.lookOutstanding && !w.extensionOutstanding && w.pledged == Demand{};
         it = forget ? workers.erase(it) : std::next(it);
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -302,6 +302,9 @@
                                      self.m_own.fenced(it.worker.str());
                                      return;
                                  }
+                                 if (answer.replaced) {
+                                     self.m_dispatcher->workerReplaced(it, self.m_hooks.clock.now());
+                                 }
                                  self.m_dispatcher->lookAnswered(it, sentAt, answer.report, self.m_hooks.clock.now());
                                  self.wake(self.m_settings.gatherTime);
                              }));
--- a/packages/workflow/src/log_lease.cpp
+++ b/packages/workflow/src/log_lease.cpp
@@ -29,7 +29,8 @@
     m_released = record.released || earlierLife;
     if (!own) {
         m_previousWrote = std::max(m_previousWrote, std::chrono::milliseconds(record.writtenAtMs));
-        m_previousReleased = m_released;
+        m_previousReleased = record.released;
+        m_previousLifeEnded = earlierLife;
     }
     return own && !record.released;
 }
@@ -118,7 +119,8 @@
 {
     const auto wrote = now - std::max(unixNow - m_previousWrote, std::chrono::milliseconds::zero()) + m_settings.clockSkew;
     const auto extended = m_previousReleased ? wrote : wrote + m_settings.timeToLive + m_settings.renewalOverrun;
-    return std::min(extended, now + m_settings.renewalOverrun);
+    // An earlier life of this instance extended none after its end.
+    return std::min(extended, m_previousLifeEnded ? now : now + m_settings.renewalOverrun);
 }
 
 } // namespace Acaciarail::Workflow
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -390,6 +390,22 @@
     BOOST_TEST((fleet.latency("urgent18") < 3s));
 }
 
+BOOST_AUTO_TEST_CASE(noStartGoesAheadOfItsRecordWhileTheStoreIsSlow)
+{
+    // A member fails; the batch that records it is under way for long, and meanwhile the gang ends and gets its next place.
+    auto fleet = makeFleet();
+    fleet.duration = [](const TaskId &t) { return t.index == 0 ? Duration(1s) : Duration(1500ms); };
+    fleet.ending = [](const StartOrder &o) { return o.task.index == 0 && o.run == 1 ? EndKind::Failed : EndKind::Done; };
+    fleet.submit(simpleJob("j1", "normal", gangStep(2, 8)));
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.starts.size() == 2; }, 5s));
+    fleet.run(900ms);
+    fleet.storeUp = false;
+    fleet.run(2s);
+    fleet.storeUp = true;
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 20s));
+    BOOST_TEST(fleet.violations.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -196,6 +196,15 @@
 
 auto FakeFleet::checkStart(const StartOrder &order) -> void
 {
+    const bool gang = m_jobs.at(order.task.job.str()).steps[order.task.step].gang;
+    const UnitId unit{order.task.job, order.task.occurrence, order.task.step, gang ? 0 : order.task.index};
+    const auto record = stored.find(unitRecord(unit, gang, {}).key);
+    StateEntry entry;
+    const bool recorded = record != stored.end() && !decodeState({record->first, record->second}, entry)
+        && std::get<UnitEntry>(entry).state->run >= order.run;
+    if (!recorded) {
+        violations.push_back("a start of " + order.task.job.str() + " that is not recorded");
+    }
     for (const auto &[name, other] : workers) {
         for (const auto &run : other.runs) {
             if (!run.end && run.order.task == order.task) {
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -201,7 +201,7 @@
     auto &machine = machines.at(order.worker.str());
     settle(machine);
     if (term < machine.term) {
-        m_clock.schedule(latency, [done = std::move(done)] { done({true, std::nullopt}); });
+        m_clock.schedule(latency, [done = std::move(done)] { done({true, false, std::nullopt}); });
         return;
     }
     machine.term = term;
@@ -223,7 +223,7 @@
                 {run.order.task, run.order.run, {}, static_cast<std::uint32_t>((m_clock.now() - run.startedAt) * fullPercent / taskTime)});
         }
     }
-    m_clock.schedule(latency, [report = std::move(report), done = std::move(done)] { done({false, report}); });
+    m_clock.schedule(latency, [report = std::move(report), done = std::move(done)] { done({false, false, report}); });
 }
 
 auto FakeWorkers::hooks(const std::shared_ptr<bool> &reachable, std::function<void(bool)> watch) -> WorkerHooks
