--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -130,6 +130,20 @@
         return out;
     }
 
+    /// Returns whether less than half of a service's capacity is in use.
+    [[nodiscard]] auto idle(const ServiceName &service) const -> bool
+    {
+        Demand used;
+        Demand capacity;
+        for (const auto *w : m_workers) {
+            if (w->info.service == service) {
+                used += w->used;
+                capacity += w->info.capacity;
+            }
+        }
+        return capacity.covers({2 * used.milliCores, 2 * used.memoryMiB, 2 * used.accelerators});
+    }
+
     /// Keeps workers with that many accelerators from all but urgent units: always the same ones, rack by rack, in quick zones first.
     auto keepForUrgent(double accelerators) -> void
     {
@@ -399,10 +413,16 @@
 auto Dispatcher::State::tryPlace(const Round &round, Unit &unit, const QueuePolicy &rules, TimePoint now) -> bool
 {
     const PlacementRequest request{unit.tasks(), unit.demand(), unit.step->sameRack, unit.step->maxPerWorker};
-    auto pool = round.candidates(unit, rules.service, now);
+    const auto pool = round.candidates(unit, rules.service, now);
     // A worker on which runs just failed or stood still would take the same unit again and again, as its room is the first to be free.
     const bool useAvoided = rules.priority != 0 && now >= unit.waitingSince + settings.avoidedPatience;
-    const auto seats = place(useAvoided ? pool : withoutAvoided(pool), request);
+    auto seats = place(useAvoided ? pool : withoutAvoided(pool), request);
+    if (!seats && useAvoided && request.sameRack && round.idle(rules.service)) {
+        // Spread, the gang takes longer; but no rack may ever have room for it, while workers stand idle.
+        auto anywhere = request;
+        anywhere.sameRack = false;
+        seats = place(pool, anywhere);
+    }
     if (seats) {
         assign(unit, round.workersAt(*seats), now);
     }
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -406,6 +406,47 @@
     BOOST_TEST(fleet.violations.empty());
 }
 
+struct SpreadCase
+{
+    const char *name;
+    /// Workers of the other rack that background work fills for long.
+    std::uint32_t busy;
+    bool spreads;
+};
+
+auto operator<<(std::ostream &out, const SpreadCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<SpreadCase> spreadCases{
+    {"an idle fleet without a whole rack", 0, true},
+    {"a busy fleet: the gang waits for a rack", 1, false},
+};
+
+BOOST_DATA_TEST_CASE(aGangSpreadsOverAnIdleFleetWithoutAWholeRack, data::make(spreadCases), c)
+{
+    // One worker of each rack is gone for good, so that no rack has two.
+    auto fleet = makeFleet();
+    fleet.workers.erase(WorkerName("w0-1"));
+    fleet.workers.erase(WorkerName("w1-1"));
+    fleet.takeOver();
+    fleet.duration = [](const TaskId &t) { return t.job.str() == "gang" ? Duration(2s) : Duration(60s); };
+    if (c.busy > 0) {
+        auto step = gangStep(c.busy, 8);
+        step.gang = false;
+        step.estimate = 60s;
+        fleet.submit(simpleJob("background", "background", step));
+        fleet.run(500ms);
+    }
+    auto step = gangStep(2, 4);
+    step.each.milliCores = 20'000;
+    step.sameRack = true;
+    fleet.submit(simpleJob("gang", "normal", step));
+    fleet.run(4s);
+    BOOST_TEST(runsOf(fleet, "gang", 0).empty() == !c.spreads);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
