--- a/packages/platform/include/acaciarail/platform/instance_list_client.h
+++ b/packages/platform/include/acaciarail/platform/instance_list_client.h
@@ -43,7 +43,7 @@
 {
 public:
     /// \pre \a loop outlives the client.
-    InstanceListClient(Runtime::EventLoop &loop, PlatformSettings settings);
+    InstanceListClient(Runtime::EventLoop &loop, const PlatformSettings &settings);
     ~InstanceListClient();
     InstanceListClient(const InstanceListClient &) = delete;
     auto operator=(const InstanceListClient &) -> InstanceListClient & = delete;
--- a/packages/platform/include/acaciarail/platform/log_client.h
+++ b/packages/platform/include/acaciarail/platform/log_client.h
@@ -78,7 +78,7 @@
 {
 public:
     /// \pre \a loop outlives the client.
-    LogClient(Runtime::EventLoop &loop, PlatformSettings settings);
+    LogClient(Runtime::EventLoop &loop, const PlatformSettings &settings);
     ~LogClient();
     LogClient(const LogClient &) = delete;
     auto operator=(const LogClient &) -> LogClient & = delete;
--- a/packages/platform/src/instance_list_client.cpp
+++ b/packages/platform/src/instance_list_client.cpp
@@ -216,8 +216,8 @@
     Runtime::HttpClient http;
 };
 
-InstanceListClient::InstanceListClient(Runtime::EventLoop &loop, PlatformSettings settings)
-    : m_state(std::make_unique<State>(loop, std::move(settings)))
+InstanceListClient::InstanceListClient(Runtime::EventLoop &loop, const PlatformSettings &settings)
+    : m_state(std::make_unique<State>(loop, settings))
 {
 }
 
--- a/packages/platform/src/log_client.cpp
+++ b/packages/platform/src/log_client.cpp
@@ -206,8 +206,8 @@
     Runtime::HttpClient http;
 };
 
-LogClient::LogClient(Runtime::EventLoop &loop, PlatformSettings settings)
-    : m_state(std::make_unique<State>(loop, std::move(settings)))
+LogClient::LogClient(Runtime::EventLoop &loop, const PlatformSettings &settings)
+    : m_state(std::make_unique<State>(loop, settings))
 {
 }
 
