Do not refuse a job whose earlier append may still be stored

Cause: found on reading. While an append of a job was under way, or had gone unanswered, a further attempt at the same instance was answered with a refusal as soon as the store counted as lost; the first append may be carried out all the same, so that the refusal would not be true. Change: a further attempt joins the append under way; for 12 s after an append went unanswered the answer is that the outcome is unknown. The test failed before in both cases. Another instance cannot know of the first attempt; that is unchanged.

--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -38,6 +38,8 @@
     Duration appendTimeout = 1s;
     /// Pause before the holder repeats an append that failed.
     Duration appendRetry = 100ms;
+    /// An append without an answer may be carried out this much later; twice what the platform describes.
+    Duration lateAppend = 12s;
     /// A question about a running job is answered after this long, or as soon as the job has ended. Callers ask when the last task has
     /// ended, which takes a look, an append and a read to become known here; who asks in between would ask again much later.
     Duration lookupWait = 150ms;
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -294,10 +294,19 @@
         }
     }
 
+    /// Returns whether an append of this job that was not answered may still be carried out: a refusal would not be true.
+    auto mayBeStored(const JobId &job) -> bool
+    {
+        std::erase_if(unanswered, [this](const auto &u) { return now() > u.second + settings.lateAppend; });
+        return unanswered.contains(job);
+    }
+
     EngineSettings settings;
     EngineHooks hooks;
     LogLease lease;
     JobDirectory directory;
+    /// Jobs whose last append was not answered, with the time at which it was given up.
+    std::map<JobId, TimePoint> unanswered;
     std::map<JobId, std::vector<Waiter>> waiters;
     std::unique_ptr<TopicFollower> intake;
     std::unique_ptr<TopicFollower> state;
@@ -389,15 +398,15 @@
         done(SubmitOutcome::Accepted);
         return;
     }
-    if (!s.storeHealthy) {
-        done(SubmitOutcome::Refused);
+    if (const auto pending = s.submitting.find(spec.id); pending != s.submitting.end()) {
+        pending->second.push_back(std::move(done));
         return;
     }
-    auto &waiting = s.submitting[spec.id];
-    waiting.push_back(std::move(done));
-    if (waiting.size() > 1) {
+    if (!s.storeHealthy) {
+        done(s.mayBeStored(spec.id) ? SubmitOutcome::Unknown : SubmitOutcome::Refused);
         return;
     }
+    s.submitting[spec.id].push_back(std::move(done));
     AppendRequest request{std::string(intakeTopic), {acceptRecord(spec)}, std::nullopt, std::nullopt, 0, s.settings.submitTimeout};
     s.hooks.store.append(std::move(request), [weak = std::weak_ptr(m_state), spec](const AppendResult &result) {
         const auto self = weak.lock();
@@ -407,7 +416,12 @@
         if (result.status == AppendStatus::Stored) {
             self->directory.apply(JobEntry{spec.id, spec});
         }
-        const auto outcome = outcomeOf(result.status);
+        auto outcome = outcomeOf(result.status);
+        if (outcome == SubmitOutcome::Unknown) {
+            self->unanswered[spec.id] = self->now();
+        } else if (outcome == SubmitOutcome::Refused && self->mayBeStored(spec.id)) {
+            outcome = SubmitOutcome::Unknown;
+        }
         const auto served = std::exchange(self->submitting[spec.id], {});
         self->submitting.erase(spec.id);
         for (const auto &it : served) {
--- a/tests/workflow/engine_test.cpp
+++ b/tests/workflow/engine_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+
 namespace Acaciarail::Workflow::Tests {
 
 namespace {
@@ -83,6 +85,44 @@
     }
 }
 
+struct RetryCase
+{
+    const char *name;
+    /// Time after the first attempt at which the store is found to be lost, and at which the caller tries again.
+    Duration lostAfter;
+    Duration againAfter;
+};
+
+auto operator<<(std::ostream &out, const RetryCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<RetryCase> retryCases{
+    {"while the first append is under way", 100ms, 200ms},
+    {"after the first append went unanswered", 100ms, 3s},
+};
+
+BOOST_DATA_TEST_CASE(aRetryIsNotRefusedWhileTheFirstAttemptMayBeStored, data::make(retryCases), c)
+{
+    auto world = makeWorld(1, 1);
+    world->run(3s);
+    // The append reaches nobody, which the instance cannot tell from a lost answer.
+    world->store.down = true;
+    const auto job = simpleJob("j1", "queue", gang(1));
+    std::optional<SubmitOutcome> first;
+    std::optional<SubmitOutcome> second;
+    auto &engine = *world->instances[0].engine;
+    engine.submit(job, [&](SubmitOutcome outcome) { first = outcome; });
+    world->run(c.lostAfter);
+    engine.storeContact(false);
+    world->run(c.againAfter - c.lostAfter);
+    engine.submit(job, [&](SubmitOutcome outcome) { second = outcome; });
+    world->run(3s);
+    BOOST_TEST((first == SubmitOutcome::Unknown));
+    BOOST_TEST((second == SubmitOutcome::Unknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
