Keep a recorded end, and do not run a failed unit again after a takeover

Cause, found on reading: an end that carried a checkpoint reset the mark of a unit that waited to be recorded as done; its end was then acknowledged without a record, and a successor ran the unit again. And a unit recorded as failed was restored as waiting, so that a successor ran it once more than its queue allows while the rest of its job was still ending. Change: a checkpoint only marks a unit that is at work; a failed unit is restored as failed, and its job with it. Both tests failed before.

--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -95,6 +95,11 @@
         unit.dirty = false;
         return;
     }
+    if (record.phase == UnitPhase::Failed) {
+        unit.stage = UnitStage::Failed;
+        m_state->failJob(job);
+        return;
+    }
     if (record.phase != UnitPhase::Assigned) {
         return;
     }
@@ -110,6 +115,9 @@
         member.provableSince = now;
         m_state->occupy(unit, member);
     }
+    if (job.failed) {
+        m_state->beginEnding(unit, "job-failed");
+    }
 }
 
 auto Dispatcher::State::event(std::string_view name, const JobId &job, std::string details) const -> void
@@ -227,12 +235,17 @@
     if (unit.record.failures >= policy(*unit.job).maxAttempts && !unit.step->longRunning && !unit.job->cancelled) {
         unit.stage = UnitStage::Failed;
         unit.record.phase = UnitPhase::Failed;
-        unit.job->failed = true;
         event("unit-failed", unit.id.job, detail("step", unit.id.step) + ' ' + detail("failures", unit.record.failures));
-        for (auto &[id, other] : unit.job->units) {
-            release(*other);
-            beginEnding(*other, "job-failed");
-        }
+        failJob(*unit.job);
+    }
+}
+
+auto Dispatcher::State::failJob(Job &job) -> void
+{
+    job.failed = true;
+    for (auto &[id, unit] : job.units) {
+        release(*unit);
+        beginEnding(*unit, "job-failed");
     }
 }
 
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -186,6 +186,7 @@
     auto setDone(Unit &unit, TimePoint now) -> void;
     auto beginEnding(Unit &unit, std::string_view reason) -> void;
     auto settle(Unit &unit, TimePoint now) -> void;
+    auto failJob(Job &job) -> void;
     auto closeJob(Job &job, Decisions &out) -> void;
     auto closeJobs(Decisions &out) -> void;
     auto startDueOccurrences(TimePoint now, std::chrono::milliseconds unixNow) -> void;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -241,9 +241,9 @@
           workerDetail(worker) + " step=" + std::to_string(end.task.step) + " index=" + std::to_string(end.task.index)
               + " run=" + std::to_string(end.run) + " how=" + endKindName(end.kind));
     leave(*unit, *member);
-    if (!end.checkpoint.empty()) {
+    if (!end.checkpoint.empty() && unit->stage == UnitStage::Active) {
         unit->record.checkpoint = end.checkpoint;
-        unit->dirty = unit->stage == UnitStage::Active;
+        unit->dirty = true;
     }
     if (end.kind == EndKind::Done && !unit->step->longRunning) {
         notePace(*unit, now);
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -447,6 +447,47 @@
     BOOST_TEST(runsOf(fleet, "gang", 0).empty() == !c.spreads);
 }
 
+BOOST_AUTO_TEST_CASE(aSuccessorDoesNotRunAFailedUnitAgain)
+{
+    // One task of a step fails for good while the job's other task is on a worker that does not answer, so that the job cannot end yet.
+    auto fleet = makeFleet();
+    addQueue(*fleet.configuration, "once", 1, 1);
+    fleet.duration = [](const TaskId &t) { return t.index == 0 ? Duration(2s) : Duration(30s); };
+    fleet.ending = [](const StartOrder &o) { return o.task.index == 0 ? EndKind::Failed : EndKind::Done; };
+    auto step = gangStep(2, 8);
+    step.gang = false;
+    fleet.submit(simpleJob("j1", "once", step));
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.starts.size() == 2; }, 5s));
+    fleet.silence(fleet.starts[1].worker.str());
+    fleet.run(3s);
+    BOOST_REQUIRE(!fleet.outcome("j1").has_value());
+    fleet.takeOver();
+    fleet.run(40s);
+    BOOST_TEST(runsOf(fleet, "j1", 0).size() == 1U);
+    BOOST_TEST((fleet.outcome("j1") == JobPhase::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(anEndIsRecordedWhenAnotherMemberReportsACheckpointAfterIt)
+{
+    // Both ends of a gang arrive while a batch is under way; the second carries a checkpoint.
+    auto fleet = makeFleet();
+    fleet.checkpointAtEnd = "saved";
+    fleet.submit(simpleJob("j1", "normal", gangStep(2, 8)));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 20s));
+    auto job = simpleJob("j2", "normal", gangStep(2, 8));
+    job.steps.push_back(gangStep(1, 1));
+    job.steps[1].dependsOn = {0};
+    fleet.duration = [](const TaskId &t) { return t.step == 0 ? Duration(2s) : Duration(30s); };
+    fleet.submit(job);
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.starts.back().task.step == 1; }, 20s));
+    // The ends are acknowledged with the next looks.
+    fleet.run(5s);
+    fleet.takeOver();
+    fleet.run(10s);
+    BOOST_TEST(fleet.violations.empty());
+    BOOST_TEST(runsOf(fleet, "j2", 0).size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -221,7 +221,7 @@
 {
     run.end = kind;
     run.endedAt = m_now;
-    worker.ends.push_back({++worker.endCount, run.order.task, run.order.run, kind, {}});
+    worker.ends.push_back({++worker.endCount, run.order.task, run.order.run, kind, checkpointAtEnd});
 }
 
 auto FakeFleet::finishRuns(FakeWorker &worker) -> void
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -62,6 +62,8 @@
     std::function<Duration(const TaskId &)> duration;
     /// How a run ends when its work is done.
     std::function<EndKind(const StartOrder &)> ending = [](const StartOrder &) { return EndKind::Done; };
+    /// Checkpoint that every end reports.
+    std::string checkpointAtEnd;
     std::map<WorkerName, FakeWorker> workers;
     std::map<std::string, std::string> stored;
     std::shared_ptr<Configuration> configuration = std::make_shared<Configuration>();
