--- a/apps/acaciaraild/daemon.cpp
+++ b/apps/acaciaraild/daemon.cpp
@@ -131,9 +131,7 @@
     hooks.replayResponse = [this](RequestId id, const Instance::StoredResponse &response) { m_services->replay(id, response); };
     hooks.answerOperation = [this](Instance::OperationId id, const Instance::OperationResult &result) { m_control->answer(id, result); };
     hooks.readConfiguration = [this](const auto &documents) { return readConfiguration(documents); };
-    hooks.wallClock = [] {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-    };
+    hooks.wallClock = [] { return unixNow(); };
     return hooks;
 }
 
--- a/packages/core/include/acaciarail/core/time.h
+++ b/packages/core/include/acaciarail/core/time.h
@@ -35,6 +35,18 @@
 /// A lease holder ends its lease early by this fraction, and a waiting party waits longer by it.
 inline constexpr double maxClockDrift = 0.01;
 
+/// Returns \a d in whole milliseconds, rounded towards zero. \pre none. Thread-safe.
+[[nodiscard]] constexpr auto toMilliseconds(Duration d) noexcept -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d);
+}
+
+/// Returns the time of day as the time since 1970. \pre none. Thread-safe.
+[[nodiscard]] inline auto unixNow() noexcept -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
 /// Lengthens \a d by the assumed clock drift.
 /// \pre d is not negative. Thread-safe.
 [[nodiscard]] constexpr auto withDriftMargin(Duration d) noexcept -> Duration
--- a/packages/runtime/include/acaciarail/runtime/event_loop.h
+++ b/packages/runtime/include/acaciarail/runtime/event_loop.h
@@ -14,6 +14,9 @@
 class EventLoop
 {
 public:
+    /// Internal.
+    struct State;
+
     /// \pre none. Throws std::system_error when the operating system refuses the loop's descriptors.
     EventLoop();
     /// \pre every object that uses the loop is destroyed; run() is not active.
@@ -36,6 +39,10 @@
     /// \pre none. Thread-safe.
     auto post(std::function<void()> task) -> void;
 
+    /// Runs \a task once after \a delay; a negative delay counts as zero. A task that is due after the loop is destroyed is dropped.
+    /// Throws std::bad_alloc when the loop takes no further timer. \pre on the loop's thread.
+    auto callAfter(Duration delay, std::function<void()> task) -> void;
+
     /// Returns the current monotonic time. \pre none. Thread-safe.
     [[nodiscard]] auto now() const noexcept -> TimePoint;
 
@@ -43,7 +50,6 @@
     [[nodiscard]] auto base() const noexcept -> event_base *;
 
 private:
-    struct State;
     std::shared_ptr<State> m_state;
 };
 
--- a/packages/runtime/src/event_loop.cpp
+++ b/packages/runtime/src/event_loop.cpp
@@ -1,4 +1,5 @@
 #include <acaciarail/runtime/event_loop.h>
+#include <acaciarail/runtime/event_timer.h>
 
 #include <event2/event.h>
 
@@ -9,7 +10,10 @@
 #include <cerrno>
 #include <csignal>
 #include <cstdint>
+#include <iterator>
+#include <list>
 #include <mutex>
+#include <new>
 #include <system_error>
 #include <utility>
 #include <vector>
@@ -18,6 +22,15 @@
 
 struct EventLoop::State
 {
+    /// A call that is still to be made.
+    struct Delayed
+    {
+        State *state = nullptr;
+        event *timer = nullptr;
+        std::function<void()> task;
+        std::list<Delayed>::iterator self;
+    };
+
     event_base *base = nullptr;
     event *wakeEvent = nullptr;
     event *limitEvent = nullptr;
@@ -25,6 +38,7 @@
     std::atomic<bool> stopRequested = false;
     std::mutex mutex;
     std::vector<std::function<void()>> tasks;
+    std::list<Delayed> delayed;
 
     State() = default;
     State(const State &) = delete;
@@ -32,6 +46,9 @@
 
     ~State()
     {
+        for (const auto &it : delayed) {
+            event_free(it.timer);
+        }
         if (limitEvent != nullptr) {
             event_free(limitEvent);
         }
@@ -73,6 +90,16 @@
 
 namespace {
 
+auto callDelayed(evutil_socket_t, short, void *arg) -> void
+{
+    auto *delayed = static_cast<EventLoop::State::Delayed *>(arg);
+    const auto task = std::move(delayed->task);
+    event_free(delayed->timer);
+    // The entry is gone before the call, which may add others.
+    delayed->state->delayed.erase(delayed->self);
+    task();
+}
+
 auto systemError(const char *what) -> std::system_error
 {
     return {errno, std::generic_category(), what};
@@ -156,6 +183,22 @@
     }
 }
 
+auto EventLoop::callAfter(Duration delay, std::function<void()> task) -> void
+{
+    auto &list = m_state->delayed;
+    auto &delayed = list.emplace_back(State::Delayed{m_state.get(), nullptr, std::move(task), {}});
+    delayed.self = std::prev(list.end());
+    delayed.timer = event_new(m_state->base, -1, 0, callDelayed, &delayed);
+    const auto timeout = toTimeval(delay);
+    if (delayed.timer == nullptr || event_add(delayed.timer, &timeout) != 0) {
+        if (delayed.timer != nullptr) {
+            event_free(delayed.timer);
+        }
+        list.pop_back();
+        throw std::bad_alloc();
+    }
+}
+
 auto EventLoop::now() const noexcept -> TimePoint
 {
     return MonotonicClock::now();
--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -17,8 +17,6 @@
 {
     /// Longest lease that a worker grants; from the platform's bounds.
     Duration lease = 6s;
-    /// Time within which a worker ends a run that it was told to stop; from the platform's bounds.
-    Duration stopTime = 200ms;
     /// An order without an answer may be carried out this much later; from the platform's description of late orders.
     Duration lateOrder = 12s;
     /// Pace at which leases are extended, at most a third of the lease. Few orders that may extend a lease are under way at any time, so
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -313,13 +313,8 @@
             member.phase = MemberPhase::Starting;
             member.startedAt = now;
             member.lastProgress = now;
-            const auto index = unit->step->gang ? i : unit->id.index;
-            s.pendingStarts.push_back({member.worker->info.name,
-                                       {unit->id.job, unit->id.occurrence, unit->id.step, index},
-                                       unit->record.run,
-                                       unit->job->spec.payload,
-                                       unit->record.checkpoint,
-                                       s.settings.lease});
+            s.pendingStarts.push_back({member.worker->info.name, unit->task(i), unit->record.run, unit->job->spec.payload,
+                                       unit->record.checkpoint, s.settings.lease});
         }
         s.settle(*unit, now);
     }
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -63,8 +63,9 @@
 class Round
 {
 public:
-    Round(Dispatcher::State &state, TimePoint now)
+    Round(Dispatcher::State &state, std::set<const Job *> guaranteed, TimePoint now)
         : m_state(state)
+        , m_guaranteed(std::move(guaranteed))
         , m_now(now)
         , m_slowZones(state.slowZones())
     {
@@ -80,11 +81,11 @@
     }
 
     /// Returns the workers as candidates for \a unit.
-    auto candidates(const Unit &unit, const ServiceName &service, TimePoint now) const -> std::vector<Candidate>
+    auto candidates(const Unit &unit, const ServiceName &service) const -> std::vector<Candidate>
     {
         std::vector<Candidate> out(m_workers.size());
         // Elsewhere the tasks take several times as long, so it pays to wait for a run's length.
-        const bool dataRackOnly = now < unit.readySince + unit.step->estimate;
+        const bool dataRackOnly = m_now < unit.readySince + unit.step->estimate;
         const auto sameStep = tasksOfStep(unit);
         const auto priority = m_state.policy(*unit.job).priority;
         const bool urgent = priority == 0;
@@ -163,16 +164,15 @@
     }
 
     /// Keeps workers for a gang from less urgent units of this round; returns whether there are any.
-    auto hold(const Unit &unit, const QueuePolicy &rules, TimePoint now) -> bool
+    auto hold(const Unit &unit, const QueuePolicy &rules) -> bool
     {
-        const auto pool = candidates(unit, rules.service, now);
+        const auto pool = candidates(unit, rules.service);
         std::vector<Demand> capacities;
         capacities.reserve(pool.size());
         for (std::size_t i = 0; i < pool.size(); ++i) {
             capacities.push_back(pool[i].free == noRoom ? noRoom : m_workers[i]->info.capacity);
         }
-        const PlacementRequest request{unit.tasks(), unit.demand(), unit.step->sameRack, unit.step->maxPerWorker};
-        const auto seats = chooseHeld(pool, capacities, request);
+        const auto seats = chooseHeld(pool, capacities, unit.request());
         if (!seats) {
             return false;
         }
@@ -229,6 +229,7 @@
     }
 
     Dispatcher::State &m_state;
+    std::set<const Job *> m_guaranteed;
     TimePoint m_now;
     std::set<ZoneName> m_slowZones;
     std::vector<Worker *> m_workers;
@@ -236,9 +237,6 @@
     std::map<const Worker *, std::size_t> m_index;
     /// Workers that are kept, with the priority of the gang that they are kept for.
     std::map<const Worker *, std::uint32_t> m_held;
-
-public:
-    std::set<const Job *> m_guaranteed;
 };
 
 namespace {
@@ -318,7 +316,7 @@
     }
     const auto waited = now - unit.waitingSince;
     const auto priority = policy(*unit.job).priority;
-    const auto waitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(waited);
+    const auto waitedMs = toMilliseconds(waited);
     observe({"unit-placed", unit.id.job,
              "step=" + std::to_string(unit.id.step) + " index=" + std::to_string(unit.id.index) + " run=" + std::to_string(unit.record.run)
                  + " priority=" + std::to_string(priority) + " waited_ms=" + std::to_string(waitedMs.count()) + " workers=" + names,
@@ -369,8 +367,8 @@
         QueuePolicy policy;
         QueuePosition position;
     };
-    Round round(*this, now);
-    round.m_guaranteed = guaranteedJobs(*this);
+    const auto guaranteed = guaranteedJobs(*this);
+    Round round(*this, guaranteed, now);
     std::vector<Waiting> queue;
     for (auto &[id, job] : jobs) {
         if (job->cancelled || job->failed) {
@@ -379,8 +377,8 @@
         const auto rules = policy(*job);
         for (auto &[key, unit] : job->units) {
             if (unit->stage == UnitStage::Waiting) {
-                const bool guaranteed = round.m_guaranteed.contains(job.get());
-                queue.push_back({unit.get(), rules, {guaranteed, isHopeless(*unit, rules, now), rules.priority, unit->readySince}});
+                queue.push_back(
+                    {unit.get(), rules, {guaranteed.contains(job.get()), isHopeless(*unit, rules, now), rules.priority, unit->readySince}});
             }
         }
     }
@@ -401,7 +399,7 @@
         }
         failed.insert(shapeOf(unit));
         if (!urgent && unit.step->gang && !it.position.hopeless && held < settings.heldGangs) {
-            held += round.hold(unit, it.policy, now) ? 1 : 0;
+            held += round.hold(unit, it.policy) ? 1 : 0;
         }
         if (urgent && now >= unit.nextPreempt) {
             unit.nextPreempt = now + settings.preemptPace;
@@ -412,8 +410,8 @@
 
 auto Dispatcher::State::tryPlace(const Round &round, Unit &unit, const QueuePolicy &rules, TimePoint now) -> bool
 {
-    const PlacementRequest request{unit.tasks(), unit.demand(), unit.step->sameRack, unit.step->maxPerWorker};
-    const auto pool = round.candidates(unit, rules.service, now);
+    const auto request = unit.request();
+    const auto pool = round.candidates(unit, rules.service);
     // A worker on which runs just failed or stood still would take the same unit again and again, as its room is the first to be free.
     const bool useAvoided = rules.priority != 0 && now >= unit.waitingSince + settings.avoidedPatience;
     auto seats = place(useAvoided ? pool : withoutAvoided(pool), request);
@@ -431,8 +429,8 @@
 
 auto Dispatcher::State::tryPreempt(const Round &round, Unit &unit, const QueuePolicy &rules, bool guaranteed, TimePoint now) -> void
 {
-    PlacementRequest request{unit.tasks(), unit.demand(), unit.step->sameRack, unit.step->maxPerWorker};
-    const auto pool = round.candidates(unit, rules.service, now);
+    auto request = unit.request();
+    const auto pool = round.candidates(unit, rules.service);
     std::vector<Unit *> others;
     const auto victims = round.victims(unit, guaranteed, others);
     const auto gain = unit.cores() * seconds(unit.step->estimate);
@@ -508,8 +506,7 @@
                     continue;
                 }
                 it.stopSentAt = now;
-                const auto index = unit->step->gang ? i : unit->id.index;
-                out.stops.push_back({worker->info.name, {unit->id.job, unit->id.occurrence, unit->id.step, index}, unit->record.run});
+                out.stops.push_back({worker->info.name, unit->task(i), unit->record.run});
             }
         }
     }
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -104,6 +104,15 @@
         return weightedCores(step->each) * tasks();
     }
     [[nodiscard]] auto allGone() const -> bool;
+    /// Returns the task of a member, by its position.
+    [[nodiscard]] auto task(std::uint32_t member) const -> TaskId
+    {
+        return {id.job, id.occurrence, id.step, step->gang ? member : id.index};
+    }
+    [[nodiscard]] auto request() const -> PlacementRequest
+    {
+        return {tasks(), demand(), step->sameRack, step->maxPerWorker};
+    }
 };
 
 struct Job
@@ -164,6 +173,11 @@
 {
     double sum = 0;
     std::uint64_t runs = 0;
+
+    [[nodiscard]] auto mean() const -> double
+    {
+        return sum / static_cast<double>(runs);
+    }
 };
 
 struct Dispatcher::State
@@ -202,8 +216,9 @@
     auto processEarlierEnd(Unit &unit, const EndedTask &end, TimePoint now) -> void;
     auto processMissing(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> void;
     auto memberOn(Unit &unit, const Worker &worker, const TaskId &task) -> Member *;
+    auto memberOf(Unit *unit, const Worker &worker, const TaskId &task, std::uint32_t run) -> Member *;
     auto goneAt(const Worker &worker) const -> TimePoint;
-    auto giveUpWorker(Worker &worker, std::string_view reason, TimePoint now) -> void;
+    auto giveUpWorker(Worker &worker, std::string_view reason, TimePoint now, bool keepOrdered = false) -> void;
     auto expireWorkers(TimePoint now) -> void;
     auto watchProgress(TimePoint now) -> void;
     auto restartSlowRuns(TimePoint now) -> void;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -95,6 +95,12 @@
     return i < unit.members.size() && unit.members[i].worker == &worker ? &unit.members[i] : nullptr;
 }
 
+/// Returns the member that a run belongs to, when it is of the unit's newest run.
+auto Dispatcher::State::memberOf(Unit *unit, const Worker &worker, const TaskId &task, std::uint32_t run) -> Member *
+{
+    return unit != nullptr && unit->record.run == run ? memberOn(*unit, worker, task) : nullptr;
+}
+
 auto Dispatcher::workerListed(const WorkerInfo &info, TimePoint now) -> void
 {
     auto &worker = m_state->worker(info.name);
@@ -125,22 +131,11 @@
 
 auto Dispatcher::State::reborn(Worker &worker, std::int64_t life, TimePoint now) -> void
 {
-    event("worker-reborn", {}, workerDetail(worker) + " life=" + std::to_string(life));
     worker.life = life;
     worker.seenEnds = worker.batchEnds = worker.recordedEnds = 0;
     worker.strays = {};
-    const auto units = worker.units;
-    for (auto *unit : units) {
-        for (auto &member : unit->members) {
-            // An order that is still on its way reaches the new life.
-            const bool reachesNewLife = member.phase == MemberPhase::Starting || member.phase == MemberPhase::Unsure;
-            if (member.worker == &worker && !reachesNewLife && member.phase != MemberPhase::Planned) {
-                leave(*unit, member);
-            }
-        }
-        beginEnding(*unit, "worker-restarted");
-        settle(*unit, now);
-    }
+    // An order that is still on its way reaches the new life.
+    giveUpWorker(worker, "worker-reborn", now, true);
 }
 
 auto Dispatcher::lookAnswered(const LookOrder &order, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now) -> void
@@ -193,7 +188,7 @@
     worker.strays = {};
     for (const auto &it : report.running) {
         auto *unit = findUnit(it.task);
-        auto *member = unit != nullptr && unit->record.run == it.run ? memberOn(*unit, worker, it.task) : nullptr;
+        auto *member = memberOf(unit, worker, it.task, it.run);
         if (member == nullptr || member->phase == MemberPhase::Gone) {
             if (unit != nullptr) {
                 worker.strays += unit->demand();
@@ -290,7 +285,7 @@
             if (member.worker != &worker || !sent) {
                 continue;
             }
-            const TaskId task{unit->id.job, unit->id.occurrence, unit->id.step, unit->step->gang ? i : unit->id.index};
+            const auto task = unit->task(i);
             const bool listed = std::any_of(report.running.begin(), report.running.end(),
                                             [&](const RunningTask &r) { return r.task == task && r.run == unit->record.run; });
             if (listed) {
@@ -314,7 +309,7 @@
     auto &s = *m_state;
     auto &worker = s.worker(order.worker);
     auto *unit = s.findUnit(order.task);
-    auto *member = unit != nullptr && unit->record.run == order.run ? s.memberOn(*unit, worker, order.task) : nullptr;
+    auto *member = s.memberOf(unit, worker, order.task, order.run);
     if (outcome != StartOutcome::Started) {
         s.event("start-refused", order.task.job,
                 workerDetail(worker) + " step=" + std::to_string(order.task.step) + " index=" + std::to_string(order.task.index)
@@ -361,16 +356,15 @@
 auto Dispatcher::stopAnswered(const StopOrder &order, bool answered, TimePoint now) -> void
 {
     auto &s = *m_state;
-    auto *unit = s.findUnit(order.task);
-    if (unit == nullptr || unit->record.run != order.run) {
+    auto *member = s.memberOf(s.findUnit(order.task), s.worker(order.worker), order.task, order.run);
+    if (member == nullptr) {
         return;
     }
-    auto *member = s.memberOn(*unit, s.worker(order.worker), order.task);
-    if (member != nullptr && !answered) {
+    if (!answered) {
         member->stopSentAt = {};
         return;
     }
-    if (member != nullptr && !member->provableSince && member->phase != MemberPhase::Gone) {
+    if (!member->provableSince && member->phase != MemberPhase::Gone) {
         // The worker refuses this run from now on, and ends it within its stop time if it is there.
         member->provableSince = now;
     }
@@ -395,11 +389,10 @@
     std::set<ZoneName> out;
     double best = 0;
     for (const auto &[zone, pace] : zonePaces) {
-        const auto mean = pace.sum / static_cast<double>(pace.runs);
-        best = pace.runs >= minPaceRuns && (best <= 0 || mean < best) ? mean : best;
+        best = pace.runs >= minPaceRuns && (best <= 0 || pace.mean() < best) ? pace.mean() : best;
     }
     for (const auto &[zone, pace] : zonePaces) {
-        if (pace.runs >= minPaceRuns && pace.sum / static_cast<double>(pace.runs) > best * slowZoneRatio) {
+        if (pace.runs >= minPaceRuns && pace.mean() > best * slowZoneRatio) {
             out.insert(zone);
         }
     }
@@ -413,13 +406,16 @@
     return (worker.unansweredGrant ? std::max(*worker.unansweredGrant + settings.lateOrder, extended) : extended) + lease;
 }
 
-auto Dispatcher::State::giveUpWorker(Worker &worker, std::string_view reason, TimePoint now) -> void
+/// Takes what runs on a worker for gone; with \a keepOrdered, except for runs whose start is not answered.
+auto Dispatcher::State::giveUpWorker(Worker &worker, std::string_view reason, TimePoint now, bool keepOrdered) -> void
 {
-    event(reason, {}, workerDetail(worker) + " units=" + std::to_string(worker.units.size()));
+    event(reason, {}, workerDetail(worker) + " life=" + std::to_string(worker.life) + " units=" + std::to_string(worker.units.size()));
     const auto units = worker.units;
     for (auto *unit : units) {
         for (auto &member : unit->members) {
-            if (member.worker == &worker && member.phase != MemberPhase::Planned) {
+            const bool ordered = member.phase == MemberPhase::Starting || member.phase == MemberPhase::Unsure;
+            const bool kept = member.phase == MemberPhase::Planned || (keepOrdered && ordered);
+            if (member.worker == &worker && !kept) {
                 leave(*unit, member);
             }
         }
@@ -475,7 +471,7 @@
                 const bool stalled =
                     it.phase == MemberPhase::Running && !finished && now > it.lastProgress + limit && !it.worker->failingSince;
                 if (it.worker == worker.get() && stalled) {
-                    const auto quiet = std::chrono::duration_cast<std::chrono::milliseconds>(now - it.lastProgress);
+                    const auto quiet = toMilliseconds(now - it.lastProgress);
                     event("run-stalled", unit->id.job,
                           workerDetail(*worker) + " run=" + std::to_string(unit->record.run) + " percent=" + std::to_string(it.percent)
                               + " quiet_ms=" + std::to_string(quiet.count()));
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -37,17 +37,17 @@
     auto begin() -> void
     {
         const auto contact = [this](bool ok, TimePoint) { storeContact(ok); };
-        intake = std::make_unique<TopicFollower>(
-            TopicFollowerSettings{std::string(intakeTopic), Duration::zero(), settings.intakePace, 200ms, false}, hooks.store, hooks.clock,
-            TopicFollowerHooks{[this](const KeyedRecord &r) { intakeRead(r); }, contact, {}});
-        state = std::make_unique<TopicFollower>(
-            TopicFollowerSettings{std::string(stateTopic), Duration::zero(), settings.statePace, 200ms, false}, hooks.store, hooks.clock,
-            TopicFollowerHooks{[this](const KeyedRecord &r) { stateRead(r); },
-                               [this](bool ok, TimePoint) {
-                                   lease.contact(ok, now());
-                                   storeContact(ok);
-                               },
-                               [this] { stateLoaded = true; }});
+        intake = std::make_unique<TopicFollower>(TopicFollowerSettings{.topic = std::string(intakeTopic), .pause = settings.intakePace},
+                                                 hooks.store, hooks.clock,
+                                                 TopicFollowerHooks{[this](const KeyedRecord &r) { intakeRead(r); }, contact, {}});
+        state = std::make_unique<TopicFollower>(TopicFollowerSettings{.topic = std::string(stateTopic), .pause = settings.statePace},
+                                                hooks.store, hooks.clock,
+                                                TopicFollowerHooks{[this](const KeyedRecord &r) { stateRead(r); },
+                                                                   [this](bool ok, TimePoint) {
+                                                                       lease.contact(ok, now());
+                                                                       storeContact(ok);
+                                                                   },
+                                                                   [this] { stateLoaded = true; }});
         intake->start();
         state->start();
         introduce();
@@ -191,8 +191,7 @@
                                                         },
                                                         [this](std::string_view source) { stepDown(source); }});
         intake->setPace(settings.intakeWait, Duration::zero());
-        // The holder's own records are applied as they are stored; reading them back serves to notice a successor.
-        state->setPace(Duration::zero(), settings.statePace);
+        // The holder's own records are applied as they are stored; the state topic is read on to notice a successor.
         holder->begin(claimSequence() + 1, configuration);
         intake->refresh([](bool) {});
     }
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -137,7 +137,7 @@
               {"jobs", m_dispatcher->stats().jobs},
               {"active", m_dispatcher->stats().activeUnits},
               {"ended", m_loadedOutcomes.size()},
-              {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - m_began).count()}});
+              {"took_ms", toMilliseconds(now - m_began).count()}});
     m_loadedOutcomes.clear();
     if (m_hooks.tookOver) {
         m_hooks.tookOver(now - m_began);
