Look a job's policy up once for each configuration

Cause: found on reading. The queue of a job was searched by name, and its policy copied, for each unit, victim and lease order of each round; a configuration may hold hundreds of queues. Change: a job keeps the policy of its queue, which is looked up at its acceptance and with each configuration.

--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -34,6 +34,9 @@
 auto Dispatcher::setConfiguration(std::shared_ptr<const Configuration> configuration) -> void
 {
     m_state->configuration = std::move(configuration);
+    for (auto &[id, job] : m_state->jobs) {
+        job->policy = m_state->policyFor(job->spec);
+    }
 }
 
 auto Dispatcher::accept(const JobSpec &spec, TimePoint now, std::chrono::milliseconds unixNow) -> void
@@ -47,6 +50,7 @@
     }
     slot = std::make_unique<Job>();
     slot->spec = spec;
+    slot->policy = m_state->policyFor(spec);
     // The accepting instance's clock may be ahead of this one's.
     slot->acceptedAt = now - std::max(unixNow - spec.acceptedAt, std::chrono::milliseconds::zero());
     if (spec.occurrences == 0) {
@@ -171,10 +175,10 @@
     }
 }
 
-auto Dispatcher::State::policy(const Job &job) const -> QueuePolicy
+auto Dispatcher::State::policyFor(const JobSpec &spec) const -> QueuePolicy
 {
-    const auto *queue = configuration ? configuration->queue(job.spec.queue) : nullptr;
-    return queue != nullptr ? queue->policy : job.spec.policy;
+    const auto *queue = configuration ? configuration->queue(spec.queue) : nullptr;
+    return queue != nullptr ? queue->policy : spec.policy;
 }
 
 auto Dispatcher::State::findUnit(const TaskId &task) -> Unit *
@@ -232,7 +236,7 @@
     unit.stage = UnitStage::Waiting;
     unit.waitingSince = now;
     unit.readySince = std::min(unit.readySince == TimePoint{} ? now : unit.readySince, now);
-    if (unit.record.failures >= policy(*unit.job).maxAttempts && !unit.step->longRunning && !unit.job->cancelled) {
+    if (unit.record.failures >= unit.job->policy.maxAttempts && !unit.step->longRunning && !unit.job->cancelled) {
         unit.stage = UnitStage::Failed;
         unit.record.phase = UnitPhase::Failed;
         event("unit-failed", unit.id.job, detail("step", unit.id.step) + ' ' + detail("failures", unit.record.failures));
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -81,13 +81,13 @@
     }
 
     /// Returns the workers as candidates for \a unit.
-    auto candidates(const Unit &unit, const ServiceName &service) const -> std::vector<Candidate>
+    auto candidates(const Unit &unit) const -> std::vector<Candidate>
     {
         std::vector<Candidate> out(m_workers.size());
         // Elsewhere the tasks take several times as long, so it pays to wait for a run's length.
         const bool dataRackOnly = m_now < unit.readySince + unit.step->estimate;
         const auto sameStep = tasksOfStep(unit);
-        const auto priority = m_state.policy(*unit.job).priority;
+        const auto priority = unit.job->policy.priority;
         const bool urgent = priority == 0;
         for (std::size_t i = 0; i < out.size(); ++i) {
             const auto &w = *m_workers[i];
@@ -99,7 +99,7 @@
             const bool crowded = step.maxPerWorker > 0 && count != sameStep.end() && count->second >= step.maxPerWorker;
             const auto heldFor = m_held.find(&w);
             const bool kept = heldFor != m_held.end() && heldFor->second < priority;
-            const bool allowed = w.info.service == service && labelled && nearData && !crowded && !kept;
+            const bool allowed = w.info.service == unit.job->policy.service && labelled && nearData && !crowded && !kept;
             out[i] = {m_racks[i], allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil,
                       urgent && m_slowZones.contains(w.info.zone), urgent && heldFor == m_held.end()};
         }
@@ -164,9 +164,9 @@
     }
 
     /// Keeps workers for a gang from less urgent units of this round; returns whether there are any.
-    auto hold(const Unit &unit, const QueuePolicy &rules) -> bool
+    auto hold(const Unit &unit) -> bool
     {
-        const auto pool = candidates(unit, rules.service);
+        const auto pool = candidates(unit);
         std::vector<Demand> capacities;
         capacities.reserve(pool.size());
         for (std::size_t i = 0; i < pool.size(); ++i) {
@@ -176,9 +176,10 @@
         if (!seats) {
             return false;
         }
+        const auto priority = unit.job->policy.priority;
         for (const auto i : *seats) {
-            const auto [it, added] = m_held.emplace(m_workers[i], rules.priority);
-            it->second = std::min(it->second, rules.priority);
+            const auto [it, added] = m_held.emplace(m_workers[i], priority);
+            it->second = std::min(it->second, priority);
         }
         return true;
     }
@@ -198,7 +199,7 @@
         if (other.stage == UnitStage::Done || other.ending) {
             return 0.0;
         }
-        const auto priority = m_state.policy(*other.job).priority;
+        const auto priority = other.job->policy.priority;
         const bool reclaimable =
             guaranteed && !m_guaranteed.contains(other.job) && other.job->spec.organisation != unit.job->spec.organisation;
         if (other.job == unit.job || other.stage != UnitStage::Active || (priority == 0 && !reclaimable)) {
@@ -247,7 +248,7 @@
     std::map<OrganisationName, std::int64_t> needs;
     std::vector<const Job *> urgent;
     for (const auto &[id, job] : state.jobs) {
-        if (job->ended || job->cancelled || state.policy(*job).priority != 0) {
+        if (job->ended || job->cancelled || job->policy.priority != 0) {
             continue;
         }
         urgent.push_back(job.get());
@@ -265,8 +266,9 @@
     return out;
 }
 
-auto isHopeless(const Unit &unit, const QueuePolicy &policy, TimePoint now) -> bool
+auto isHopeless(const Unit &unit, TimePoint now) -> bool
 {
+    const auto &policy = unit.job->policy;
     Duration chain{};
     for (const auto &it : unit.job->spec.steps) {
         chain += it.estimate;
@@ -282,7 +284,7 @@
 {
     double use = 0;
     for (const auto &[id, job] : jobs) {
-        if (job->ended || policy(*job).priority != 0) {
+        if (job->ended || job->policy.priority != 0) {
             continue;
         }
         for (const auto &[key, unit] : job->units) {
@@ -315,7 +317,7 @@
         names += (i > 0 ? "," : "") + seats[i]->info.name.str();
     }
     const auto waited = now - unit.waitingSince;
-    const auto priority = policy(*unit.job).priority;
+    const auto priority = unit.job->policy.priority;
     const auto waitedMs = toMilliseconds(waited);
     observe({"unit-placed", unit.id.job,
              "step=" + std::to_string(unit.id.step) + " index=" + std::to_string(unit.id.index) + " run=" + std::to_string(unit.record.run)
@@ -364,7 +366,6 @@
     struct Waiting
     {
         Unit *unit;
-        QueuePolicy policy;
         QueuePosition position;
     };
     const auto guaranteed = guaranteedJobs(*this);
@@ -374,11 +375,10 @@
         if (job->cancelled || job->failed) {
             continue;
         }
-        const auto rules = policy(*job);
         for (auto &[key, unit] : job->units) {
             if (unit->stage == UnitStage::Waiting) {
                 queue.push_back(
-                    {unit.get(), rules, {guaranteed.contains(job.get()), isHopeless(*unit, rules, now), rules.priority, unit->readySince}});
+                    {unit.get(), {guaranteed.contains(job.get()), isHopeless(*unit, now), job->policy.priority, unit->readySince}});
             }
         }
     }
@@ -390,32 +390,32 @@
     std::size_t held = 0;
     for (const auto &it : queue) {
         auto &unit = *it.unit;
-        const bool urgent = it.policy.priority == 0;
+        const bool urgent = it.position.priority == 0;
         if (!urgent && failed.contains(shapeOf(unit))) {
             continue;
         }
-        if (tryPlace(round, unit, it.policy, now)) {
+        if (tryPlace(round, unit, now)) {
             continue;
         }
         failed.insert(shapeOf(unit));
         if (!urgent && unit.step->gang && !it.position.hopeless && held < settings.heldGangs) {
-            held += round.hold(unit, it.policy) ? 1 : 0;
+            held += round.hold(unit) ? 1 : 0;
         }
         if (urgent && now >= unit.nextPreempt) {
             unit.nextPreempt = now + settings.preemptPace;
-            tryPreempt(round, unit, it.policy, it.position.guaranteed, now);
+            tryPreempt(round, unit, it.position.guaranteed, now);
         }
     }
 }
 
-auto Dispatcher::State::tryPlace(const Round &round, Unit &unit, const QueuePolicy &rules, TimePoint now) -> bool
+auto Dispatcher::State::tryPlace(const Round &round, Unit &unit, TimePoint now) -> bool
 {
     const auto request = unit.request();
-    const auto pool = round.candidates(unit, rules.service);
+    const auto pool = round.candidates(unit);
     // A worker on which runs just failed or stood still would take the same unit again and again, as its room is the first to be free.
-    const bool useAvoided = rules.priority != 0 && now >= unit.waitingSince + settings.avoidedPatience;
+    const bool useAvoided = unit.job->policy.priority != 0 && now >= unit.waitingSince + settings.avoidedPatience;
     auto seats = place(useAvoided ? pool : withoutAvoided(pool), request);
-    if (!seats && useAvoided && request.sameRack && round.idle(rules.service)) {
+    if (!seats && useAvoided && request.sameRack && round.idle(unit.job->policy.service)) {
         // Spread, the gang takes longer; but no rack may ever have room for it, while workers stand idle.
         auto anywhere = request;
         anywhere.sameRack = false;
@@ -427,10 +427,10 @@
     return seats.has_value();
 }
 
-auto Dispatcher::State::tryPreempt(const Round &round, Unit &unit, const QueuePolicy &rules, bool guaranteed, TimePoint now) -> void
+auto Dispatcher::State::tryPreempt(const Round &round, Unit &unit, bool guaranteed, TimePoint now) -> void
 {
     auto request = unit.request();
-    const auto pool = round.candidates(unit, rules.service);
+    const auto pool = round.candidates(unit);
     std::vector<Unit *> others;
     const auto victims = round.victims(unit, guaranteed, others);
     const auto gain = unit.cores() * seconds(unit.step->estimate);
@@ -534,7 +534,7 @@
 auto Dispatcher::State::extensionPace(const Worker &worker, TimePoint now) const -> Duration
 {
     const bool urgent = std::any_of(worker.units.begin(), worker.units.end(), [&](const Unit *u) {
-        return policy(*u->job).priority == 0 && now < u->runStartedAt + settings.urgentStart;
+        return u->job->policy.priority == 0 && now < u->runStartedAt + settings.urgentStart;
     });
     return urgent ? settings.urgentRenewInterval : std::min(settings.renewInterval, settings.lease / 3);
 }
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -118,6 +118,8 @@
 struct Job
 {
     JobSpec spec;
+    /// Of its queue as configured now, or as accepted when the queue is gone.
+    QueuePolicy policy;
     TimePoint acceptedAt;
     bool cancelled = false;
     bool failed = false;
@@ -192,7 +194,7 @@
     // dispatcher.cpp: jobs and units
     auto createOccurrence(Job &job, std::uint32_t occurrence, TimePoint now) -> void;
     auto unblock(Job &job, std::uint32_t occurrence, TimePoint now) -> void;
-    auto policy(const Job &job) const -> QueuePolicy;
+    auto policyFor(const JobSpec &spec) const -> QueuePolicy;
     auto notePace(const Unit &unit, TimePoint now) -> void;
     auto slowZones() const -> std::set<ZoneName>;
     auto noteUrgentUse(TimePoint now) -> void;
@@ -228,8 +230,8 @@
 
     // dispatcher_schedule.cpp: placement and orders
     auto schedule(TimePoint now) -> void;
-    auto tryPlace(const Round &round, Unit &unit, const QueuePolicy &rules, TimePoint now) -> bool;
-    auto tryPreempt(const Round &round, Unit &unit, const QueuePolicy &rules, bool guaranteed, TimePoint now) -> void;
+    auto tryPlace(const Round &round, Unit &unit, TimePoint now) -> bool;
+    auto tryPreempt(const Round &round, Unit &unit, bool guaranteed, TimePoint now) -> void;
     auto placeReserved(TimePoint now) -> void;
     auto assign(Unit &unit, const std::vector<Worker *> &seats, TimePoint now) -> void;
     auto release(Unit &unit) -> void;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -487,7 +487,7 @@
 auto Dispatcher::State::restartSlowSingle(Unit &unit, TimePoint now) -> void
 {
     if (unit.stage != UnitStage::Active || unit.ending || unit.members.size() != 1 || unit.step->longRunning
-        || unit.step->estimate <= Duration::zero() || policy(*unit.job).priority != 0) {
+        || unit.step->estimate <= Duration::zero() || unit.job->policy.priority != 0) {
         return;
     }
     const auto &member = unit.members.front();
