Decide in the engine how long keys are trusted and when an instance has left

Cause: found on reading. platform/ only translates, but it chose the margin of the keys' trust and how long an instance serves after it was told to stop, and readiness and admission each compared the age of the configuration in their own way. Change: both are settings of the engine, which has one such comparison. Behaviour is as before. Tests for EventLoop::callAfter().

--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -43,12 +43,16 @@
     /// A question about a running job is answered after this long, or as soon as the job has ended. Callers ask when the last task has
     /// ended, which takes a look, an append and a read to become known here; who asks in between would ask again much later.
     Duration lookupWait = 150ms;
+    /// An instance that leaves serves for this long, until the balancer has missed two checks.
+    Duration leaveTime = 2500ms;
     /// Pace of the holder's decisions when nothing happens.
     Duration holderTick = 50ms;
     /// Events this close together are decided upon at once; bounds the processor time of a burst.
     Duration gatherTime = 2ms;
-    /// A key is trusted for this long after the configuration was last confirmed; below the platform's bound for withdrawn keys.
-    Duration keyTrust = 4300ms;
+    /// Longest time for which a withdrawn key may still work; from the platform's bounds.
+    Duration keyRevocation = 5s;
+    /// Keys are trusted for this much less, counted from the last confirmation of the configuration, for requests that are on their way.
+    Duration keyMargin = 700ms;
     /// An instance without contact to the store for this long takes no new connections; the platform's own patience with a check is two
     /// seconds.
     Duration readyTrust = 2500ms;
@@ -178,7 +182,8 @@
     [[nodiscard]] auto ready() const -> bool;
     [[nodiscard]] auto holds() const -> bool;
 
-    /// Hands the holder's role over and calls \a done; requests are still served. \pre none.
+    /// Hands the holder's role over, and calls \a done once that is done and no new connections are expected; requests are still served.
+    /// \pre none.
     auto leave(std::function<void()> done) -> void;
 
     /// Returns the figures of the holder; zeros where this instance is not. \pre none.
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -34,6 +34,12 @@
         return hooks.clock.now();
     }
 
+    /// Returns whether the keys of the configuration may be relied on.
+    auto keysTrusted() const -> bool
+    {
+        return configuration && now() <= configurationAt + settings.keyRevocation - settings.keyMargin;
+    }
+
     auto begin() -> void
     {
         const auto contact = [this](bool ok, TimePoint) { storeContact(ok); };
@@ -376,7 +382,7 @@
 auto Engine::admit(std::string_view host, std::string_view path, std::string_view key) const -> AdmissionResult
 {
     const auto &s = *m_state;
-    if (!s.configuration || s.now() > s.configurationAt + s.settings.keyTrust) {
+    if (!s.keysTrusted()) {
         return {Admission::Unready, nullptr, {}};
     }
     const auto *queue = s.configuration->findQueue(host, path);
@@ -487,7 +493,7 @@
 auto Engine::ready() const -> bool
 {
     const auto &s = *m_state;
-    return s.configuration && s.now() < s.lastContact + s.settings.readyTrust && s.now() < s.configurationAt + s.settings.keyTrust;
+    return s.keysTrusted() && s.now() < s.lastContact + s.settings.readyTrust;
 }
 
 auto Engine::holds() const -> bool
@@ -499,22 +505,28 @@
 {
     auto &s = *m_state;
     s.leaving = true;
+    const auto until = s.now() + s.settings.leaveTime;
+    const auto left = [weak = std::weak_ptr(m_state), until, done = std::move(done)] {
+        if (const auto self = weak.lock()) {
+            self->hooks.clock.schedule(until - self->now(), done);
+        }
+    };
     if (!s.holder) {
-        done();
+        left();
         return;
     }
     s.holder->pause();
-    s.hooks.clock.schedule(leavePause, [weak = std::weak_ptr(m_state), done = std::move(done)] {
+    s.hooks.clock.schedule(leavePause, [weak = std::weak_ptr(m_state), left] {
         const auto self = weak.lock();
         if (!self || !self->holder) {
-            done();
+            left();
             return;
         }
-        self->holder->release([weak, done] {
+        self->holder->release([weak, left] {
             if (const auto s2 = weak.lock()) {
                 s2->stepDown("released");
             }
-            done();
+            left();
         });
     });
 }
--- a/tests/runtime/event_loop_test.cpp
+++ b/tests/runtime/event_loop_test.cpp
@@ -153,3 +153,30 @@
         BOOST_TEST(parsed->str() == c.text);
     }
 }
+
+BOOST_AUTO_TEST_CASE(delayedCallsComeInOrderAndOnce)
+{
+    EventLoop loop;
+    std::vector<int> calls;
+    loop.callAfter(20ms, [&] { calls.push_back(2); });
+    loop.callAfter(-1ms, [&] {
+        calls.push_back(1);
+        // A call may add others.
+        loop.callAfter(40ms, [&] {
+            calls.push_back(3);
+            loop.stop();
+        });
+    });
+    loop.run();
+    BOOST_TEST((calls == std::vector{1, 2, 3}));
+}
+
+BOOST_AUTO_TEST_CASE(delayedCallsThatAreStillDueAreDroppedWithTheLoop)
+{
+    bool called = false;
+    {
+        EventLoop loop;
+        loop.callAfter(1h, [&, kept = std::make_shared<int>(1)] { called = kept != nullptr; });
+    }
+    BOOST_TEST(!called);
+}
