Count the leases of every earlier holder from the last read of the log

Cause: a claim was recorded without a time. When its writer was killed before its first renewal, the claim was the newest record of the key "holder"; the next holder took the leases of all earlier terms for long gone, declared each worker that it had not reached yet lost, and started its runs again (TWICE). The same followed when the last holder had given its role up, or was an earlier life of the successor, soon after its own takeover: the holder before it may still extend leases.

Logs: worker-lost with life=0 in the same millisecond as holder-loaded, of workers that were listed.

Ruled out: late appends (the records of the assignments were stored) and the workers' clocks.

Change: a claim succeeds only while nothing was written since the last read, and each claim fences the holder of its time. So no earlier holder has renewed its lease after the last read before the claim, whatever the clocks say; leases are counted from there. The time in the records and the allowance for the clocks are gone.

Test: engine/aTermThatEndsAtOnceDoesNotHideTheLeasesOfTheOneBefore, four cases, failed before.

--- a/packages/workflow/include/acaciarail/workflow/log_lease.h
+++ b/packages/workflow/include/acaciarail/workflow/log_lease.h
@@ -18,8 +18,6 @@
     Duration margin = 200ms;
     /// A holder that cannot reach the store goes on extending the leases of running work for this long after its own lease.
     Duration renewalOverrun = 4s;
-    /// Difference that two instances' clocks may have.
-    Duration clockSkew = 1s;
     /// Bound of the random part of a candidate's patience, so that candidates rarely compete.
     Duration maxJitter = 200ms;
 };
@@ -63,9 +61,9 @@
     /// Returns the newest term that was seen. \pre none.
     [[nodiscard]] auto term() const noexcept -> std::uint64_t;
     /// Returns the record that this instance writes as the holder. \pre none.
-    [[nodiscard]] auto record(bool released, std::chrono::milliseconds unixNow) const -> HolderRecord;
-    /// Returns the latest time at which the holder before this term may have extended a lease. \pre won() was called.
-    [[nodiscard]] auto previousGrants(TimePoint now, std::chrono::milliseconds unixNow) const -> TimePoint;
+    [[nodiscard]] auto record(bool released) const -> HolderRecord;
+    /// Returns the latest time at which a holder of an earlier term may have extended a lease. \pre won() was called.
+    [[nodiscard]] auto previousGrants() const -> TimePoint;
 
 private:
     LogLeaseSettings m_settings;
@@ -75,10 +73,8 @@
     std::uint64_t m_term = 0;
     bool m_holds = false;
     bool m_released = true;
-    /// When the holder that was last read of wrote, and whether it gave up its role then.
-    std::chrono::milliseconds m_previousWrote{};
-    bool m_previousReleased = false;
-    bool m_previousLifeEnded = false;
+    /// No earlier holder has renewed its lease after this.
+    TimePoint m_previousRenewal;
     std::optional<TimePoint> m_renewedAt;
     /// Since when the holder has been silent while the log could be read.
     std::optional<TimePoint> m_silentSince;
--- a/packages/workflow/include/acaciarail/workflow/records.h
+++ b/packages/workflow/include/acaciarail/workflow/records.h
@@ -60,8 +60,6 @@
     std::uint64_t incarnation = 0;
     /// The holder gave its role up.
     bool released = false;
-    /// When the record was written, since 1970 by the holder's clock.
-    std::int64_t writtenAtMs = 0;
 };
 
 /// What an instance says of itself when it starts.
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -50,7 +50,7 @@
             m_hooks.observe(event);
         }
     };
-    m_dispatcher = std::make_unique<Dispatcher>(m_settings.dispatcher, decided, m_lease.previousGrants(m_began, m_hooks.clock.unixNow()));
+    m_dispatcher = std::make_unique<Dispatcher>(m_settings.dispatcher, decided, m_lease.previousGrants());
     m_dispatcher->setConfiguration(std::move(configuration));
     // The claim may have been stored some time ago; this renewal says since when the lease counts.
     append({}, guarded([](Holder &self) {
@@ -190,7 +190,7 @@
         return;
     }
     m_recordedAt = m_hooks.clock.now();
-    append({holderRecord(m_lease.record(true, m_hooks.clock.unixNow()))}, std::move(done));
+    append({holderRecord(m_lease.record(true))}, std::move(done));
 }
 
 auto Holder::stats() const -> DispatcherStats
@@ -234,7 +234,7 @@
     const auto sentAt = m_hooks.clock.now();
     if (records.empty() || sentAt >= m_recordedAt + m_settings.lease.renewInterval) {
         m_recordedAt = sentAt;
-        records.push_back(holderRecord(m_lease.record(false, m_hooks.clock.unixNow())));
+        records.push_back(holderRecord(m_lease.record(false)));
     }
     AppendRequest request{std::string(stateTopic), records, std::nullopt, m_term, m_sequence, m_settings.appendTimeout};
     m_hooks.store.append(std::move(request),
--- a/packages/workflow/src/log_lease.cpp
+++ b/packages/workflow/src/log_lease.cpp
@@ -25,13 +25,7 @@
     }
     m_term = record.term;
     // An earlier life of this instance has ended, or it would not be here.
-    const bool earlierLife = record.instance == m_instance && !own;
-    m_released = record.released || earlierLife;
-    if (!own) {
-        m_previousWrote = std::max(m_previousWrote, std::chrono::milliseconds(record.writtenAtMs));
-        m_previousReleased = record.released;
-        m_previousLifeEnded = earlierLife;
-    }
+    m_released = record.released || (record.instance == m_instance && !own);
     return own && !record.released;
 }
 
@@ -60,8 +54,10 @@
     if (now < *m_silentSince + patience) {
         return std::nullopt;
     }
+    // The claim succeeds only while nothing has been written since the last read, and each claim before it fenced the holder of its time.
+    m_previousRenewal = *m_silentSince;
     m_silentSince = now;
-    return HolderRecord{m_term + 1, m_instance, m_incarnation, false, 0};
+    return HolderRecord{m_term + 1, m_instance, m_incarnation, false};
 }
 
 auto LogLease::won(std::uint64_t term) -> void
@@ -110,17 +106,14 @@
     return m_term;
 }
 
-auto LogLease::record(bool released, std::chrono::milliseconds unixNow) const -> HolderRecord
+auto LogLease::record(bool released) const -> HolderRecord
 {
-    return {m_term, m_instance, m_incarnation, released, unixNow.count()};
+    return {m_term, m_instance, m_incarnation, released};
 }
 
-auto LogLease::previousGrants(TimePoint now, std::chrono::milliseconds unixNow) const -> TimePoint
+auto LogLease::previousGrants() const -> TimePoint
 {
-    const auto wrote = now - std::max(unixNow - m_previousWrote, std::chrono::milliseconds::zero()) + m_settings.clockSkew;
-    const auto extended = m_previousReleased ? wrote : wrote + m_settings.timeToLive + m_settings.renewalOverrun;
-    // An earlier life of this instance extended none after its end.
-    return std::min(extended, m_previousLifeEnded ? now : now + m_settings.renewalOverrun);
+    return m_previousRenewal + m_settings.timeToLive + m_settings.renewalOverrun;
 }
 
 } // namespace Acaciarail::Workflow
--- a/packages/workflow/src/records.cpp
+++ b/packages/workflow/src/records.cpp
@@ -13,7 +13,7 @@
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::QueuePolicy, v.service, v.priority, v.maxAttempts, v.stretch, v.targetLatency);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::UnitRecord, v.phase, v.run, v.failures, v.checkpoint, v.workers, v.failedRun);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::MemberRecord, v.instance, v.processorShare);
-ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::HolderRecord, v.term, v.instance, v.incarnation, v.released, v.writtenAtMs);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::HolderRecord, v.term, v.instance, v.incarnation, v.released);
 
 namespace Acaciarail::Workflow {
 
--- a/tests/workflow/engine_test.cpp
+++ b/tests/workflow/engine_test.cpp
@@ -85,6 +85,50 @@
     }
 }
 
+struct ShortTermCase
+{
+    const char *name;
+    /// Who claimed the last term, which ended before its first renewal.
+    const char *claimant;
+    bool released;
+};
+
+auto operator<<(std::ostream &out, const ShortTermCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<ShortTermCase> shortTermCases{
+    {"an earlier life of the successor", "instance-0", false},
+    {"an earlier life of the successor, which gave its role up", "instance-0", true},
+    {"another instance", "instance-9", false},
+    {"another instance, which gave its role up", "instance-9", true},
+};
+
+BOOST_DATA_TEST_CASE(aTermThatEndsAtOnceDoesNotHideTheLeasesOfTheOneBefore, data::make(shortTermCases), c)
+{
+    // Replays a hunted day: a holder extends leases, another instance claims the next term and is killed at once, and the claim is the
+    // only record of a holder that the successor finds.
+    auto world = makeWorld(1, 1);
+    world->workers.taskTime = 8s;
+    world->run(3s);
+    world->submit(0, simpleJob("j1", "queue", gang(4)));
+    world->run(2s);
+    BOOST_REQUIRE(world->workers.startCount == 4U);
+    world->workers.silent.insert("w0");
+    world->kill(0);
+    auto &topic = world->store.topics.at("keyed.state");
+    topic.records.push_back(holderRecord({++topic.epoch, InstanceName(c.claimant), 7, c.released}));
+    topic.nextSequence = 0;
+    world->restart(0);
+    world->run(5s);
+    BOOST_TEST(world->workers.violations.empty());
+    world->workers.silent.clear();
+    world->run(30s);
+    BOOST_TEST((world->phase(0, "j1") == JobPhase::Completed));
+    BOOST_TEST(world->workers.violations.empty());
+}
+
 struct RetryCase
 {
     const char *name;
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -231,7 +231,7 @@
     WorkerHooks out;
     out.start = [this, reachable](const StartOrder &order, std::uint64_t term, const std::function<void(StartOutcome)> &done) {
         m_clock.schedule(latency, [this, reachable, order, term, done] {
-            if (!*reachable) {
+            if (!arrives(reachable, order.worker)) {
                 m_clock.schedule(callTimeout, [done] { done(StartOutcome::Unknown); });
                 return;
             }
@@ -241,13 +241,13 @@
     };
     out.stop = [this, reachable](const StopOrder &order, std::uint64_t term, const std::function<void(WorkerHooks::StopAnswer)> &done) {
         m_clock.schedule(latency, [this, reachable, order, term, done] {
-            const auto answer = *reachable ? stop(order, term) : WorkerHooks::StopAnswer{};
+            const auto answer = arrives(reachable, order.worker) ? stop(order, term) : WorkerHooks::StopAnswer{};
             m_clock.schedule(*reachable ? latency : callTimeout, [answer, done] { done(answer); });
         });
     };
     out.look = [this, reachable](const LookOrder &order, std::uint64_t term, const std::function<void(WorkerHooks::LookAnswer)> &done) {
         m_clock.schedule(latency, [this, reachable, order, term, done] {
-            if (!*reachable) {
+            if (!arrives(reachable, order.worker)) {
                 m_clock.schedule(callTimeout, [done] { done({}); });
                 return;
             }
--- a/tests/workflow/sim_world.h
+++ b/tests/workflow/sim_world.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -118,6 +119,8 @@
 
     Duration latency = 3ms;
     Duration taskTime = 2s;
+    /// Workers that no instance reaches; what they run goes on until their lease ends.
+    std::set<std::string> silent;
     std::map<std::string, Machine> machines;
     std::vector<std::string> violations;
     std::size_t startCount = 0;
@@ -127,6 +130,10 @@
     auto start(const StartOrder &order, std::uint64_t term) -> StartOutcome;
     auto stop(const StopOrder &order, std::uint64_t term) -> WorkerHooks::StopAnswer;
     auto look(const LookOrder &order, std::uint64_t term, TimePoint until, std::function<void(WorkerHooks::LookAnswer)> done) -> void;
+    [[nodiscard]] auto arrives(const std::shared_ptr<bool> &reachable, const WorkerName &worker) const -> bool
+    {
+        return *reachable && !silent.contains(worker.str());
+    }
 
     SimClock &m_clock;
 };
