Take a start that is under way for one that may take effect

Cause: a worker whose looks fail is given up when its lease is over. The lease was counted from the last answered order, so on a worker that had been idle, or was new, it was over at once, while a start had just been sent. The unit was started elsewhere beside it (TWICE).

Change: a member whose start is ordered and not answered keeps its worker's lease in doubt as long as a late order may. A unit is not started at all when one of its workers became unusable while its assignment was recorded.

Tests: dispatcher/aStartUnderWayIsNotGoneWithTheLeaseBefore (two cases) and dispatcher/nothingIsOrderedOfAWorkerThatFellSilentWhileTheAssignmentWasRecorded failed before.

--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -305,6 +305,9 @@
             continue;
         }
         unit->storing = false;
+        if (std::any_of(unit->members.begin(), unit->members.end(), [](const Member &m) { return !m.worker->usable(); })) {
+            s.beginEnding(*unit, "worker-unusable");
+        }
         for (std::uint32_t i = 0; i < unit->members.size(); ++i) {
             auto &member = unit->members[i];
             if (member.phase != MemberPhase::Planned) {
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -333,6 +333,7 @@
         return;
     }
     if (outcome == StartOutcome::Unknown && !unit->ending && ++member->unansweredStarts < s.settings.startAttempts) {
+        member->startedAt = now;
         s.pendingStarts.push_back(order);
         return;
     }
@@ -402,8 +403,19 @@
 auto Dispatcher::State::goneAt(const Worker &worker) const -> TimePoint
 {
     const auto lease = std::chrono::duration_cast<Duration>(settings.lease * (1.0 + settings.workerClockDrift)) + leaseSlack;
-    const auto extended = std::max(worker.extendedAt.value_or(previousGrants), previousGrants);
-    return (worker.unansweredGrant ? std::max(*worker.unansweredGrant + settings.lateOrder, extended) : extended) + lease;
+    auto extended = std::max(worker.extendedAt.value_or(previousGrants), previousGrants);
+    if (worker.unansweredGrant) {
+        extended = std::max(extended, *worker.unansweredGrant + settings.lateOrder);
+    }
+    for (const auto *unit : worker.units) {
+        for (const auto &it : unit->members) {
+            const bool ordered = it.phase == MemberPhase::Starting || it.phase == MemberPhase::Unsure;
+            if (ordered && it.worker == &worker) {
+                extended = std::max(extended, it.startedAt + settings.lateOrder);
+            }
+        }
+    }
+    return extended + lease;
 }
 
 /// Takes what runs on a worker for gone; with \a keepOrdered, except for runs whose start is not answered.
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -183,6 +183,53 @@
     BOOST_TEST(fleet.violations.empty());
 }
 
+struct StartUnderWayCase
+{
+    const char *name;
+    Duration idle;
+};
+
+auto operator<<(std::ostream &out, const StartUnderWayCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<StartUnderWayCase> startUnderWayCases{
+    {"a worker that has been idle for long", 30s},
+    {"a worker that is new", 1s},
+};
+
+BOOST_DATA_TEST_CASE(aStartUnderWayIsNotGoneWithTheLeaseBefore, data::make(startUnderWayCases), c)
+{
+    // Replays a hunted day: the worker falls silent while a start is under way, and its lease from before is long over.
+    auto fleet = makeFleet();
+    fleet.duration = [](const TaskId &) { return Duration(20s); };
+    fleet.run(c.idle);
+    auto &worker = fleet.workers.at(WorkerName("w0-0"));
+    worker.withholdsAnswers = true;
+    fleet.submit(simpleJob("j1", "normal", gangStep(2, 8)));
+    BOOST_REQUIRE(fleet.runUntil([&] { return !worker.runs.empty(); }, 5s));
+    fleet.silence("w0-0");
+    fleet.run(40s);
+    BOOST_TEST(fleet.violations.empty());
+    BOOST_TEST(runsOf(fleet, "j1", 1).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(nothingIsOrderedOfAWorkerThatFellSilentWhileTheAssignmentWasRecorded)
+{
+    auto fleet = makeFleet();
+    fleet.duration = [](const TaskId &) { return Duration(2s); };
+    fleet.run(1s);
+    fleet.storeUp = false;
+    fleet.submit(simpleJob("j1", "normal", gangStep(2, 8)));
+    fleet.run(100ms);
+    fleet.silence("w0-0");
+    fleet.run(1s);
+    fleet.storeUp = true;
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 6s));
+    BOOST_TEST(std::none_of(fleet.starts.begin(), fleet.starts.end(), [](const auto &s) { return s.worker == WorkerName("w0-0"); }));
+}
+
 BOOST_AUTO_TEST_CASE(urgentWorkGoesToTheZoneInWhichRunsAreQuick)
 {
     // Two zones of equal workers, one 1.3 times slower; the tasks' estimates say nothing about it.
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -159,9 +159,9 @@
     for (const auto &it : decisions.looks) {
         auto &worker = workers.at(it.worker);
         if (worker.reachable) {
-            if (it.wait == Duration::zero()) {
+            if (it.wait == Duration::zero() && !worker.withholdsAnswers) {
                 answer(worker, it, m_now);
-            } else {
+            } else if (it.wait > Duration::zero()) {
                 worker.look.emplace(it, m_now);
             }
             for (auto &run : worker.runs) {
@@ -191,7 +191,9 @@
         checkStart(order);
         worker.runs.push_back({order, m_now, m_now + byWorkerClock(order.lease), std::nullopt, {}});
     }
-    m_dispatcher->startAnswered(order, answer, m_now);
+    if (!worker.withholdsAnswers) {
+        m_dispatcher->startAnswered(order, answer, m_now);
+    }
 }
 
 auto FakeFleet::checkStart(const StartOrder &order) -> void
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -49,6 +49,8 @@
         bool reachable = true;
         /// Answers to the next orders to start, whatever comes of them; the first is carried out. Later orders are answered truly.
         std::vector<StartOutcome> scriptedAnswers;
+        /// Orders that grant a lease are carried out, and their answers are still under way.
+        bool withholdsAnswers = false;
         /// Times as long as on a sound worker; 0 for no progress at all.
         double slowness = 1.0;
         bool failsAll = false;
