Add a soak that disturbs the real programs from outside

./soak plays seeds: three to six acaciaraild processes on the platform's settings, stand-ins of the store, 6 to 16 workers and four callers over HTTP, a loopback proxy in front of each, and disruptions drawn by the seed, several at once: kills, suspensions, SIGTERM, SIGHUP, a store that is silent, busy, slow, late, forgets or loses answers, connections that are cut one way, delayed, silenced or reset, workers that crash, drain, slow down, fail or carry orders out late, configurations and withdrawn keys. A ledger checks what callers were told against what workers saw. Every fifth seed draws planned work only, during which no request may be cut off.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -25,6 +25,17 @@
     }
 }
 
+auto pointersTo(std::vector<std::string> &texts) -> std::vector<char *>
+{
+    std::vector<char *> out;
+    out.reserve(texts.size() + 1);
+    for (auto &it : texts) {
+        out.push_back(it.data());
+    }
+    out.push_back(nullptr);
+    return out;
+}
+
 auto errorPath(const std::string &logName) -> std::string
 {
     const auto *directory = std::getenv("ACACIARAIL_TEST_LOG");
@@ -33,7 +44,8 @@
 
 } // namespace
 
-ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &logName)
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &logName,
+                           const ChildOptions &options)
 {
     const auto path = std::filesystem::read_symlink("/proc/self/exe").replace_filename(program).string();
     std::array<int, 2> pipe{};
@@ -43,19 +55,24 @@
 
     std::vector<std::string> texts{path};
     texts.insert(texts.end(), arguments.begin(), arguments.end());
-    std::vector<char *> argv;
-    argv.reserve(texts.size() + 1);
-    for (auto &it : texts) {
-        argv.push_back(it.data());
+    const auto argv = pointersTo(texts);
+    auto variables = options.environment;
+    for (auto **it = environ; *it != nullptr; ++it) {
+        variables.emplace_back(*it);
     }
-    argv.push_back(nullptr);
+    const auto envp = pointersTo(variables);
 
     posix_spawn_file_actions_t actions;
     check(posix_spawn_file_actions_init(&actions), "posix_spawn_file_actions_init");
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
-    posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorPath(logName).c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    const auto result = posix_spawn(&m_id, path.c_str(), &actions, nullptr, argv.data(), environ);
+    constexpr int appending = O_WRONLY | O_CREAT | O_APPEND;
+    if (options.outputPath.empty()) {
+        posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
+    } else {
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, options.outputPath.c_str(), appending, 0644);
+    }
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorPath(logName).c_str(), appending, 0644);
+    const auto result = posix_spawn(&m_id, path.c_str(), &actions, nullptr, argv.data(), envp.data());
     posix_spawn_file_actions_destroy(&actions);
     ::close(pipe[1]);
     if (result != 0) {
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -10,6 +10,14 @@
 
 namespace Acaciarail::ProcessTest {
 
+struct ChildOptions
+{
+    /// Receives the standard output instead of ChildProcess::readLine(); empty for none.
+    std::string outputPath;
+    /// `NAME=VALUE`, beside the environment of this process.
+    std::vector<std::string> environment;
+};
+
 /// A program of the build as a child process. Its standard output is read line by line; its standard error is discarded unless
 /// ACACIARAIL_TEST_LOG names a directory. The destructor ends it by its id. Not thread-safe.
 class ChildProcess
@@ -17,7 +25,8 @@
 public:
     /// Starts \a program of the directory that holds the running test program.
     /// \pre none. Throws std::system_error when the program cannot be started.
-    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &logName);
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &logName,
+                 const ChildOptions &options = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     auto operator=(const ChildProcess &) -> ChildProcess & = delete;
--- /dev/null
+++ b/tests/soak/http_listener.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <acaciarail/core/time.h>
+#include <acaciarail/runtime/event_loop.h>
+#include <acaciarail/runtime/socket_address.h>
+
+#include <event2/http.h>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+/// Runs the real programs as processes, disturbs them from outside, and checks what callers and workers see.
+namespace Acaciarail::Soak {
+
+struct HttpCall
+{
+    std::string path;
+    std::map<std::string, std::string> query;
+    std::string body;
+
+    /// Returns a number of the query, or \a fallback. \pre none.
+    [[nodiscard]] auto number(const std::string &key, std::uint64_t fallback) const -> std::uint64_t;
+};
+
+struct HttpReply
+{
+    int status = 200;
+    std::string body = "{}";
+};
+
+/// Answers one call; may be called later, or never.
+using Respond = std::function<void(const HttpReply &)>;
+
+/// An HTTP server on a port that the kernel chooses. Calls that are never answered are dropped with it. Not thread-safe.
+class HttpListener
+{
+public:
+    using Handler = std::function<void(const HttpCall &, Respond)>;
+
+    /// \pre \a loop outlives the listener. Throws std::system_error when no port can be had.
+    HttpListener(Runtime::EventLoop &loop, Handler handler);
+    ~HttpListener();
+    HttpListener(const HttpListener &) = delete;
+    auto operator=(const HttpListener &) -> HttpListener & = delete;
+
+    [[nodiscard]] auto address() const -> Runtime::SocketAddress
+    {
+        return m_address;
+    }
+
+private:
+    auto handle(evhttp_request *request) -> void;
+
+    Handler m_handler;
+    evhttp *m_http = nullptr;
+    Runtime::SocketAddress m_address;
+    std::shared_ptr<std::set<evhttp_request *>> m_open = std::make_shared<std::set<evhttp_request *>>();
+};
+
+} // namespace Acaciarail::Soak
