Decide at once, without a look at all units and workers

Cause: the holder decided at most every 50 ms: a wake-up for an event was dropped while the next tick was scheduled. Each step of a job (placement, start, end, outcome) waited for it.

Change: the earliest wake-up wins. Units that wait, are being stopped or have changed records are kept in sets, as are jobs that may have ended and workers in doubt or with unrecorded ends; placement runs when something has changed that a unit may find a place by, or every 50 ms while units wait; racks are numbered once.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -40,6 +40,10 @@
     std::uint32_t lookAttempts = 2;
     /// Pace of placement, and of a further attempt to preempt for the same unit; they bound the processor time under load.
     Duration schedulePace = 10ms;
+    /// Pace of placement while no room has come free; workers that are no longer avoided and units whose patience ends are noticed by it.
+    Duration fullSchedulePace = 50ms;
+    /// Pace at which it is seen which workers are to be looked at; bounds the processor time of a large fleet.
+    Duration lookPace = 5ms;
     Duration preemptPace = 100ms;
     /// Pace at which progress is judged.
     Duration watchPace = 100ms;
--- a/packages/workflow/include/acaciarail/workflow/placement.h
+++ b/packages/workflow/include/acaciarail/workflow/placement.h
@@ -13,7 +13,7 @@
 /// A worker that a unit may be placed on.
 struct Candidate
 {
-    /// Number of the worker's rack; equal numbers mean the same rack.
+    /// Number of the worker's rack; equal numbers mean the same rack. Racks are counted from 0.
     std::size_t rack = 0;
     Demand free;
     /// Used only when no other worker has room.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -49,6 +49,7 @@
         return;
     }
     slot = std::make_unique<Job>();
+    m_state->changedJobs.insert(spec.id);
     slot->spec = spec;
     slot->policy = m_state->policyFor(spec);
     // The accepting instance's clock may be ahead of this one's.
@@ -70,6 +71,7 @@
         return;
     }
     it->second->cancelled = true;
+    m_state->changedJobs.insert(job);
     m_state->event("job-cancelling", job, detail("units", it->second->units.size()));
     for (auto &[id, unit] : it->second->units) {
         m_state->release(*unit);
@@ -96,18 +98,18 @@
     unit.record = record;
     if (record.phase == UnitPhase::Done) {
         m_state->setDone(unit, now);
-        unit.dirty = false;
+        m_state->dirtyUnits.erase(&unit);
         return;
     }
     if (record.phase == UnitPhase::Failed) {
-        unit.stage = UnitStage::Failed;
+        m_state->setStage(unit, UnitStage::Failed);
         m_state->failJob(job);
         return;
     }
     if (record.phase != UnitPhase::Assigned) {
         return;
     }
-    unit.stage = UnitStage::Active;
+    m_state->setStage(unit, UnitStage::Active);
     unit.runStartedAt = now;
     unit.members.assign(unit.tasks(), Member{});
     for (std::size_t i = 0; i < unit.members.size() && i < record.workers.size(); ++i) {
@@ -157,7 +159,7 @@
         auto &unit = *it->second;
         const auto &needs = unit.step->dependsOn;
         if (unit.stage == UnitStage::Blocked && std::none_of(needs.begin(), needs.end(), isOpen)) {
-            unit.stage = UnitStage::Waiting;
+            setStage(unit, UnitStage::Waiting);
             unit.waitingSince = now;
             unit.readySince = occurrence == 0 && needs.empty() && job.spec.occurrences == 0 ? job.acceptedAt : now;
         }
@@ -197,10 +199,10 @@
     if (unit.stage == UnitStage::Done) {
         return;
     }
-    unit.stage = UnitStage::Done;
+    setStage(unit, UnitStage::Done);
     unit.record.phase = UnitPhase::Done;
     unit.record.checkpoint.clear();
-    unit.dirty = true;
+    dirtyUnits.insert(&unit);
     auto &job = *unit.job;
     const std::pair key{unit.id.occurrence, unit.id.step};
     if (--job.open[key] == 0) {
@@ -219,7 +221,40 @@
           detail("occurrence", unit.id.occurrence) + ' ' + detail("step", unit.id.step) + ' ' + detail("index", unit.id.index) + ' '
               + detail("run", unit.record.run) + " reason=" + std::string(reason));
     for (auto &it : unit.members) {
-        it.stopping = it.phase != MemberPhase::Gone;
+        requestStop(unit, it);
+    }
+}
+
+auto Dispatcher::State::setStage(Unit &unit, UnitStage stage) -> void
+{
+    unit.stage = stage;
+    const auto keep = [&](UnitSet &set, bool member) {
+        if (member) {
+            set.insert(&unit);
+        } else {
+            set.erase(&unit);
+        }
+    };
+    keep(waitingUnits, stage == UnitStage::Waiting);
+    keep(reservedUnits, stage == UnitStage::Reserved);
+    roomChanged = true;
+    changedJobs.insert(unit.id.job);
+}
+
+auto Dispatcher::State::requestStop(Unit &unit, Member &member) -> void
+{
+    member.stopping = member.phase != MemberPhase::Gone;
+    if (member.stopping) {
+        stoppingUnits.insert(&unit);
+    }
+}
+
+auto Dispatcher::State::forgetUnits(Job &job) -> void
+{
+    for (auto &[id, unit] : job.units) {
+        for (auto *set : {&waitingUnits, &reservedUnits, &stoppingUnits, &dirtyUnits}) {
+            set->erase(unit.get());
+        }
     }
 }
 
@@ -232,12 +267,12 @@
     unit.record.phase = UnitPhase::Pending;
     unit.record.workers.clear();
     unit.members.clear();
-    unit.dirty = true;
-    unit.stage = UnitStage::Waiting;
+    dirtyUnits.insert(&unit);
+    setStage(unit, UnitStage::Waiting);
     unit.waitingSince = now;
     unit.readySince = std::min(unit.readySince == TimePoint{} ? now : unit.readySince, now);
     if (unit.record.failures >= unit.job->policy.maxAttempts && !unit.step->longRunning && !unit.job->cancelled) {
-        unit.stage = UnitStage::Failed;
+        setStage(unit, UnitStage::Failed);
         unit.record.phase = UnitPhase::Failed;
         event("unit-failed", unit.id.job, detail("step", unit.id.step) + ' ' + detail("failures", unit.record.failures));
         failJob(*unit.job);
@@ -247,6 +282,7 @@
 auto Dispatcher::State::failJob(Job &job) -> void
 {
     job.failed = true;
+    changedJobs.insert(job.spec.id);
     for (auto &[id, unit] : job.units) {
         release(*unit);
         beginEnding(*unit, "job-failed");
@@ -255,7 +291,11 @@
 
 auto Dispatcher::State::closeJobs(Decisions &out) -> void
 {
-    for (auto it = jobs.begin(); it != jobs.end();) {
+    for (const auto &id : std::exchange(changedJobs, {})) {
+        const auto it = jobs.find(id);
+        if (it == jobs.end()) {
+            continue;
+        }
         auto &job = *it->second;
         const bool allDone = job.open.empty() && job.nextOccurrence >= job.spec.occurrences && !job.units.empty();
         const bool given = job.cancelled || job.failed;
@@ -263,7 +303,10 @@
         if (!job.ended && (allDone || (given && !active))) {
             closeJob(job, out);
         }
-        it = job.ended && !active ? jobs.erase(it) : std::next(it);
+        if (job.ended && !active) {
+            forgetUnits(job);
+            jobs.erase(it);
+        }
     }
 }
 
@@ -280,7 +323,7 @@
     out.outcomes.push_back({job.spec.id, phase});
     out.records.push_back(outcomeRecord(job.spec.id, phase));
     for (auto &[id, unit] : job.units) {
-        unit->dirty = false;
+        dirtyUnits.erase(unit.get());
         if (unit->record.run > 0) {
             auto record = unitRecord(id, unit->step->gang, unit->record);
             record.value.clear();
@@ -290,15 +333,20 @@
     event("job-ended", job.spec.id, std::string("outcome=") + jobPhaseName(phase));
 }
 
+auto Dispatcher::State::endsRecorded(Worker &worker, TimePoint now) -> void
+{
+    worker.recordedEnds = std::max(worker.recordedEnds, worker.batchEnds);
+    if (!worker.failingSince && worker.recordedEnds == worker.seenEnds) {
+        worker.nextLook = now;
+    }
+}
+
 auto Dispatcher::recordsStored(TimePoint now) -> void
 {
     auto &s = *m_state;
     s.batchInProgress = false;
-    for (auto &[name, worker] : s.workers) {
-        worker->recordedEnds = std::max(worker->recordedEnds, worker->batchEnds);
-        if (!worker->failingSince && worker->recordedEnds == worker->seenEnds) {
-            worker->nextLook = now;
-        }
+    for (auto *worker : std::exchange(s.batchEndedOn, {})) {
+        s.endsRecorded(*worker, now);
     }
     for (const auto &[unit, run] : std::exchange(s.batchAssignments, {})) {
         if (unit->record.run != run) {
@@ -343,15 +391,21 @@
         if (now >= s.nextSchedule) {
             s.nextSchedule = now + s.settings.schedulePace;
             s.placeReserved(now);
-            s.schedule(now);
+            if (std::exchange(s.roomChanged, false) || now >= s.nextFullSchedule) {
+                s.nextFullSchedule = now + s.settings.fullSchedulePace;
+                s.schedule(now);
+            }
         }
         if (scope.mayRecord) {
-            s.collectRecords(out);
+            s.collectRecords(out, now);
         }
         out.starts = std::exchange(s.pendingStarts, {});
     }
     s.collectStops(out, now);
-    s.collectLooks(out, now);
+    if (now >= s.nextLookRound) {
+        s.nextLookRound = now + s.settings.lookPace;
+        s.collectLooks(out, now);
+    }
     return out;
 }
 
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -18,6 +18,10 @@
 constexpr double normalLossFactor = 1.5;
 
 constexpr Demand noRoom{-1, -1, -1};
+/// Position of a worker that takes no part in a round.
+constexpr auto nowhere = std::numeric_limits<std::size_t>::max();
+/// What a worker is kept for that is kept for nothing.
+constexpr auto nobody = std::numeric_limits<std::uint32_t>::max();
 
 auto seconds(Duration d) -> double
 {
@@ -69,15 +73,13 @@
         , m_now(now)
         , m_slowZones(state.slowZones())
     {
-        std::map<RackName, std::size_t> racks;
         for (auto &[name, worker] : state.workers) {
+            worker->position = worker->usable() ? m_workers.size() : nowhere;
             if (worker->usable()) {
-                const auto rack = racks.emplace(worker->info.rack, racks.size()).first->second;
-                m_index.emplace(worker.get(), m_workers.size());
                 m_workers.push_back(worker.get());
-                m_racks.push_back(rack);
             }
         }
+        m_held.resize(m_workers.size(), nobody);
     }
 
     /// Returns the workers as candidates for \a unit.
@@ -97,11 +99,10 @@
             const bool nearData = !dataRackOnly || step.dataRack.empty() || w.info.rack == step.dataRack;
             const auto count = sameStep.find(&w);
             const bool crowded = step.maxPerWorker > 0 && count != sameStep.end() && count->second >= step.maxPerWorker;
-            const auto heldFor = m_held.find(&w);
-            const bool kept = heldFor != m_held.end() && heldFor->second < priority;
+            const bool kept = m_held[i] < priority;
             const bool allowed = w.info.service == unit.job->policy.service && labelled && nearData && !crowded && !kept;
-            out[i] = {m_racks[i], allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil,
-                      urgent && m_slowZones.contains(w.info.zone), urgent && heldFor == m_held.end()};
+            out[i] = {w.rack, allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil,
+                      urgent && m_slowZones.contains(w.info.zone), urgent && m_held[i] == nobody};
         }
         return out;
     }
@@ -119,9 +120,8 @@
                 }
                 Victim victim{*loss, {}};
                 for (const auto &it : other->members) {
-                    const auto found = m_index.find(it.worker);
-                    if (it.phase != MemberPhase::Gone && found != m_index.end()) {
-                        victim.parts.push_back({found->second, other->demand()});
+                    if (it.phase != MemberPhase::Gone && it.worker->position != nowhere) {
+                        victim.parts.push_back({it.worker->position, other->demand()});
                     }
                 }
                 out.push_back(std::move(victim));
@@ -150,14 +150,14 @@
     {
         std::vector<std::size_t> order(m_workers.size());
         std::iota(order.begin(), order.end(), 0);
-        const auto key = [&](std::size_t i) { return std::pair(m_slowZones.contains(m_workers[i]->info.zone), m_racks[i]); };
+        const auto key = [&](std::size_t i) { return std::pair(m_slowZones.contains(m_workers[i]->info.zone), m_workers[i]->rack); };
         std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return key(a) < key(b); });
         for (const auto i : order) {
             if (accelerators <= 0) {
                 return;
             }
             if (m_now >= m_workers[i]->avoidUntil) {
-                m_held.emplace(m_workers[i], 0);
+                m_held[i] = 0;
                 accelerators -= static_cast<double>(m_workers[i]->info.capacity.accelerators);
             }
         }
@@ -178,8 +178,7 @@
         }
         const auto priority = unit.job->policy.priority;
         for (const auto i : *seats) {
-            const auto [it, added] = m_held.emplace(m_workers[i], priority);
-            it->second = std::min(it->second, priority);
+            m_held[i] = std::min(m_held[i], priority);
         }
         return true;
     }
@@ -234,10 +233,8 @@
     TimePoint m_now;
     std::set<ZoneName> m_slowZones;
     std::vector<Worker *> m_workers;
-    std::vector<std::size_t> m_racks;
-    std::map<const Worker *, std::size_t> m_index;
-    /// Workers that are kept, with the priority of the gang that they are kept for.
-    std::map<const Worker *, std::uint32_t> m_held;
+    /// The priority of the gang that each worker is kept for.
+    std::vector<std::uint32_t> m_held;
 };
 
 namespace {
@@ -299,13 +296,13 @@
 
 auto Dispatcher::State::assign(Unit &unit, const std::vector<Worker *> &seats, TimePoint now) -> void
 {
-    unit.stage = UnitStage::Active;
+    setStage(unit, UnitStage::Active);
     unit.record.phase = UnitPhase::Assigned;
     ++unit.record.run;
     unit.record.workers.clear();
     unit.members.assign(seats.size(), Member{});
     unit.ending = false;
-    unit.dirty = true;
+    dirtyUnits.insert(&unit);
     unit.storing = true;
     unit.runStartedAt = now;
     std::string names;
@@ -334,29 +331,26 @@
         it->pledged -= unit.demand();
     }
     unit.reserved.clear();
-    unit.stage = UnitStage::Waiting;
+    setStage(unit, UnitStage::Waiting);
 }
 
 auto Dispatcher::State::placeReserved(TimePoint now) -> void
 {
-    for (auto &[id, job] : jobs) {
-        for (auto &[key, unit] : job->units) {
-            if (unit->stage != UnitStage::Reserved) {
-                continue;
-            }
-            std::map<Worker *, Demand> needs;
-            for (auto *it : unit->reserved) {
-                needs[it] += unit->demand();
-            }
-            const bool usable = std::all_of(needs.begin(), needs.end(), [](const auto &n) { return n.first->usable(); });
-            const bool room = std::all_of(needs.begin(), needs.end(), [](const auto &n) { return n.first->free().covers(n.second); });
-            const auto seats = unit->reserved;
-            if (!usable || room || now > unit->reservedAt + settings.reservationTimeout) {
-                release(*unit);
-            }
-            if (usable && room) {
-                assign(*unit, seats, now);
-            }
+    // Releasing or assigning a unit takes it out of the set.
+    const std::vector<Unit *> reserved(reservedUnits.begin(), reservedUnits.end());
+    for (auto *unit : reserved) {
+        std::map<Worker *, Demand> needs;
+        for (auto *it : unit->reserved) {
+            needs[it] += unit->demand();
+        }
+        const bool usable = std::all_of(needs.begin(), needs.end(), [](const auto &n) { return n.first->usable(); });
+        const bool room = std::all_of(needs.begin(), needs.end(), [](const auto &n) { return n.first->free().covers(n.second); });
+        const auto seats = unit->reserved;
+        if (!usable || room || now > unit->reservedAt + settings.reservationTimeout) {
+            release(*unit);
+        }
+        if (usable && room) {
+            assign(*unit, seats, now);
         }
     }
 }
@@ -368,23 +362,21 @@
         Unit *unit;
         QueuePosition position;
     };
+    noteUrgentUse(now);
+    if (waitingUnits.empty()) {
+        return;
+    }
     const auto guaranteed = guaranteedJobs(*this);
     Round round(*this, guaranteed, now);
     std::vector<Waiting> queue;
-    for (auto &[id, job] : jobs) {
-        if (job->cancelled || job->failed) {
-            continue;
-        }
-        for (auto &[key, unit] : job->units) {
-            if (unit->stage == UnitStage::Waiting) {
-                queue.push_back(
-                    {unit.get(), {guaranteed.contains(job.get()), isHopeless(*unit, now), job->policy.priority, unit->readySince}});
-            }
+    for (auto *unit : waitingUnits) {
+        const auto &job = *unit->job;
+        if (!job.cancelled && !job.failed) {
+            queue.push_back({unit, {guaranteed.contains(&job), isHopeless(*unit, now), job.policy.priority, unit->readySince}});
         }
     }
     std::stable_sort(queue.begin(), queue.end(), [](const Waiting &a, const Waiting &b) { return goesBefore(a.position, b.position); });
 
-    noteUrgentUse(now);
     round.keepForUrgent(urgentUse * settings.urgentReserve);
     std::set<Shape> failed;
     std::size_t held = 0;
@@ -451,7 +443,7 @@
     if (!plan) {
         return;
     }
-    unit.stage = UnitStage::Reserved;
+    setStage(unit, UnitStage::Reserved);
     unit.reservedAt = now;
     unit.reserved = round.workersAt(plan->seats);
     for (auto *w : unit.reserved) {
@@ -467,27 +459,27 @@
               + " gained_core_s=" + std::to_string(static_cast<std::int64_t>(gain)));
 }
 
-auto Dispatcher::State::collectRecords(Decisions &out) -> void
+auto Dispatcher::State::collectRecords(Decisions &out, TimePoint now) -> void
 {
     if (batchInProgress) {
         return;
     }
     closeJobs(out);
-    for (auto &[id, job] : jobs) {
-        for (auto &[key, unit] : job->units) {
-            if (unit->dirty && !job->ended) {
-                out.records.push_back(unitRecord(key, unit->step->gang, unit->record));
-                if (unit->storing) {
-                    batchAssignments.emplace_back(unit.get(), unit->record.run);
-                }
-            }
-            unit->dirty = false;
+    for (auto *unit : std::exchange(dirtyUnits, {})) {
+        if (unit->job->ended) {
+            continue;
+        }
+        out.records.push_back(unitRecord(unit->id, unit->step->gang, unit->record));
+        if (unit->storing) {
+            batchAssignments.emplace_back(unit, unit->record.run);
         }
     }
-    for (auto &[name, worker] : workers) {
+    for (auto *worker : std::exchange(endedOn, {})) {
         worker->batchEnds = worker->seenEnds;
         if (out.records.empty()) {
-            worker->recordedEnds = worker->batchEnds;
+            endsRecorded(*worker, now);
+        } else {
+            batchEndedOn.insert(worker);
         }
     }
     batchInProgress = !out.records.empty();
@@ -495,20 +487,21 @@
 
 auto Dispatcher::State::collectStops(Decisions &out, TimePoint now) -> void
 {
-    for (auto &[name, worker] : workers) {
-        const auto units = worker->units;
-        for (auto *unit : units) {
-            for (std::uint32_t i = 0; i < unit->members.size(); ++i) {
-                auto &it = unit->members[i];
-                const bool sent = it.phase == MemberPhase::Unsure || it.phase == MemberPhase::Running || it.phase == MemberPhase::Restored;
-                const bool due = it.stopSentAt == TimePoint{} || now > it.stopSentAt + settings.stopRetry;
-                if (it.worker != worker.get() || !it.stopping || !sent || !due) {
-                    continue;
-                }
-                it.stopSentAt = now;
-                out.stops.push_back({worker->info.name, unit->task(i), unit->record.run});
+    for (auto it = stoppingUnits.begin(); it != stoppingUnits.end();) {
+        auto &unit = **it;
+        bool stopping = false;
+        for (std::uint32_t i = 0; i < unit.members.size(); ++i) {
+            auto &member = unit.members[i];
+            stopping = stopping || member.stopping;
+            const bool sent =
+                member.phase == MemberPhase::Unsure || member.phase == MemberPhase::Running || member.phase == MemberPhase::Restored;
+            const bool due = member.stopSentAt == TimePoint{} || now > member.stopSentAt + settings.stopRetry;
+            if (member.stopping && sent && due) {
+                member.stopSentAt = now;
+                out.stops.push_back({member.worker->info.name, unit.task(i), unit.record.run});
             }
         }
+        it = stopping ? std::next(it) : stoppingUnits.erase(it);
     }
     out.stops.insert(out.stops.end(), strayStops.begin(), strayStops.end());
     strayStops.clear();
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -77,7 +77,6 @@
     std::vector<Member> members;
     /// Its members are being stopped, or have ended.
     bool ending = false;
-    bool dirty = false;
     bool storing = false;
     TimePoint readySince;
     /// Since when it waits for its next run.
@@ -115,6 +114,16 @@
     }
 };
 
+/// Orders units by their id, so that decisions do not depend on addresses.
+struct UnitOrder
+{
+    auto operator()(const Unit *a, const Unit *b) const noexcept -> bool
+    {
+        return a->id < b->id;
+    }
+};
+using UnitSet = std::set<Unit *, UnitOrder>;
+
 struct Job
 {
     JobSpec spec;
@@ -159,6 +168,10 @@
     std::uint64_t batchEnds = 0;
     std::uint64_t recordedEnds = 0;
     TimePoint avoidUntil;
+    /// Number of its rack; see Candidate::rack.
+    std::size_t rack = 0;
+    /// Its position in the present round of placement.
+    std::size_t position = 0;
 
     [[nodiscard]] auto usable() const -> bool
     {
@@ -199,6 +212,9 @@
     auto slowZones() const -> std::set<ZoneName>;
     auto noteUrgentUse(TimePoint now) -> void;
     auto findUnit(const TaskId &task) -> Unit *;
+    auto setStage(Unit &unit, UnitStage stage) -> void;
+    auto requestStop(Unit &unit, Member &member) -> void;
+    auto forgetUnits(Job &job) -> void;
     auto setDone(Unit &unit, TimePoint now) -> void;
     auto beginEnding(Unit &unit, std::string_view reason) -> void;
     auto settle(Unit &unit, TimePoint now) -> void;
@@ -235,7 +251,8 @@
     auto placeReserved(TimePoint now) -> void;
     auto assign(Unit &unit, const std::vector<Worker *> &seats, TimePoint now) -> void;
     auto release(Unit &unit) -> void;
-    auto collectRecords(Decisions &out) -> void;
+    auto endsRecorded(Worker &worker, TimePoint now) -> void;
+    auto collectRecords(Decisions &out, TimePoint now) -> void;
     auto collectStops(Decisions &out, TimePoint now) -> void;
     auto collectLooks(Decisions &out, TimePoint now) -> void;
 
@@ -245,6 +262,20 @@
     std::shared_ptr<const Configuration> configuration;
     std::map<JobId, std::unique_ptr<Job>> jobs;
     std::set<JobId> endedJobs;
+    /// Units by what is to be done about them, so that a decision costs no look at all the others.
+    UnitSet waitingUnits;
+    UnitSet reservedUnits;
+    UnitSet stoppingUnits;
+    /// Their records have changed.
+    UnitSet dirtyUnits;
+    /// Workers that have ended runs which are not recorded, and those whose ends are in the batch under way.
+    std::set<Worker *> endedOn;
+    std::set<Worker *> batchEndedOn;
+    /// Workers that are not listed, or do not answer.
+    std::set<WorkerName> doubtfulWorkers;
+    std::map<RackName, std::size_t> rackNumbers;
+    /// Jobs that may have ended.
+    std::set<JobId> changedJobs;
     std::map<WorkerName, std::unique_ptr<Worker>> workers;
     std::vector<StartOrder> pendingStarts;
     std::vector<StopOrder> strayStops;
@@ -256,6 +287,10 @@
     TimePoint urgentUseAt;
     bool batchInProgress = false;
     TimePoint nextSchedule;
+    /// Something has changed that a waiting unit may find a place by.
+    bool roomChanged = true;
+    TimePoint nextFullSchedule;
+    TimePoint nextLookRound;
     TimePoint nextWatch;
     std::uint64_t preemptions = 0;
     double preemptedWork = 0;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -67,6 +67,7 @@
     if (!slot) {
         slot = std::make_unique<Worker>();
         slot->info.name = name;
+        doubtfulWorkers.insert(name);
     }
     return *slot;
 }
@@ -87,6 +88,8 @@
     member.worker->used -= unit.demand();
     auto &list = member.worker->units;
     list.erase(std::find(list.begin(), list.end(), &unit));
+    roomChanged = true;
+    changedJobs.insert(unit.id.job);
 }
 
 auto Dispatcher::State::memberOn(Unit &unit, const Worker &worker, const TaskId &task) -> Member *
@@ -114,7 +117,9 @@
         worker.nextLook = now;
     }
     worker.info = info;
+    worker.rack = m_state->rackNumbers.emplace(info.rack, m_state->rackNumbers.size()).first->second;
     worker.listed = true;
+    m_state->roomChanged = true;
     if (worker.life != 0 && info.life > worker.life) {
         m_state->reborn(worker, info.life, now);
     }
@@ -125,6 +130,7 @@
     const auto it = m_state->workers.find(name);
     if (it != m_state->workers.end()) {
         it->second->listed = false;
+        m_state->doubtfulWorkers.insert(name);
         m_state->event("worker-unlisted", {}, workerDetail(*it->second));
     }
 }
@@ -151,6 +157,7 @@
         ++worker.unansweredLooks;
         if (worker.unansweredLooks >= s.settings.lookAttempts && !worker.failingSince) {
             worker.failingSince = sentAt;
+            s.doubtfulWorkers.insert(order.worker);
             s.event("worker-unreachable", {}, workerDetail(worker));
         }
         worker.nextLook = worker.failingSince ? now + s.settings.lookRetry : now;
@@ -163,9 +170,11 @@
     }
     if (worker.failingSince) {
         s.event("worker-reachable", {}, workerDetail(worker));
+        s.roomChanged = true;
         worker.failingSince.reset();
     }
     worker.unansweredGrant.reset();
+    s.roomChanged = s.roomChanged || !worker.answeredAt;
     worker.answeredAt = std::max(sentAt, worker.answeredAt.value_or(sentAt));
     if (worker.life == 0) {
         worker.life = report->life;
@@ -220,6 +229,7 @@
         return;
     }
     worker.seenEnds = end.number;
+    endedOn.insert(&worker);
     auto *unit = findUnit(end.task);
     if (unit == nullptr) {
         return;
@@ -238,7 +248,7 @@
     leave(*unit, *member);
     if (!end.checkpoint.empty() && unit->stage == UnitStage::Active) {
         unit->record.checkpoint = end.checkpoint;
-        unit->dirty = true;
+        dirtyUnits.insert(unit);
     }
     if (end.kind == EndKind::Done && !unit->step->longRunning) {
         notePace(*unit, now);
@@ -253,7 +263,7 @@
         if (unit->record.failedRun < end.run) {
             unit->record.failedRun = end.run;
             ++unit->record.failures;
-            unit->dirty = true;
+            dirtyUnits.insert(unit);
         }
     }
     beginEnding(*unit, endKindName(end.kind));
@@ -296,7 +306,7 @@
                 beginEnding(*unit, "not-running");
             } else if (!member.provableSince && sentAt > member.startedAt) {
                 // A stop makes sure that it does not start later.
-                member.stopping = true;
+                requestStop(*unit, member);
                 beginEnding(*unit, "not-running");
             }
         }
@@ -341,7 +351,7 @@
         // A refusal speaks for its own order only; an earlier one without an answer may have started the run.
         member->phase = MemberPhase::Unsure;
         member->startedAt = now;
-        member->stopping = true;
+        s.requestStop(*unit, *member);
         s.beginEnding(*unit, "start-unanswered");
         return;
     }
@@ -446,7 +456,8 @@
 
 auto Dispatcher::State::expireWorkers(TimePoint now) -> void
 {
-    for (auto it = workers.begin(); it != workers.end();) {
+    for (auto name = doubtfulWorkers.begin(); name != doubtfulWorkers.end();) {
+        const auto it = workers.find(*name);
         auto &w = *it->second;
         const bool silent = w.failingSince || (!w.answeredAt && !w.listed);
         const bool left = w.info.draining && !w.listed && w.failingSince && now > *w.failingSince + leftAfter;
@@ -454,7 +465,13 @@
             giveUpWorker(w, "worker-lost", now);
         }
         const bool forget = !w.listed && w.units.empty() && !w.lookOutstanding && !w.extensionOutstanding && w.pledged == Demand{};
-        it = forget ? workers.erase(it) : std::next(it);
+        const bool sound = w.listed && !w.failingSince;
+        if (forget) {
+            endedOn.erase(&w);
+            batchEndedOn.erase(&w);
+            workers.erase(it);
+        }
+        name = forget || sound ? doubtfulWorkers.erase(name) : std::next(name);
     }
 }
 
@@ -468,8 +485,9 @@
         for (auto *unit : units) {
             if (unit->stage == UnitStage::Done) {
                 for (auto &it : unit->members) {
-                    it.stopping =
-                        it.stopping || (it.phase != MemberPhase::Gone && it.provableSince && now > *it.provableSince + gangEndWait);
+                    if (it.provableSince && now > *it.provableSince + gangEndWait) {
+                        requestStop(*unit, it);
+                    }
                 }
                 continue;
             }
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -200,12 +200,17 @@
 
 auto Holder::wake(Duration delay) -> void
 {
-    if (!m_running || std::exchange(m_wakePending, true)) {
+    const auto at = m_hooks.clock.now() + delay;
+    if (!m_running || (m_wakeAt && *m_wakeAt <= at)) {
         return;
     }
-    m_hooks.clock.schedule(delay, guarded([](Holder &self) {
-                               self.m_wakePending = false;
-                               self.step();
+    m_wakeAt = at;
+    m_hooks.clock.schedule(delay, guarded([at](Holder &self) {
+                               // An earlier wake may have taken the place of this one.
+                               if (self.m_wakeAt == at) {
+                                   self.m_wakeAt.reset();
+                                   self.step();
+                               }
                            }));
 }
 
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -63,7 +64,8 @@
     bool m_running = false;
     bool m_paused = false;
     bool m_appending = false;
-    bool m_wakePending = false;
+    /// When the next decision is due.
+    std::optional<TimePoint> m_wakeAt;
     std::uint64_t m_sequence = 0;
     /// When the holder's record was last written.
     TimePoint m_recordedAt;
--- a/packages/workflow/src/placement.cpp
+++ b/packages/workflow/src/placement.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <map>
 #include <numeric>
 #include <set>
 #include <tuple>
@@ -35,15 +34,14 @@
 
 auto byRack(std::span<const Candidate> candidates) -> std::vector<Group>
 {
-    std::map<std::size_t, Group> racks;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        racks[candidates[i].rack].push_back(i);
-    }
     std::vector<Group> groups;
-    groups.reserve(racks.size());
-    for (auto &[rack, group] : racks) {
-        groups.push_back(std::move(group));
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].rack >= groups.size()) {
+            groups.resize(candidates[i].rack + 1);
+        }
+        groups[candidates[i].rack].push_back(i);
     }
+    std::erase_if(groups, [](const Group &it) { return it.empty(); });
     return groups;
 }
 
--- a/tests/soak/instances.h
+++ b/tests/soak/instances.h
@@ -67,6 +67,8 @@
         std::unique_ptr<ProcessTest::ChildProcess> process;
         std::unique_ptr<Runtime::HttpClient> health;
         bool ready = false;
+        /// This life of the process has been ready.
+        bool wasReady = false;
         std::uint32_t missed = 0;
         bool suspended = false;
         /// The process was told to end; it is killed when it has not by then.
--- a/tests/workflow/sim_world.h
+++ b/tests/workflow/sim_world.h
@@ -57,6 +57,8 @@
     /// Hooks for an instance; \a reachable says whether its calls arrive.
     [[nodiscard]] auto hooks(const std::shared_ptr<bool> &reachable) -> StoreHooks;
 
+    /// Pace at which a read that waits looks for records.
+    static constexpr Duration pollStep = 20ms;
     /// One way between an instance and the store.
     Duration latency = 5ms;
     /// Time for the store to answer.
