Pace looks and extensions by the size of the fleet, and judge stalls by reports

Cause: with 3,000 workers the holder spends its processor on orders to workers: a look every 2 s at each, idle ones included, and extensions every 400 ms to 1 s. What was put off to keep a pace, or came up while an append was under way, waited for the next tick of 50 ms.

Change: from 400 workers on, paces grow with the fleet; a worker that runs nothing is looked at without waiting; a decision says when it is to be made again, and an append's end wakes the holder. A stall is seen from reports without progress.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -22,10 +22,15 @@
     /// Pace at which leases are extended, at most a third of the lease. Few orders that may extend a lease are under way at any time, so
     /// that a worker that falls silent is known to be idle soon.
     Duration renewInterval = 1s;
+    /// Extensions and looks a second that the paces above are meant for; a larger fleet is extended and looked at less often. A tenth of a
+    /// small instance's processor.
+    double ordersPerSecond = 400;
     /// Relative error of a worker's clock; stated by the platform.
     double workerClockDrift = 0.02;
     /// How long a look waits for an end; the platform's limit.
     Duration lookWait = 2s;
+    /// Pace at which a worker that runs nothing is looked at, to know whether it can be reached.
+    Duration idleLookPace = 2s;
     /// Pace at which the leases of urgent runs are extended at first; it shows a slow worker while a restart still helps.
     Duration urgentRenewInterval = 400ms;
     /// How long a run counts as new for that.
@@ -96,6 +101,8 @@
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
     std::vector<LookOrder> looks;
+    /// Something was put off to keep a pace; time until it is due.
+    std::optional<Duration> again;
 };
 
 /// What a holder is able to do at the moment.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -395,6 +395,8 @@
                 s.nextFullSchedule = now + s.settings.fullSchedulePace;
                 s.schedule(now);
             }
+        } else if (s.roomChanged) {
+            out.again = s.nextSchedule - now;
         }
         if (scope.mayRecord) {
             s.collectRecords(out, now);
@@ -403,8 +405,10 @@
     }
     s.collectStops(out, now);
     if (now >= s.nextLookRound) {
-        s.nextLookRound = now + s.settings.lookPace;
+        s.nextLookRound = now + std::chrono::duration_cast<Duration>(s.settings.lookPace * s.fleetFactor());
         s.collectLooks(out, now);
+    } else {
+        out.again = std::min(out.again.value_or(Duration::max()), s.nextLookRound - now);
     }
     return out;
 }
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -101,8 +101,8 @@
             const bool crowded = step.maxPerWorker > 0 && count != sameStep.end() && count->second >= step.maxPerWorker;
             const bool kept = m_held[i] < priority;
             const bool allowed = w.info.service == unit.job->policy.service && labelled && nearData && !crowded && !kept;
-            out[i] = {w.rack, allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil,
-                      urgent && m_slowZones.contains(w.info.zone), urgent && m_held[i] == nobody};
+            out[i] = {w.rack, allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil, urgent && m_slowZones.contains(w.info.zone),
+                      urgent && m_held[i] == nobody};
         }
         return out;
     }
@@ -515,7 +515,11 @@
         if (!w.lookOutstanding && now >= w.nextLook) {
             w.lookOutstanding = true;
             const bool unrecorded = w.seenEnds > w.recordedEnds;
-            out.looks.push_back({name, w.recordedEnds, Duration::zero(), known && !unrecorded ? settings.lookWait : Duration::zero()});
+            // A worker that runs nothing has no end to wait for.
+            const bool idle = known && !unrecorded && w.units.empty() && w.strays == Demand{};
+            w.idleLook = idle;
+            out.looks.push_back(
+                {name, w.recordedEnds, Duration::zero(), known && !unrecorded && !idle ? settings.lookWait : Duration::zero()});
         }
         if (known && !w.extensionOutstanding && !w.units.empty() && now >= w.nextExtension) {
             w.extensionOutstanding = true;
@@ -529,7 +533,14 @@
     const bool urgent = std::any_of(worker.units.begin(), worker.units.end(), [&](const Unit *u) {
         return u->job->policy.priority == 0 && now < u->runStartedAt + settings.urgentStart;
     });
-    return urgent ? settings.urgentRenewInterval : std::min(settings.renewInterval, settings.lease / 3);
+    const auto pace = urgent ? settings.urgentRenewInterval : settings.renewInterval;
+    return std::min(std::chrono::duration_cast<Duration>(pace * fleetFactor()), settings.lease / 3);
+}
+
+/// Returns how many times the settings' paces the fleet is too large for.
+auto Dispatcher::State::fleetFactor() const -> double
+{
+    return std::max(static_cast<double>(workers.size()) / settings.ordersPerSecond, 1.0);
 }
 
 } // namespace Acaciarail::Workflow
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -153,6 +153,8 @@
     std::vector<Unit *> units;
     bool lookOutstanding = false;
     bool extensionOutstanding = false;
+    /// The look under way is one of a worker that ran nothing.
+    bool idleLook = false;
     /// When the lease was last extended, by an order that was answered.
     std::optional<TimePoint> extendedAt;
     TimePoint nextLook;
@@ -242,6 +244,7 @@
     auto restartSlowRuns(TimePoint now) -> void;
     auto restartSlowSingle(Unit &unit, TimePoint now) -> void;
     auto extensionPace(const Worker &worker, TimePoint now) const -> Duration;
+    auto fleetFactor() const -> double;
     auto evacuate(TimePoint now) -> void;
 
     // dispatcher_schedule.cpp: placement and orders
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -76,6 +76,8 @@
 {
     member.worker->used += unit.demand();
     member.worker->units.push_back(&unit);
+    // A worker that ran nothing is looked at rarely.
+    member.worker->nextLook = std::min(member.worker->nextLook, TimePoint{});
 }
 
 auto Dispatcher::State::leave(Unit &unit, Member &member) -> void
@@ -189,7 +191,12 @@
         s.processEnd(worker, it, now);
     }
     s.processMissing(worker, *report, sentAt, now);
-    worker.nextLook = worker.seenEnds > worker.recordedEnds ? now + s.settings.stopRetry : std::min(worker.nextLook, now);
+    if (worker.seenEnds > worker.recordedEnds) {
+        worker.nextLook = now + s.settings.stopRetry;
+    } else if (!extends) {
+        const auto pause = std::chrono::duration_cast<Duration>(s.settings.idleLookPace * s.fleetFactor());
+        worker.nextLook = worker.idleLook && worker.units.empty() ? now + pause : now;
+    }
 }
 
 auto Dispatcher::State::processRunning(Worker &worker, const WorkerReport &report, TimePoint now) -> void
@@ -498,8 +505,9 @@
             for (auto &it : unit->members) {
                 // A member that has finished waits for the slowest of its gang.
                 const bool finished = it.percent >= fullPercent;
+                // Time without a report says nothing about progress.
                 const bool stalled =
-                    it.phase == MemberPhase::Running && !finished && now > it.lastProgress + limit && !it.worker->failingSince;
+                    it.phase == MemberPhase::Running && !finished && it.lastReport >= it.lastProgress + limit && !it.worker->failingSince;
                 if (it.worker == worker.get() && stalled) {
                     const auto quiet = toMilliseconds(now - it.lastProgress);
                     event("run-stalled", unit->id.job,
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -220,11 +220,11 @@
     if (!m_paused && m_lease.mayExtend(now)) {
         auto decisions = m_dispatcher->decide(now, m_hooks.clock.unixNow(), {m_lease.valid(now), !m_appending});
         order(decisions);
+        if (decisions.again) {
+            wake(*decisions.again);
+        }
         if (!decisions.records.empty()) {
-            append(std::move(decisions.records), guarded([](Holder &self) {
-                       self.m_dispatcher->recordsStored(self.m_hooks.clock.now());
-                       self.wake(Duration::zero());
-                   }));
+            append(std::move(decisions.records), guarded([](Holder &self) { self.m_dispatcher->recordsStored(self.m_hooks.clock.now()); }));
         }
     }
     if (!m_appending && !m_paused && m_lease.renewalDue(now)) {
@@ -257,6 +257,8 @@
         m_lease.renewed(sentAt);
         m_own.stored(records);
         done();
+        // What came up meanwhile is recorded at once.
+        wake(Duration::zero());
         if (m_released && !m_appending) {
             release(std::exchange(m_released, nullptr));
         }
