--- a/tests/soak/instances.cpp
+++ b/tests/soak/instances.cpp
@@ -6,8 +6,10 @@
 #include <unistd.h>
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <csignal>
 #include <fstream>
+#include <system_error>
 #include <utility>
 
 namespace Acaciarail::Soak {
@@ -41,9 +43,13 @@
     address.sin_family = AF_INET;
     ::inet_pton(AF_INET, host.c_str(), &address.sin_addr);
     socklen_t n = sizeof address;
-    ::bind(fd, reinterpret_cast<sockaddr *>(&address), n);
-    ::getsockname(fd, reinterpret_cast<sockaddr *>(&address), &n);
+    const bool bound =
+        ::bind(fd, reinterpret_cast<sockaddr *>(&address), n) == 0 && ::getsockname(fd, reinterpret_cast<sockaddr *>(&address), &n) == 0;
+    const auto reason = errno;
     ::close(fd);
+    if (!bound) {
+        throw std::system_error(reason, std::generic_category(), "bind " + host);
+    }
     return ntohs(address.sin_port);
 }
 
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -46,9 +46,7 @@
 auto Ledger::submitAnswered(const std::string &job, int status) -> void
 {
     auto &it = m_jobs.at(job);
-    if (status == 0) {
-        ++it.unanswered;
-    } else if (status < firstErrorStatus) {
+    if (status > 0 && status < firstErrorStatus) {
         it.accepted = true;
     } else if (status == statusNotFound || status == statusTooManyRequests || status == statusUnavailable) {
         ++it.refusals;
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -117,7 +117,7 @@
 
 auto Scenario::addStoreDisruptions(std::vector<Disruption> &out) -> void
 {
-    const auto during = [this](Duration span, std::function<void()> begin, std::function<void()> end) {
+    const auto during = [this](Duration span, const std::function<void()> &begin, std::function<void()> end) {
         begin();
         later(span, std::move(end));
     };
