Remove the records of ended jobs once nobody may ask for them

Change: the holder removes a job that ended longer ago than callers may ask (the platform's bound and a minute) from the intake topic first, then its outcome; in the other order a crash between the two would run it again. Instances forget it with the outcome.

Test: engine/recordsOfEndedJobsAreRemovedOnceNobodyMayAsk, by the same and by a later holder, across a replacement, with lost answers.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -149,6 +149,8 @@
     auto accept(const JobSpec &spec, TimePoint now, std::chrono::milliseconds unixNow) -> void;
     /// The job has ended in an earlier term; accept() ignores it. \pre none.
     auto markEnded(const JobId &job) -> void;
+    /// The outcome of a job is removed from the store. \pre the job has ended.
+    auto forget(const JobId &job) -> void;
     /// Cancels a job; an unknown or ended one is ignored. \pre none.
     auto cancel(const JobId &job, TimePoint now) -> void;
     /// Restores a unit from its record. A unit of an unknown job is ignored. \pre before the first decide().
--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -43,6 +43,11 @@
     /// A question about a running job is answered after this long, or as soon as the job has ended. Callers ask when the last task has
     /// ended, which takes a look, an append and a read to become known here; who asks in between would ask again much later.
     Duration lookupWait = 150ms;
+    /// Callers may ask for the outcome of a job for this long; then its records are removed from the store.
+    Duration outcomeRetention = 180s;
+    /// Pace at which the holder removes records, and jobs that it removes at once; they bound the calls to the store.
+    Duration removalPace = 1s;
+    std::size_t removalBatch = 200;
     /// An instance that leaves serves for this long, until the balancer has missed two checks.
     Duration leaveTime = 2500ms;
     /// Pace of the holder's decisions when nothing happens.
--- a/packages/workflow/include/acaciarail/workflow/records.h
+++ b/packages/workflow/include/acaciarail/workflow/records.h
@@ -78,6 +78,10 @@
 [[nodiscard]] auto unitRecord(const UnitId &unit, bool gang, const UnitRecord &state) -> KeyedRecord;
 /// Returns the record that says how a job ended. \pre \a phase is final. Thread-safe.
 [[nodiscard]] auto outcomeRecord(const JobId &job, JobPhase phase) -> KeyedRecord;
+/// Returns the records that remove a job from the intake topic. \pre the job's outcome is stored. Thread-safe.
+[[nodiscard]] auto removeFromIntake(const JobId &job) -> std::vector<KeyedRecord>;
+/// Returns the record that removes a job's outcome. \pre the job is removed from the intake topic, or it would run again. Thread-safe.
+[[nodiscard]] auto removeOutcome(const JobId &job) -> KeyedRecord;
 /// Returns the record that an instance introduces itself with. \pre none. Thread-safe.
 [[nodiscard]] auto memberRecord(const MemberRecord &member) -> KeyedRecord;
 /// Returns the record of the holder. \pre none. Thread-safe.
@@ -106,8 +110,14 @@
     JobPhase phase = JobPhase::Completed;
 };
 
+/// The outcome of a job was removed: nobody may ask for it any more.
+struct ForgottenEntry
+{
+    JobId job;
+};
+
 /// A record of the state topic, decoded.
-using StateEntry = std::variant<UnitEntry, OutcomeEntry, HolderRecord>;
+using StateEntry = std::variant<UnitEntry, OutcomeEntry, HolderRecord, ForgottenEntry>;
 
 /// Decodes a record of the intake topic. A damaged one gives Error::MalformedInput. \pre none. Thread-safe.
 [[nodiscard]] auto decodeIntake(const KeyedRecord &record, IntakeEntry &entry) -> std::error_code;
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -64,6 +64,11 @@
     m_state->endedJobs.insert(job);
 }
 
+auto Dispatcher::forget(const JobId &job) -> void
+{
+    m_state->endedJobs.erase(job);
+}
+
 auto Dispatcher::cancel(const JobId &job, TimePoint now) -> void
 {
     const auto it = m_state->jobs.find(job);
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -116,6 +116,7 @@
     const auto now = m_hooks.clock.now();
     for (const auto &it : m_loadedOutcomes) {
         m_dispatcher->markEnded(it);
+        m_ended.emplace_back(now, it);
     }
     const auto intake = std::exchange(m_loadedIntake, {});
     m_running = true;
@@ -224,8 +225,15 @@
             wake(*decisions.again);
         }
         if (!decisions.records.empty()) {
-            append(std::move(decisions.records), guarded([](Holder &self) { self.m_dispatcher->recordsStored(self.m_hooks.clock.now()); }));
+            append(std::move(decisions.records), guarded([outcomes = std::move(decisions.outcomes)](Holder &self) {
+                       const auto stored = self.m_hooks.clock.now();
+                       self.m_dispatcher->recordsStored(stored);
+                       for (const auto &it : outcomes) {
+                           self.m_ended.emplace_back(stored, it.job);
+                       }
+                   }));
         }
+        removeExpired();
     }
     if (!m_appending && !m_paused && m_lease.renewalDue(now)) {
         append({}, [] {});
@@ -233,6 +241,54 @@
     wake(m_settings.holderTick);
 }
 
+auto Holder::removeExpired() -> void
+{
+    const auto now = m_hooks.clock.now();
+    if (!m_lease.valid(now)) {
+        return;
+    }
+    if (!m_removed.empty() && !m_appending) {
+        std::vector<KeyedRecord> records;
+        for (const auto &it : m_removed) {
+            records.push_back(removeOutcome(it));
+        }
+        append(std::move(records), guarded([removed = std::exchange(m_removed, {})](Holder &self) {
+                   for (const auto &it : removed) {
+                       self.m_dispatcher->forget(it);
+                   }
+                   self.m_removing = false;
+                   logEvent(LogLevel::Info, "outcomes-removed", {{"jobs", removed.size()}, {"term", self.m_term}});
+               }));
+        return;
+    }
+    if (m_removing || now < m_nextRemoval || m_ended.empty() || now < m_ended.front().first + m_settings.outcomeRetention) {
+        return;
+    }
+    m_removing = true;
+    m_nextRemoval = now + m_settings.removalPace;
+    AppendRequest request{std::string(intakeTopic), {}, std::nullopt, std::nullopt, 0, m_settings.appendTimeout};
+    std::vector<JobId> expired;
+    for (const auto &[since, job] : m_ended) {
+        if (now < since + m_settings.outcomeRetention || expired.size() == m_settings.removalBatch) {
+            break;
+        }
+        expired.push_back(job);
+        for (auto &record : removeFromIntake(job)) {
+            request.records.push_back(std::move(record));
+        }
+    }
+    // A job whose outcome went first would run again. Without an answer, both are removed with a later batch.
+    m_hooks.store.append(std::move(request), guarded([expired = std::move(expired)](Holder &self, const AppendResult &result) {
+                             if (result.status != AppendStatus::Stored) {
+                                 self.m_removing = false;
+                                 return;
+                             }
+                             self.m_ended.erase(self.m_ended.begin(), self.m_ended.begin() + static_cast<std::ptrdiff_t>(expired.size()));
+                             self.m_removed = expired;
+                             self.wake(Duration::zero());
+                         }));
+}
+
 auto Holder::append(std::vector<KeyedRecord> records, Done done) -> void
 {
     m_appending = true;
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -4,6 +4,7 @@
 #include <acaciarail/workflow/engine.h>
 #include <acaciarail/workflow/job_directory.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -53,6 +54,7 @@
     auto append(std::vector<KeyedRecord> records, Done done) -> void;
     auto appended(const AppendResult &result, const std::vector<KeyedRecord> &records, TimePoint sentAt, const Done &done) -> void;
     auto order(Decisions &decisions) -> void;
+    auto removeExpired() -> void;
 
     const EngineSettings &m_settings;
     const EngineHooks &m_hooks;
@@ -69,6 +71,12 @@
     std::uint64_t m_sequence = 0;
     /// When the holder's record was last written.
     TimePoint m_recordedAt;
+    /// Jobs that have ended and since when that is known here, the oldest first.
+    std::deque<std::pair<TimePoint, JobId>> m_ended;
+    TimePoint m_nextRemoval;
+    bool m_removing = false;
+    /// Jobs that are removed from the intake topic.
+    std::vector<JobId> m_removed;
     std::vector<std::pair<UnitId, UnitRecord>> m_loadedUnits;
     std::set<JobId> m_loadedOutcomes;
     std::vector<JobEntry> m_loadedIntake;
--- a/packages/workflow/src/job_directory.cpp
+++ b/packages/workflow/src/job_directory.cpp
@@ -37,6 +37,8 @@
         }
     } else if (const auto *outcome = std::get_if<OutcomeEntry>(&entry)) {
         change(outcome->job, [&](Entry &e) { e.outcome = outcome->phase; });
+    } else if (const auto *forgotten = std::get_if<ForgottenEntry>(&entry)) {
+        forget(forgotten->job);
     }
 }
 
--- a/packages/workflow/src/records.cpp
+++ b/packages/workflow/src/records.cpp
@@ -106,6 +106,16 @@
     return {job.str(), encode(EncodedOutcome{phase})};
 }
 
+auto removeFromIntake(const JobId &job) -> std::vector<KeyedRecord>
+{
+    return {{job.str(), {}}, {job.str() + std::string(cancelSuffix), {}}};
+}
+
+auto removeOutcome(const JobId &job) -> KeyedRecord
+{
+    return {job.str(), {}};
+}
+
 auto memberRecord(const MemberRecord &member) -> KeyedRecord
 {
     return {std::string(memberPrefix) + member.instance.str(), encode(member)};
@@ -149,6 +159,10 @@
         return ec;
     }
     if (record.key.find('/') == std::string::npos) {
+        if (record.value.empty()) {
+            entry = ForgottenEntry{JobId(record.key)};
+            return {};
+        }
         EncodedOutcome outcome;
         const auto ec = decode(record.value, outcome);
         entry = OutcomeEntry{JobId(record.key), outcome.phase};
--- a/tests/workflow/engine_test.cpp
+++ b/tests/workflow/engine_test.cpp
@@ -143,6 +143,57 @@
     BOOST_TEST(world->workers.startCount == 2U);
 }
 
+struct RemovalCase
+{
+    const char *name;
+    /// The holder is replaced this long after the job has ended.
+    std::optional<Duration> replacedAfter;
+    double lostAnswers;
+};
+
+auto operator<<(std::ostream &out, const RemovalCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<RemovalCase> removalCases{
+    {"by the holder that ran the job", std::nullopt, 0},
+    {"by a later holder", 1s, 0},
+    {"while the holder is replaced", 5s, 0},
+    {"with half of the answers lost", std::nullopt, 0.5},
+};
+
+BOOST_DATA_TEST_CASE(recordsOfEndedJobsAreRemovedOnceNobodyMayAsk, data::make(removalCases) * data::xrange(1, 6), c, seed)
+{
+    auto world = makeWorld(2, static_cast<std::uint64_t>(seed));
+    world->outcomeRetention = 5s;
+    world->restart(0);
+    world->restart(1);
+    world->run(3s);
+    world->submit(0, simpleJob("j1", "queue", gang(2)));
+    world->run(4s);
+    BOOST_TEST((world->phase(1, "j1") == JobPhase::Completed));
+    world->store.lostAnswers = c.lostAnswers;
+    if (c.replacedAfter) {
+        world->run(*c.replacedAfter - Duration(1s));
+        world->restart(world->holders().at(0));
+    }
+    world->run(40s);
+    // A holder that is replaced between the two removals leaves the second one to its successor.
+    world->store.lostAnswers = 0;
+    world->run(20s);
+    for (const auto *topic : {"keyed.intake", "keyed.state"}) {
+        std::map<std::string, std::string> newest;
+        for (const auto &it : world->store.topics.at(topic).records) {
+            newest[it.key] = it.value;
+        }
+        BOOST_TEST(newest["j1"].empty(), topic);
+    }
+    BOOST_TEST(!world->phase(0, "j1"));
+    BOOST_TEST(!world->phase(1, "j1"));
+    BOOST_TEST(world->workers.startCount == 2U);
+}
+
 struct RetryCase
 {
     const char *name;
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -278,6 +278,7 @@
     auto &instance = instances[i];
     EngineSettings settings;
     settings.instance = InstanceName("instance-" + std::to_string(i));
+    settings.outcomeRetention = outcomeRetention;
     settings.incarnation = m_seed * 1000 + ++m_lives;
     const ClockHooks hooks{[this] { return clock.now(); },
                            [this] { return std::chrono::duration_cast<std::chrono::milliseconds>(clock.now().time_since_epoch()); },
--- a/tests/workflow/sim_world.h
+++ b/tests/workflow/sim_world.h
@@ -168,6 +168,8 @@
     FakeStore store;
     FakeWorkers workers;
     Configuration configuration;
+    /// Of instances that are started from now on.
+    Duration outcomeRetention = EngineSettings().outcomeRetention;
     std::vector<Instance> instances;
     std::map<std::string, SubmitOutcome> outcomes;
 
