--- /dev/null
+++ b/tests/adapter/instance_metrics_test.cpp
@@ -0,0 +1,70 @@
+#include "instance_metrics.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <string>
+
+namespace Acaciarail::Adapter::Tests {
+
+namespace {
+
+/// Returns the metrics that the operators' page lists for an instance on the platform.
+auto documentedNames() -> std::set<std::string>
+{
+    std::ifstream page(ACACIARAIL_OPERATIONS_PAGE);
+    std::set<std::string> out;
+    const std::regex name("`(acaciarail_[a-z_]+)`");
+    std::string section;
+    for (std::string line; std::getline(page, line);) {
+        section = line.starts_with("###") ? line : section;
+        const bool listed = section == "### Metrics" && line.starts_with("| `acaciarail_");
+        const auto row = listed ? line.substr(0, line.find('|', 1)) : std::string();
+        for (auto it = std::sregex_iterator(row.begin(), row.end(), name); it != std::sregex_iterator(); ++it) {
+            out.insert((*it)[1]);
+        }
+    }
+    return out;
+}
+
+/// Returns the metrics of a scrape.
+auto renderedNames(const std::string &text) -> std::set<std::string>
+{
+    std::istringstream in(text);
+    std::set<std::string> out;
+    const std::string typeLine = "# TYPE ";
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with(typeLine)) {
+            out.insert(line.substr(typeLine.size(), line.rfind(' ') - typeLine.size()));
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(instanceMetrics)
+
+BOOST_AUTO_TEST_CASE(thePageAndAScrapeNameTheSameMetrics)
+{
+    Workflow::EngineHooks hooks;
+    hooks.clock.now = [] { return TimePoint(1h); };
+    const Workflow::Engine engine({}, std::move(hooks));
+    InstanceMetrics metrics;
+    metrics.requestAnswered("submit", 200, 3ms);
+    metrics.storeCalled("append", "200", 3ms);
+    metrics.workerOrdered("hold", "200", 3ms);
+    metrics.decided({"unit-placed", JobId("j1"), {}, 5ms, 0});
+    metrics.tookOver(100ms);
+    const auto rendered = renderedNames(metrics.render(engine));
+    const auto documented = documentedNames();
+    BOOST_TEST(!documented.empty());
+    BOOST_TEST(rendered == documented, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Acaciarail::Adapter::Tests
