Reject at once what cannot fit, and give a large fleet time to answer

Cause: with 3,000 workers and a backlog, each round of placement built and sorted the whole pool for each unit that waited, 40 ms a round; the loop fell behind, answers of workers counted as lost after 300 ms, and these workers as unreachable.

Test: dispatcher/aBacklogThatFindsNoRoomLeavesItToWhatDoes, four cases, shows that the rejection keeps nothing out (it passes before, too).

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -50,6 +50,8 @@
     /// Pace at which it is seen which workers are to be looked at; bounds the processor time of a large fleet.
     Duration lookPace = 5ms;
     Duration preemptPace = 100ms;
+    /// Placement pauses this long for each waiting unit, so that a backlog leaves processor time for orders.
+    Duration schedulePausePerUnit = 10us;
     /// Pace at which progress is judged.
     Duration watchPace = 100ms;
     /// Pause before a stop that has had no effect is repeated; several round trips between regions and the stop itself.
--- a/packages/workflow/include/acaciarail/workflow/placement.h
+++ b/packages/workflow/include/acaciarail/workflow/placement.h
@@ -33,6 +33,8 @@
     bool sameRack = false;
     /// Most tasks on one worker; 0 for no limit.
     std::uint32_t maxPerWorker = 0;
+    /// Workers that are avoided may be used too.
+    bool useAvoided = true;
 };
 
 /// The candidate of each task, by position.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -394,7 +394,8 @@
             s.evacuate(now);
         }
         if (now >= s.nextSchedule) {
-            s.nextSchedule = now + s.settings.schedulePace;
+            const auto pause = s.settings.schedulePausePerUnit * static_cast<Duration::rep>(s.waitingUnits.size());
+            s.nextSchedule = now + std::max(s.settings.schedulePace, pause);
             s.placeReserved(now);
             if (std::exchange(s.roomChanged, false) || now >= s.nextFullSchedule) {
                 s.nextFullSchedule = now + s.settings.fullSchedulePace;
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -80,31 +80,54 @@
             }
         }
         m_held.resize(m_workers.size(), nobody);
+        for (const auto *it : m_workers) {
+            auto &room = m_room[it->info.service];
+            const auto free = it->free() - it->pledged;
+            room.most.milliCores = std::max(room.most.milliCores, free.milliCores);
+            room.most.memoryMiB = std::max(room.most.memoryMiB, free.memoryMiB);
+            room.most.accelerators = std::max(room.most.accelerators, free.accelerators);
+            room.acceleratorsOfRack[it->rack] += std::max<std::int64_t>(free.accelerators, 0);
+        }
     }
 
-    /// Returns the workers as candidates for \a unit.
-    auto candidates(const Unit &unit) const -> std::vector<Candidate>
+    /// Returns false when no worker has room for a task of \a unit, or no rack for all of them; answers the backlog in which nearly every
+    /// unit waits in vain. Room only shrinks during a round.
+    [[nodiscard]] auto mayFit(const Unit &unit) const -> bool
     {
-        std::vector<Candidate> out(m_workers.size());
-        // Elsewhere the tasks take several times as long, so it pays to wait for a run's length.
-        const bool dataRackOnly = m_now < unit.readySince + unit.step->estimate;
-        const auto sameStep = tasksOfStep(unit);
-        const auto priority = unit.job->policy.priority;
-        const bool urgent = priority == 0;
-        for (std::size_t i = 0; i < out.size(); ++i) {
-            const auto &w = *m_workers[i];
-            const auto &step = *unit.step;
-            const auto &labels = w.info.labels;
-            const bool labelled = step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
-            const bool nearData = !dataRackOnly || step.dataRack.empty() || w.info.rack == step.dataRack;
-            const auto count = sameStep.find(&w);
-            const bool crowded = step.maxPerWorker > 0 && count != sameStep.end() && count->second >= step.maxPerWorker;
-            const bool kept = m_held[i] < priority;
-            const bool allowed = w.info.service == unit.job->policy.service && labelled && nearData && !crowded && !kept;
-            out[i] = {w.rack, allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil, urgent && m_slowZones.contains(w.info.zone),
-                      urgent && m_held[i] == nobody};
+        const auto found = m_room.find(unit.job->policy.service);
+        if (found == m_room.end() || !found->second.most.covers(unit.demand())) {
+            return false;
         }
-        return out;
+        const auto needed = unit.demand().accelerators * unit.tasks();
+        const auto &racks = found->second.acceleratorsOfRack;
+        return !unit.step->sameRack || std::any_of(racks.begin(), racks.end(), [&](const auto &it) { return it.second >= needed; });
+    }
+
+    /// Returns the workers as candidates for \a unit. Valid until the next call, or the next change of what workers are kept for.
+    auto candidates(const Unit &unit) -> const std::vector<Candidate> &
+    {
+        // The tasks of a step are alike, and come one after the other.
+        const PoolKey key{shapeOf(unit), unit.job->policy.priority, unit.job->policy.service,
+                          m_now < unit.readySince + unit.step->estimate};
+        if (unit.step->maxPerWorker > 0 || m_poolKey != key) {
+            m_pool = makeCandidates(unit);
+            m_poolKey = key;
+        }
+        return m_pool;
+    }
+
+    /// A unit was assigned to these seats; \a demand is that of each of its tasks.
+    auto assigned(const Seats &seats, const Demand &demand) -> void
+    {
+        for (const auto it : seats) {
+            m_pool[it].free -= demand;
+        }
+    }
+
+    /// Room was reserved, or workers are kept for other units.
+    auto poolChanged() -> void
+    {
+        m_poolKey.reset();
     }
 
     /// Returns the units that \a unit may take room from.
@@ -166,7 +189,7 @@
     /// Keeps workers for a gang from less urgent units of this round; returns whether there are any.
     auto hold(const Unit &unit) -> bool
     {
-        const auto pool = candidates(unit);
+        const auto &pool = candidates(unit);
         std::vector<Demand> capacities;
         capacities.reserve(pool.size());
         for (std::size_t i = 0; i < pool.size(); ++i) {
@@ -180,6 +203,7 @@
         for (const auto i : *seats) {
             m_held[i] = std::min(m_held[i], priority);
         }
+        poolChanged();
         return true;
     }
 
@@ -193,6 +217,33 @@
     }
 
 private:
+    /// What units have in common for which the candidates are the same.
+    using PoolKey = std::tuple<Shape, std::uint32_t, ServiceName, bool>;
+
+    auto makeCandidates(const Unit &unit) const -> std::vector<Candidate>
+    {
+        std::vector<Candidate> out(m_workers.size());
+        // Elsewhere the tasks take several times as long, so it pays to wait for a run's length.
+        const bool dataRackOnly = m_now < unit.readySince + unit.step->estimate;
+        const auto sameStep = tasksOfStep(unit);
+        const auto priority = unit.job->policy.priority;
+        const bool urgent = priority == 0;
+        for (std::size_t i = 0; i < out.size(); ++i) {
+            const auto &w = *m_workers[i];
+            const auto &step = *unit.step;
+            const auto &labels = w.info.labels;
+            const bool labelled = step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
+            const bool nearData = !dataRackOnly || step.dataRack.empty() || w.info.rack == step.dataRack;
+            const auto count = sameStep.find(&w);
+            const bool crowded = step.maxPerWorker > 0 && count != sameStep.end() && count->second >= step.maxPerWorker;
+            const bool kept = m_held[i] < priority;
+            const bool allowed = w.info.service == unit.job->policy.service && labelled && nearData && !crowded && !kept;
+            out[i] = {w.rack, allowed ? w.free() - w.pledged : noRoom, m_now < w.avoidUntil, urgent && m_slowZones.contains(w.info.zone),
+                      urgent && m_held[i] == nobody};
+        }
+        return out;
+    }
+
     auto lossOf(const Unit &unit, const Unit &other, bool guaranteed) const -> std::optional<double>
     {
         if (other.stage == UnitStage::Done || other.ending) {
@@ -228,7 +279,18 @@
         return out;
     }
 
+    /// Bounds of the room on the workers of a service, as of the start of the round.
+    struct Room
+    {
+        /// The most of each kind that a worker has.
+        Demand most;
+        std::map<std::size_t, std::int64_t> acceleratorsOfRack;
+    };
+
     Dispatcher::State &m_state;
+    std::map<ServiceName, Room> m_room;
+    std::vector<Candidate> m_pool;
+    std::optional<PoolKey> m_poolKey;
     std::set<const Job *> m_guaranteed;
     TimePoint m_now;
     std::set<ZoneName> m_slowZones;
@@ -400,29 +462,32 @@
     }
 }
 
-auto Dispatcher::State::tryPlace(const Round &round, Unit &unit, TimePoint now) -> bool
+auto Dispatcher::State::tryPlace(Round &round, Unit &unit, TimePoint now) -> bool
 {
-    const auto request = unit.request();
-    const auto pool = round.candidates(unit);
+    auto request = unit.request();
     // A worker on which runs just failed or stood still would take the same unit again and again, as its room is the first to be free.
-    const bool useAvoided = unit.job->policy.priority != 0 && now >= unit.waitingSince + settings.avoidedPatience;
-    auto seats = place(useAvoided ? pool : withoutAvoided(pool), request);
-    if (!seats && useAvoided && request.sameRack && round.idle(unit.job->policy.service)) {
+    request.useAvoided = unit.job->policy.priority != 0 && now >= unit.waitingSince + settings.avoidedPatience;
+    std::optional<Seats> seats;
+    if (round.mayFit(unit)) {
+        seats = place(round.candidates(unit), request);
+    }
+    if (!seats && request.useAvoided && request.sameRack && round.idle(unit.job->policy.service)) {
         // Spread, the gang takes longer; but no rack may ever have room for it, while workers stand idle.
         auto anywhere = request;
         anywhere.sameRack = false;
-        seats = place(pool, anywhere);
+        seats = place(round.candidates(unit), anywhere);
     }
     if (seats) {
         assign(unit, round.workersAt(*seats), now);
+        round.assigned(*seats, unit.demand());
     }
     return seats.has_value();
 }
 
-auto Dispatcher::State::tryPreempt(const Round &round, Unit &unit, bool guaranteed, TimePoint now) -> void
+auto Dispatcher::State::tryPreempt(Round &round, Unit &unit, bool guaranteed, TimePoint now) -> void
 {
     auto request = unit.request();
-    const auto pool = round.candidates(unit);
+    const auto &pool = round.candidates(unit);
     std::vector<Unit *> others;
     const auto victims = round.victims(unit, guaranteed, others);
     const auto gain = unit.cores() * seconds(unit.step->estimate);
@@ -431,6 +496,7 @@
     if (!plan) {
         if (const auto seats = place(pool, request)) {
             assign(unit, round.workersAt(*seats), now);
+            round.assigned(*seats, unit.demand());
             return;
         }
         plan = planPreemption(pool, victims, request, cap);
@@ -454,6 +520,7 @@
         beginEnding(*others[v], "preempted-by-" + unit.id.job.str());
     }
     preemptedWork += plan->loss;
+    round.poolChanged();
     event("room-reserved", unit.id.job,
           "victims=" + std::to_string(plan->victims.size()) + " lost_core_s=" + std::to_string(static_cast<std::int64_t>(plan->loss))
               + " gained_core_s=" + std::to_string(static_cast<std::int64_t>(gain)));
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -251,8 +251,8 @@
 
     // dispatcher_schedule.cpp: placement and orders
     auto schedule(TimePoint now) -> void;
-    auto tryPlace(const Round &round, Unit &unit, TimePoint now) -> bool;
-    auto tryPreempt(const Round &round, Unit &unit, bool guaranteed, TimePoint now) -> void;
+    auto tryPlace(Round &round, Unit &unit, TimePoint now) -> bool;
+    auto tryPreempt(Round &round, Unit &unit, bool guaranteed, TimePoint now) -> void;
     auto placeReserved(TimePoint now) -> void;
     auto assign(Unit &unit, const std::vector<Worker *> &seats, TimePoint now) -> void;
     auto release(Unit &unit) -> void;
--- a/packages/workflow/src/placement.cpp
+++ b/packages/workflow/src/placement.cpp
@@ -63,6 +63,11 @@
     return (candidate.avoided ? 4 : 0) + (candidate.slow ? 2 : 0) + (candidate.unkept ? 1 : 0);
 }
 
+auto isAllowed(const Candidate &candidate, const PlacementRequest &request) -> bool
+{
+    return request.useAvoided || !candidate.avoided;
+}
+
 /// Fills the workers of a group, the fullest first.
 auto fill(std::span<const Candidate> candidates, Group group, const PlacementRequest &request) -> std::optional<Seats>
 {
@@ -72,9 +77,18 @@
         };
         return key(a) < key(b);
     };
+    if (request.tasks == 1) {
+        // The first of the sorted group that fits, without the cost of sorting.
+        std::erase_if(group, [&](std::size_t i) { return !isAllowed(candidates[i], request) || !candidates[i].free.covers(request.each); });
+        const auto best = std::min_element(group.begin(), group.end(), order);
+        return best == group.end() ? std::nullopt : std::optional(Seats{*best});
+    }
     std::sort(group.begin(), group.end(), order);
     Seats seats;
     for (const auto it : group) {
+        if (!isAllowed(candidates[it], request)) {
+            continue;
+        }
         const auto left = request.tasks - static_cast<std::uint32_t>(seats.size());
         const auto n = fitting(candidates[it].free, request.each, std::min(left, perWorkerLimit(request)));
         seats.insert(seats.end(), n, it);
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -325,6 +325,56 @@
     BOOST_TEST(runsOf(fleet, "gang", 0).size() == 2U);
 }
 
+struct BacklogCase
+{
+    const char *name;
+    StepSpec waiting;
+};
+
+auto operator<<(std::ostream &out, const BacklogCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+/// Returns a step for which one quarter of a worker is not enough.
+auto largeStep(std::uint32_t count, Demand each, bool sameRack) -> StepSpec
+{
+    auto step = gangStep(count, 0);
+    step.each = each;
+    step.sameRack = sameRack;
+    return step;
+}
+
+const std::vector<BacklogCase> backlogCases{
+    {"too many accelerators", largeStep(1, {1000, 1000, 4}, false)},
+    {"too much memory", largeStep(1, {1000, 40'000, 0}, false)},
+    {"too many cores", largeStep(1, {20'000, 1000, 0}, false)},
+    {"gangs that fill a rack", largeStep(4, {1000, 1000, 2}, true)},
+};
+
+BOOST_DATA_TEST_CASE(aBacklogThatFindsNoRoomLeavesItToWhatDoes, data::make(backlogCases), c)
+{
+    // Three quarters of each worker are taken for long.
+    auto fleet = makeFleet();
+    fleet.duration = [](const TaskId &t) { return t.job.str().starts_with("full") ? Duration(60s) : Duration(2s); };
+    for (int i = 0; i < 4; ++i) {
+        auto step = gangStep(1, 6);
+        step.each = {24'000, 48'000, 6};
+        step.estimate = 60s;
+        fleet.submit(simpleJob("full" + std::to_string(i), "normal", step));
+    }
+    fleet.run(1s);
+    for (int i = 0; i < 100; ++i) {
+        auto step = c.waiting;
+        step.each.milliCores += i;
+        fleet.submit(simpleJob("waiting" + std::to_string(i), "normal", step));
+    }
+    fleet.run(1s);
+    fleet.submit(simpleJob("small", "background", gangStep(1, 1)));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("small").has_value(); }, 5s));
+    BOOST_TEST(fleet.violations.empty());
+}
+
 struct SingleCase
 {
     const char *name;
