Call workers of the soak workers, and choose its sizes in one place

The platform's word machine is this project's instance; in the soak it stood for a worker. No change of behaviour beside which sizes and disruptions a seed draws.

--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -22,20 +22,28 @@
 constexpr const char *steadyKey = "key-steady";
 constexpr const char *withdrawnKey = "key-withdrawn";
 
-template<typename Settings>
-auto sizeOr(std::size_t given, std::mt19937_64 &random, Settings low, Settings high) -> std::size_t
+auto sizeOr(std::size_t given, std::mt19937_64 &random, std::size_t low, std::size_t high) -> std::size_t
 {
     return given > 0 ? given : std::uniform_int_distribution<std::size_t>(low, high)(random);
 }
 
+/// Returns the settings with the sizes that the seed chooses where none are given.
+auto withSizes(ScenarioSettings settings) -> ScenarioSettings
+{
+    std::mt19937_64 random(settings.seed);
+    settings.instances = sizeOr(settings.instances, random, 3, 6);
+    settings.workers = sizeOr(settings.workers, random, 6, 16);
+    return settings;
+}
+
 } // namespace
 
 Scenario::Scenario(const ScenarioSettings &settings)
-    : m_settings(settings)
+    : m_settings(withSizes(settings))
     , m_random(settings.seed)
     , m_plannedOnly(settings.seed % 5 == 0)
-    , m_store(m_loop, m_ledger, m_settings.instances = sizeOr(settings.instances, m_random, 3, 6), settings.seed)
-    , m_workers(m_loop, m_ledger, m_store, m_settings.workers = sizeOr(settings.workers, m_random, 6, 16), settings.seed)
+    , m_store(m_loop, m_ledger, m_settings.instances, settings.seed)
+    , m_workers(m_loop, m_ledger, m_store, m_settings.workers, settings.seed)
     , m_instances(m_loop, m_ledger, m_store, m_settings.instances, settings.directory)
     , m_routes{{"urgent", "urgent.example", "/u/"}, {"normal", "normal.example", "/n/"}, {"background", "normal.example", "/n/back/"}}
     , m_disruptions(makeDisruptions())
@@ -70,7 +78,7 @@
 
 auto Scenario::aWorker() -> std::size_t
 {
-    return static_cast<std::size_t>(pick(0, static_cast<std::int64_t>(m_workers.machines().size()) - 1));
+    return static_cast<std::size_t>(pick(0, static_cast<std::int64_t>(m_workers.all().size()) - 1));
 }
 
 auto Scenario::publish() -> void
@@ -153,7 +161,7 @@
         case 0:
             return m_instances.storeProxy(anInstance());
         case 1:
-            return *m_workers.machines()[aWorker()].proxy;
+            return *m_workers.all()[aWorker()].proxy;
         default:
             return m_instances.callerProxy(anInstance());
         }
@@ -174,7 +182,7 @@
                        for (std::size_t i = 0; i < m_instances.count(); ++i) {
                            m_instances.storeProxy(i).silenceOpen();
                        }
-                       for (auto &it : m_workers.machines()) {
+                       for (auto &it : m_workers.all()) {
                            it.proxy->silenceOpen();
                        }
                    }});
@@ -185,12 +193,12 @@
     out.push_back({"worker-crash", false, [this] { m_workers.crash(aWorker(), length(100, 3000)); }});
     out.push_back({"worker-drain", false, [this] { m_workers.drain(aWorker(), length(2500, 5000)); }});
     out.push_back({"worker-slow", false, [this] {
-                       auto &it = m_workers.machines()[aWorker()];
+                       auto &it = m_workers.all()[aWorker()];
                        it.slowness = static_cast<double>(pick(0, 6));
                        later(length(1000, 6000), [&it] { it.slowness = 1.0; });
                    }});
     out.push_back({"worker-fails", false, [this] {
-                       auto &it = m_workers.machines()[aWorker()];
+                       auto &it = m_workers.all()[aWorker()];
                        it.failsAll = true;
                        later(length(1000, 5000), [&it] { it.failsAll = false; });
                    }});
@@ -199,7 +207,7 @@
                        later(length(1000, 5000), [this] { m_workers.lateOrders = 0; });
                    }});
     out.push_back({"worker-unlisted", false, [this] {
-                       auto &it = m_workers.machines()[aWorker()];
+                       auto &it = m_workers.all()[aWorker()];
                        it.mute = true;
                        m_store.put("keyed.servers", it.name, {});
                        later(length(500, 6000), [&it] { it.mute = false; });
--- a/tests/soak/worker_fleet.cpp
+++ b/tests/soak/worker_fleet.cpp
@@ -34,11 +34,11 @@
     , m_ledger(ledger)
     , m_store(store)
     , m_random(seed)
-    , m_machines(workers)
+    , m_workers(workers)
     , m_lastTick(loop.now())
 {
     for (std::size_t i = 0; i < workers; ++i) {
-        auto &it = m_machines[i];
+        auto &it = m_workers[i];
         it.name = "w" + std::to_string(i);
         it.rack = "rack" + std::to_string(i / workersPerRack);
         it.listener =
@@ -49,55 +49,55 @@
     tick();
 }
 
-auto WorkerFleet::begin(Machine &machine) -> void
+auto WorkerFleet::begin(Worker &worker) -> void
 {
-    machine.up = true;
-    machine.draining = false;
-    machine.bornAt = m_loop.now();
-    machine.born = std::max(unixNow().count(), machine.born + 1);
-    machine.fence = 0;
-    machine.leaseEnds = {};
-    machine.endCount = 0;
-    machine.highest.clear();
-    machine.ends.clear();
-    announce(machine);
+    worker.up = true;
+    worker.draining = false;
+    worker.bornAt = m_loop.now();
+    worker.born = std::max(unixNow().count(), worker.born + 1);
+    worker.fence = 0;
+    worker.leaseEnds = {};
+    worker.endCount = 0;
+    worker.highest.clear();
+    worker.ends.clear();
+    announce(worker);
 }
 
-auto WorkerFleet::leave(Machine &machine) -> void
+auto WorkerFleet::leave(Worker &worker) -> void
 {
-    machine.up = false;
-    for (const auto &[task, run] : std::exchange(machine.runs, {})) {
+    worker.up = false;
+    for (const auto &[task, run] : std::exchange(worker.runs, {})) {
         m_ledger.runOver(run.seen, "lost", {});
     }
-    machine.waiting.clear();
-    machine.proxy->setRefusing(true);
-    machine.proxy->resetOpen();
+    worker.waiting.clear();
+    worker.proxy->setRefusing(true);
+    worker.proxy->resetOpen();
 }
 
 auto WorkerFleet::crash(std::size_t i, Duration pause) -> void
 {
-    auto &machine = m_machines.at(i);
-    if (!machine.up) {
+    auto &worker = m_workers.at(i);
+    if (!worker.up) {
         return;
     }
-    leave(machine);
+    leave(worker);
     m_loop.callAfter(pause, [this, i] {
-        m_machines[i].proxy->setRefusing(false);
-        begin(m_machines[i]);
+        m_workers[i].proxy->setRefusing(false);
+        begin(m_workers[i]);
     });
 }
 
 auto WorkerFleet::drain(std::size_t i, Duration remaining) -> void
 {
-    auto &machine = m_machines.at(i);
-    if (!machine.up || machine.draining) {
+    auto &worker = m_workers.at(i);
+    if (!worker.up || worker.draining) {
         return;
     }
-    machine.draining = true;
-    machine.leaves = m_loop.now() + remaining;
-    announce(machine);
+    worker.draining = true;
+    worker.leaves = m_loop.now() + remaining;
+    announce(worker);
     m_loop.callAfter(remaining, [this, i] {
-        m_store.put("keyed.servers", m_machines[i].name, {});
+        m_store.put("keyed.servers", m_workers[i].name, {});
         crash(i, 1s);
     });
 }
@@ -105,7 +105,7 @@
 auto WorkerFleet::heal() -> void
 {
     lateOrders = 0;
-    for (auto &it : m_machines) {
+    for (auto &it : m_workers) {
         it.mute = false;
         it.slowness = 1.0;
         it.failsAll = false;
@@ -114,44 +114,44 @@
     }
 }
 
-auto WorkerFleet::announce(Machine &machine) -> void
+auto WorkerFleet::announce(Worker &worker) -> void
 {
     json entry{{"service", "service"},
-               {"address", machine.proxy->address().str()},
+               {"address", worker.proxy->address().str()},
                {"zone", "zone-a"},
                {"version", "1"},
                {"slots", 8},
-               {"state", machine.draining ? "draining" : "ready"},
-               {"sequence", machine.endCount},
-               {"born", machine.born},
-               {"capacity", {{"cpu", machine.size.milliCores}, {"memMb", machine.size.memoryMiB}, {"gpus", machine.size.accelerators}}},
-               {"labels", {"a", machine.rack}}};
-    if (machine.draining) {
-        entry["remainingMs"] = toMilliseconds(std::max(machine.leaves - m_loop.now(), Duration::zero())).count();
+               {"state", worker.draining ? "draining" : "ready"},
+               {"sequence", worker.endCount},
+               {"born", worker.born},
+               {"capacity", {{"cpu", worker.size.milliCores}, {"memMb", worker.size.memoryMiB}, {"gpus", worker.size.accelerators}}},
+               {"labels", {"a", worker.rack}}};
+    if (worker.draining) {
+        entry["remainingMs"] = toMilliseconds(std::max(worker.leaves - m_loop.now(), Duration::zero())).count();
     }
-    m_store.put("keyed.servers", machine.name, entry.dump());
+    m_store.put("keyed.servers", worker.name, entry.dump());
 }
 
-auto WorkerFleet::clock(const Machine &machine) const -> std::chrono::milliseconds
+auto WorkerFleet::clock(const Worker &worker) const -> std::chrono::milliseconds
 {
-    return toMilliseconds(std::chrono::duration_cast<Duration>((m_loop.now() - machine.bornAt) * slowestClock));
+    return toMilliseconds(std::chrono::duration_cast<Duration>((m_loop.now() - worker.bornAt) * slowestClock));
 }
 
 auto WorkerFleet::handle(std::size_t i, const HttpCall &call, const Respond &respond) -> void
 {
     const auto carryOut = [this, i, call, respond] {
-        auto &machine = m_machines[i];
+        auto &worker = m_workers[i];
         const auto body = json::parse(call.body, nullptr, false);
-        if (!machine.up || !body.is_object()) {
+        if (!worker.up || !body.is_object()) {
             respond({400, "{}"});
         } else if (call.path == "/api/run-start") {
-            respond(start(machine, body));
+            respond(start(worker, body));
         } else if (call.path == "/api/run-stop") {
-            respond(stop(machine, body));
-        } else if (auto reply = hold(machine, body)) {
+            respond(stop(worker, body));
+        } else if (auto reply = hold(worker, body)) {
             respond(*reply);
         } else {
-            machine.waiting.push_back({call, {m_loop.now() + std::chrono::milliseconds(body.at("waitMs")), respond}});
+            worker.waiting.push_back({call, {m_loop.now() + std::chrono::milliseconds(body.at("waitMs")), respond}});
         }
     };
     if (std::uniform_real_distribution<double>(0, 1)(m_random) >= lateOrders) {
@@ -162,39 +162,39 @@
     constexpr Duration::rep longestLate = 6'000'000;
     // The order reaches the life of the worker that it was sent to, or none.
     m_loop.callAfter(Duration(std::uniform_int_distribution<Duration::rep>(shortestLate, longestLate)(m_random)),
-                     [this, i, call, life = m_machines[i].born] {
-                         auto &machine = m_machines[i];
+                     [this, i, call, life = m_workers[i].born] {
+                         auto &worker = m_workers[i];
                          const auto body = json::parse(call.body, nullptr, false);
-                         if (!machine.up || machine.born != life || !body.is_object()) {
+                         if (!worker.up || worker.born != life || !body.is_object()) {
                              return;
                          }
                          if (call.path == "/api/run-start") {
-                             start(machine, body);
+                             start(worker, body);
                          } else if (call.path == "/api/run-stop") {
-                             stop(machine, body);
+                             stop(worker, body);
                          } else {
-                             (void)hold(machine, body);
+                             (void)hold(worker, body);
                          }
                      });
 }
 
-auto WorkerFleet::start(Machine &machine, const json &body) -> HttpReply
+auto WorkerFleet::start(Worker &worker, const json &body) -> HttpReply
 {
-    const auto now = clock(machine);
+    const auto now = clock(worker);
     const auto refuse = [&](const char *reason) { return HttpReply{409, json{{"clockMs", now.count()}, {"reason", reason}}.dump()}; };
-    RunSeen seen{machine.name, body.at("task"), body.at("run"), field<std::string>(body, "spec", {}),
+    RunSeen seen{worker.name, body.at("task"), body.at("run"), field<std::string>(body, "spec", {}),
                  field<std::string>(body, "checkpoint", {})};
     const auto fence = field<std::uint64_t>(body, "fenceToken", 0);
-    if (fence < machine.fence) {
+    if (fence < worker.fence) {
         return refuse("fence");
     }
-    machine.fence = fence;
+    worker.fence = fence;
     const std::chrono::milliseconds until(body.at("untilMs").get<std::int64_t>());
-    const auto there = machine.runs.find(seen.task);
-    if (there != machine.runs.end() && there->second.seen.run == seen.run) {
+    const auto there = worker.runs.find(seen.task);
+    if (there != worker.runs.end() && there->second.seen.run == seen.run) {
         return {200, json{{"clockMs", now.count()}}.dump()};
     }
-    if (there != machine.runs.end() || (machine.highest.contains(seen.task) && seen.run <= machine.highest[seen.task])) {
+    if (there != worker.runs.end() || (worker.highest.contains(seen.task) && seen.run <= worker.highest[seen.task])) {
         return refuse("old");
     }
     if (until <= now) {
@@ -202,8 +202,8 @@
     }
     const auto task = parseTask(seen.task);
     const auto *plan = task ? m_ledger.job(task->job) : nullptr;
-    auto free = machine.size;
-    for (const auto &[name, run] : machine.runs) {
+    auto free = worker.size;
+    for (const auto &[name, run] : worker.runs) {
         const auto other = parseTask(name);
         const auto &step = m_ledger.job(other->job)->steps.at(other->step);
         free.milliCores -= step.milliCores;
@@ -217,7 +217,7 @@
         }
     }
     m_ledger.runBegan(seen);
-    machine.leaseEnds = std::max(machine.leaseEnds, std::min(until, now + longestLease));
+    worker.leaseEnds = std::max(worker.leaseEnds, std::min(until, now + longestLease));
     Run run;
     run.seen = seen;
     run.began = m_loop.now();
@@ -226,39 +226,39 @@
         // A checkpoint says how much work it holds.
         run.worked = std::chrono::milliseconds(std::stoll(seen.checkpoint.substr(seen.checkpoint.rfind('-') + 1)));
     }
-    machine.runs[seen.task] = std::move(run);
+    worker.runs[seen.task] = std::move(run);
     return {200, json{{"clockMs", now.count()}}.dump()};
 }
 
-auto WorkerFleet::stop(Machine &machine, const json &body) -> HttpReply
+auto WorkerFleet::stop(Worker &worker, const json &body) -> HttpReply
 {
-    const auto now = clock(machine);
+    const auto now = clock(worker);
     const auto fence = field<std::uint64_t>(body, "fenceToken", 0);
-    if (fence < machine.fence) {
+    if (fence < worker.fence) {
         return {409, json{{"clockMs", now.count()}, {"reason", "fence"}}.dump()};
     }
-    machine.fence = fence;
+    worker.fence = fence;
     const std::string task = body.at("task");
     const std::uint32_t run = body.at("run");
-    machine.highest[task] = std::max(machine.highest[task], run);
-    const auto it = machine.runs.find(task);
-    if (it != machine.runs.end() && it->second.seen.run <= run && !it->second.stopping) {
+    worker.highest[task] = std::max(worker.highest[task], run);
+    const auto it = worker.runs.find(task);
+    if (it != worker.runs.end() && it->second.seen.run <= run && !it->second.stopping) {
         it->second.stopping = true;
         it->second.stopsAt = m_loop.now() + stopTime;
     }
     return {200, json{{"clockMs", now.count()}}.dump()};
 }
 
-auto WorkerFleet::hold(Machine &machine, const json &body) -> std::optional<HttpReply>
+auto WorkerFleet::hold(Worker &worker, const json &body) -> std::optional<HttpReply>
 {
-    const auto now = clock(machine);
+    const auto now = clock(worker);
     const auto fence = field<std::uint64_t>(body, "fenceToken", 0);
-    if (fence < machine.fence) {
+    if (fence < worker.fence) {
         return HttpReply{409, json{{"clockMs", now.count()}, {"reason", "fence"}}.dump()};
     }
-    machine.fence = fence;
+    worker.fence = fence;
     const auto noted = field<std::uint64_t>(body, "lastSeen", 0);
-    std::erase_if(machine.ends, [&](const End &end) {
+    std::erase_if(worker.ends, [&](const End &end) {
         if (end.number <= noted) {
             m_ledger.endNoted(end.seen, end.how);
         }
@@ -266,18 +266,18 @@
     });
     if (body.contains("untilMs")) {
         const std::chrono::milliseconds until(body.at("untilMs").get<std::int64_t>());
-        machine.leaseEnds = std::max(machine.leaseEnds, std::min(until, now + longestLease));
+        worker.leaseEnds = std::max(worker.leaseEnds, std::min(until, now + longestLease));
     }
-    if (machine.ends.empty() && field<std::int64_t>(body, "waitMs", 0) > 0) {
+    if (worker.ends.empty() && field<std::int64_t>(body, "waitMs", 0) > 0) {
         return std::nullopt;
     }
-    return holdReply(machine);
+    return holdReply(worker);
 }
 
-auto WorkerFleet::holdReply(const Machine &machine) const -> HttpReply
+auto WorkerFleet::holdReply(const Worker &worker) const -> HttpReply
 {
     auto running = json::array();
-    for (const auto &[task, run] : machine.runs) {
+    for (const auto &[task, run] : worker.runs) {
         const auto name = parseTask(task);
         const auto work = m_ledger.job(name->job)->steps.at(name->step).work;
         const auto percent =
@@ -285,43 +285,43 @@
         running.push_back({task, run.seen.run, run.checkpoint, static_cast<int>(percent), 0});
     }
     auto ended = json::array();
-    for (const auto &it : machine.ends) {
+    for (const auto &it : worker.ends) {
         ended.push_back({it.number, it.seen.task, it.seen.run, it.how, it.checkpoint});
     }
-    return {200, json{{"clockMs", clock(machine).count()}, {"born", machine.born}, {"running", running}, {"ended", ended}}.dump()};
+    return {200, json{{"clockMs", clock(worker).count()}, {"born", worker.born}, {"running", running}, {"ended", ended}}.dump()};
 }
 
-auto WorkerFleet::end(Machine &machine, const std::string &task, const std::string &how) -> void
+auto WorkerFleet::end(Worker &worker, const std::string &task, const std::string &how) -> void
 {
-    const auto run = machine.runs.at(task);
-    machine.runs.erase(task);
-    machine.highest[task] = std::max(machine.highest[task], run.seen.run);
-    machine.ends.push_back({++machine.endCount, run.seen, how, run.checkpoint});
+    const auto run = worker.runs.at(task);
+    worker.runs.erase(task);
+    worker.highest[task] = std::max(worker.highest[task], run.seen.run);
+    worker.ends.push_back({++worker.endCount, run.seen, how, run.checkpoint});
     m_ledger.runOver(run.seen, how, run.checkpoint);
 }
 
 /// Returns the members of a gang's run that are there, itself included.
-auto WorkerFleet::gangMembers(const Run &run) -> std::vector<std::pair<Machine *, std::string>>
+auto WorkerFleet::gangMembers(const Run &run) -> std::vector<std::pair<Worker *, std::string>>
 {
-    std::vector<std::pair<Machine *, std::string>> out;
+    std::vector<std::pair<Worker *, std::string>> out;
     const auto prefix = run.seen.task.substr(0, run.seen.task.rfind('.') + 1);
-    for (auto &machine : m_machines) {
-        for (const auto &[task, other] : machine.runs) {
+    for (auto &worker : m_workers) {
+        for (const auto &[task, other] : worker.runs) {
             if (task.starts_with(prefix) && other.seen.run == run.seen.run) {
-                out.emplace_back(&machine, task);
+                out.emplace_back(&worker, task);
             }
         }
     }
     return out;
 }
 
-auto WorkerFleet::advance(Machine &machine, Duration step) -> void
+auto WorkerFleet::advance(Worker &worker, Duration step) -> void
 {
     std::vector<std::pair<std::string, std::string>> over;
-    for (auto &[task, run] : machine.runs) {
+    for (auto &[task, run] : worker.runs) {
         const auto name = parseTask(task);
         const auto &plan = m_ledger.job(name->job)->steps.at(name->step);
-        if (clock(machine) >= machine.leaseEnds) {
+        if (clock(worker) >= worker.leaseEnds) {
             over.emplace_back(task, "lapsed");
             continue;
         }
@@ -343,7 +343,7 @@
                 continue;
             }
         }
-        run.worked += machine.slowness > 0 ? std::chrono::duration_cast<Duration>(step / machine.slowness) : Duration::zero();
+        run.worked += worker.slowness > 0 ? std::chrono::duration_cast<Duration>(step / worker.slowness) : Duration::zero();
         if (plan.checkpoints) {
             const auto saved = toMilliseconds(run.worked - run.worked % checkpointWork);
             const auto checkpoint = saved.count() > 0 ? name->job + '-' + std::to_string(saved.count()) : std::string();
@@ -352,7 +352,7 @@
                 m_ledger.checkpointSeen(task, checkpoint);
             }
         }
-        if ((machine.failsAll || plan.fails) && run.worked >= plan.work / 4) {
+        if ((worker.failsAll || plan.fails) && run.worked >= plan.work / 4) {
             over.emplace_back(task, "failed");
         } else if (run.worked >= plan.work && !plan.gang) {
             over.emplace_back(task, "done");
@@ -362,7 +362,7 @@
                 std::all_of(members.begin(), members.end(), [&](const auto &m) { return m.first->runs.at(m.second).worked >= plan.work; });
             if (all) {
                 for (const auto &[other, member] : members) {
-                    if (other != &machine) {
+                    if (other != &worker) {
                         end(*other, member, "done");
                     } else {
                         over.emplace_back(member, "done");
@@ -372,8 +372,8 @@
         }
     }
     for (const auto &[task, how] : over) {
-        if (machine.runs.contains(task)) {
-            end(machine, task, how);
+        if (worker.runs.contains(task)) {
+            end(worker, task, how);
         }
     }
 }
@@ -382,23 +382,23 @@
 {
     const auto now = m_loop.now();
     const auto step = now - std::exchange(m_lastTick, now);
-    for (auto &machine : m_machines) {
-        if (machine.up) {
-            advance(machine, step);
+    for (auto &worker : m_workers) {
+        if (worker.up) {
+            advance(worker, step);
         }
     }
     const bool announces = now >= m_nextAnnouncement;
     m_nextAnnouncement = announces ? now + announcePace : m_nextAnnouncement;
-    for (auto &machine : m_machines) {
-        if (announces && machine.up && !machine.mute) {
-            announce(machine);
+    for (auto &worker : m_workers) {
+        if (announces && worker.up && !worker.mute) {
+            announce(worker);
         }
-        auto waiting = std::exchange(machine.waiting, {});
+        auto waiting = std::exchange(worker.waiting, {});
         for (auto &it : waiting) {
-            if (machine.ends.empty() && now < it.second.first) {
-                machine.waiting.push_back(std::move(it));
+            if (worker.ends.empty() && now < it.second.first) {
+                worker.waiting.push_back(std::move(it));
             } else {
-                it.second.second(holdReply(machine));
+                it.second.second(holdReply(worker));
             }
         }
     }
--- a/tests/soak/worker_fleet.h
+++ b/tests/soak/worker_fleet.h
@@ -46,7 +46,7 @@
         std::string how;
         std::string checkpoint;
     };
-    struct Machine
+    struct Worker
     {
         std::string name;
         std::string rack;
@@ -73,40 +73,40 @@
         std::vector<std::pair<HttpCall, std::pair<TimePoint, Respond>>> waiting;
     };
 
-    /// The machine ends, and starts again with another life after \a pause.
-    auto crash(std::size_t machine, Duration pause) -> void;
-    /// The machine says that it leaves, and is gone after \a remaining; a new one comes in its place.
-    auto drain(std::size_t machine, Duration remaining) -> void;
+    /// The worker ends, and starts again with another life after \a pause.
+    auto crash(std::size_t number, Duration pause) -> void;
+    /// The worker says that it leaves, and is gone after \a remaining; a new one comes in its place.
+    auto drain(std::size_t number, Duration remaining) -> void;
     /// Ends all disturbances that this class causes itself.
     auto heal() -> void;
 
-    [[nodiscard]] auto machines() -> std::vector<Machine> &
+    [[nodiscard]] auto all() -> std::vector<Worker> &
     {
-        return m_machines;
+        return m_workers;
     }
     /// Share of orders that are not answered and carried out seconds later.
     double lateOrders = 0;
 
 private:
-    auto handle(std::size_t machine, const HttpCall &call, const Respond &respond) -> void;
-    auto start(Machine &machine, const nlohmann::json &body) -> HttpReply;
-    auto stop(Machine &machine, const nlohmann::json &body) -> HttpReply;
-    auto hold(Machine &machine, const nlohmann::json &body) -> std::optional<HttpReply>;
-    auto holdReply(const Machine &machine) const -> HttpReply;
-    auto clock(const Machine &machine) const -> std::chrono::milliseconds;
-    auto end(Machine &machine, const std::string &task, const std::string &how) -> void;
-    auto announce(Machine &machine) -> void;
-    auto leave(Machine &machine) -> void;
-    auto begin(Machine &machine) -> void;
+    auto handle(std::size_t number, const HttpCall &call, const Respond &respond) -> void;
+    auto start(Worker &worker, const nlohmann::json &body) -> HttpReply;
+    auto stop(Worker &worker, const nlohmann::json &body) -> HttpReply;
+    auto hold(Worker &worker, const nlohmann::json &body) -> std::optional<HttpReply>;
+    auto holdReply(const Worker &worker) const -> HttpReply;
+    auto clock(const Worker &worker) const -> std::chrono::milliseconds;
+    auto end(Worker &worker, const std::string &task, const std::string &how) -> void;
+    auto announce(Worker &worker) -> void;
+    auto leave(Worker &worker) -> void;
+    auto begin(Worker &worker) -> void;
     auto tick() -> void;
-    auto advance(Machine &machine, Duration step) -> void;
-    auto gangMembers(const Run &run) -> std::vector<std::pair<Machine *, std::string>>;
+    auto advance(Worker &worker, Duration step) -> void;
+    auto gangMembers(const Run &run) -> std::vector<std::pair<Worker *, std::string>>;
 
     Runtime::EventLoop &m_loop;
     Ledger &m_ledger;
     StoreServer &m_store;
     std::mt19937_64 m_random;
-    std::vector<Machine> m_machines;
+    std::vector<Worker> m_workers;
     TimePoint m_lastTick;
     TimePoint m_nextAnnouncement;
 };
