Follow topics from their tail, scan them in parallel and bound the size of a read

Ruled out: the store's limit of calls (no 429), memory, a lost connection (further calls on the same client were answered).

Change: a follower halves the size of a read that failed, down to 16 kB. Instances attach to the end of both topics, with the holder's record and the announcements, and read the rest in the background after a random delay of up to 2 s; until then a lookup reads the records of its job. A candidate may claim as soon as it is attached. A new holder reads the state in eight ranges of keys at once, beside the submissions. A page that fails is repeated alone.

Tests: topicFollower/* and engine/aRestartOfAllInstancesStartsWorkSoon fail with the reads and the order of before; aRestartedInstanceLooksUpJobsBeforeItHasReadAllRecords guards the lookups.

--- a/packages/workflow/include/acaciarail/workflow/records.h
+++ b/packages/workflow/include/acaciarail/workflow/records.h
@@ -70,6 +70,17 @@
     double processorShare = 0;
 };
 
+/// Keys of the state topic after this one include the holder's, and none of a job whose id is a hexadecimal number.
+inline constexpr std::string_view beforeHolderRecord = "holdeq~";
+/// Keys of the submissions topic after this one include all announcements, and none of a job whose id is a hexadecimal number.
+inline constexpr std::string_view beforeAnnouncements = "membeq~";
+
+/// Returns a key that is below those of \a job in the state topic, and above those of all jobs with a lower id. \pre \a job is not empty.
+/// Thread-safe.
+[[nodiscard]] auto keyBefore(const JobId &job) -> std::string;
+/// Returns whether a record of the state topic with this key belongs to \a job. \pre none. Thread-safe.
+[[nodiscard]] auto isStateKeyOf(std::string_view key, const JobId &job) -> bool;
+
 /// Returns the record that submits \a spec. \pre none. Thread-safe.
 [[nodiscard]] auto submissionRecord(const JobSpec &spec) -> KeyedRecord;
 /// Returns the record that cancels a job. \pre none. Thread-safe.
--- a/packages/workflow/include/acaciarail/workflow/store.h
+++ b/packages/workflow/include/acaciarail/workflow/store.h
@@ -46,6 +46,17 @@
     std::uint64_t expectedSequence = 0;
 };
 
+struct ReadRequest
+{
+    std::string topic;
+    /// Offset of the first record.
+    std::uint64_t from = 0;
+    /// How long the response waits for a record.
+    Duration wait{};
+    /// Size of the response in bytes at which it ends; a record that alone is larger is not returned.
+    std::size_t maxBytes = std::size_t{1024} * 1024;
+};
+
 enum class ReadStatus : std::uint8_t {
     Ok,
     /// Records from the requested offset on are no longer retained.
@@ -78,8 +89,8 @@
 struct StoreHooks
 {
     std::function<void(AppendRequest, std::function<void(AppendResult)>)> append;
-    /// Reads a topic from an offset on; waits up to the given time for a record.
-    std::function<void(const std::string &topic, std::uint64_t from, Duration wait, std::function<void(ReadResult)>)> read;
+    /// Reads a topic from an offset on.
+    std::function<void(const ReadRequest &, std::function<void(ReadResult)>)> read;
     /// Reads a page of the newest records, one for each key, that begins after the given key.
     std::function<void(const std::string &topic, const std::string &after, std::function<void(NewestResult)>)> readNewest;
 };
--- a/packages/workflow/include/acaciarail/workflow/topic_follower.h
+++ b/packages/workflow/include/acaciarail/workflow/topic_follower.h
@@ -17,8 +17,20 @@
     Duration pause{};
     /// Delay after a failed call.
     Duration retryDelay = 200ms;
-    /// Whether keys that are no longer in the topic are reported, with an empty value; costs memory for each key.
+    /// Whether keys that are no longer in the topic are reported, with an empty value; costs memory for each key. Not together with
+    /// tailKey.
     bool reportsRemovals = false;
+    /// When set, only the records of the keys after this one are read first, and further records are read from the end of the topic at
+    /// once. All others are read in the background after scanDelay, and again whenever the store has discarded unread records.
+    std::optional<std::string> tailKey = std::nullopt;
+    /// Instances that begin at the same time should use different delays, so that their scans don't exhaust the bandwidth of the store.
+    Duration scanDelay{};
+    /// See TopicScanSettings::splitKeys.
+    std::vector<std::string> splitKeys = {};
+    /// Bounds of the size of a read in bytes. A read that fails is repeated with half of the size, because a response that cannot arrive
+    /// within its timeout over a slow link would otherwise be requested again and again.
+    std::size_t minReadBytes = std::size_t{16} * 1024;
+    std::size_t maxReadBytes = std::size_t{256} * 1024;
 };
 
 struct TopicFollowerHooks
@@ -28,11 +40,11 @@
     /// Called when a call to the store succeeded or failed. Every record that was appended before \c confirmedAt has been read; valid only
     /// after a success.
     std::function<void(bool ok, TimePoint confirmedAt)> contact;
-    /// Called once all records that were in the topic at the start have been applied.
-    std::function<void()> loaded;
+    /// Called instead of apply with the records of a background scan, which are not new; apply is called when it is empty.
+    std::function<void(const KeyedRecord &)> applyScanned = {};
 };
 
-/// Follows a keyed topic: reads the newest record of each key, then every further record. When the store has discarded records that were
+/// Follows a keyed topic: reads the newest record of each key, and every further record. When the store has discarded records that were
 /// not read yet, it reads the newest ones again. Retries failed calls. Not thread-safe.
 class TopicFollower
 {
@@ -46,6 +58,9 @@
     /// Starts to read the topic. \pre not started.
     auto start() -> void;
 
+    /// Reads what a pending background scan would read without delay, now and later. \pre started.
+    auto scanAtOnce() -> void;
+
     /// Changes how long further reads wait, and the delay between them. \pre none.
     auto setPollInterval(Duration wait, Duration pause) -> void;
 
@@ -55,6 +70,12 @@
     /// Reads records as soon as they are appended, for \a wait at most. A call during such a read has no further effect. \pre started.
     auto awaitRecords(Duration wait) -> void;
 
+    /// Returns whether further records are read. \pre none.
+    [[nodiscard]] auto isAttached() const noexcept -> bool;
+
+    /// Returns whether all records that were in the topic have been applied. \pre none.
+    [[nodiscard]] auto isLoaded() const noexcept -> bool;
+
     /// Returns the offset from which the next record is read. \pre none.
     [[nodiscard]] auto position() const noexcept -> std::uint64_t;
 
--- /dev/null
+++ b/packages/workflow/include/acaciarail/workflow/topic_scan.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <acaciarail/workflow/store.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Acaciarail::Workflow {
+
+struct TopicScanSettings
+{
+    std::string topic;
+    /// Keys at which the scan is divided, in ascending order. The ranges between them are read at the same time, since each page costs a
+    /// round trip.
+    std::vector<std::string> splitKeys;
+    /// Delay before a page that could not be read is requested again.
+    Duration retryDelay = 200ms;
+};
+
+struct TopicScanHooks
+{
+    /// Called with the records of a page, in no particular order of the pages. \c end is the end of the topic before the page was read.
+    std::function<void(const std::vector<KeyedRecord> &records, std::uint64_t end, TimePoint sentAt)> page;
+    /// Called when a page could not be read.
+    std::function<void()> failed;
+    /// Called once after the last page.
+    std::function<void()> done;
+};
+
+/// Reads the newest record of every key of a topic, page by page. The pages are not a snapshot. A page that fails is read again on its own,
+/// so that a slow store does not make the whole scan start over. Not thread-safe.
+class TopicScan
+{
+public:
+    /// \pre \a store and \a clock stay valid.
+    TopicScan(TopicScanSettings settings, const StoreHooks &store, const ClockHooks &clock, TopicScanHooks hooks);
+    /// No hook is called afterwards.
+    ~TopicScan();
+    TopicScan(const TopicScan &) = delete;
+    auto operator=(const TopicScan &) -> TopicScan & = delete;
+
+    /// Requests the first pages. A hook may destroy the scan. \pre not started.
+    auto start() -> void;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace Acaciarail::Workflow
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -4,6 +4,7 @@
 #include <acaciarail/workflow/engine.h>
 #include <acaciarail/workflow/topic_follower.h>
 
+#include <random>
 #include <utility>
 
 namespace Acaciarail::Workflow {
@@ -17,6 +18,9 @@
 constexpr Duration announceRetryDelay = 1s;
 /// Interval at which a further read begins while a caller waits for a job to end.
 constexpr Duration waiterReadInterval = 20ms;
+/// Longest delay before an instance reads all records of both topics after its start, or after the store has dropped its history. All
+/// instances together may need seconds of the store's bandwidth for it.
+constexpr Duration maxScanDelay = 2s;
 
 } // namespace
 
@@ -26,6 +30,7 @@
         : settings(std::move(s))
         , hooks(std::move(h))
         , lease(settings.lease, settings.instance, settings.incarnation)
+        , random(static_cast<std::minstd_rand::result_type>(settings.incarnation))
     {
     }
 
@@ -34,6 +39,11 @@
         return hooks.clock.now();
     }
 
+    auto scanDelay() -> Duration
+    {
+        return Duration(std::uniform_int_distribution<Duration::rep>(0, maxScanDelay.count())(random));
+    }
+
     /// Returns whether the API keys of the configuration are recent enough to be relied on.
     auto apiKeysTrusted() const -> bool
     {
@@ -43,17 +53,23 @@
     auto start() -> void
     {
         const auto contact = [this](bool ok, TimePoint) { recordStoreContact(ok); };
-        submissionsFollower = std::make_unique<TopicFollower>(
-            TopicFollowerSettings{.topic = std::string(submissionsTopic), .pause = settings.submissionsPollInterval}, hooks.store,
-            hooks.clock, TopicFollowerHooks{[this](const KeyedRecord &r) { applySubmissionRecord(r); }, contact, {}});
-        stateFollower = std::make_unique<TopicFollower>(
-            TopicFollowerSettings{.topic = std::string(stateTopic), .pause = settings.statePollInterval}, hooks.store, hooks.clock,
-            TopicFollowerHooks{[this](const KeyedRecord &r) { applyStateRecord(r); },
-                               [this](bool ok, TimePoint) {
-                                   lease.recordContact(ok, now());
-                                   recordStoreContact(ok);
-                               },
-                               [this] { stateLoaded = true; }});
+        TopicFollowerSettings submissions{.topic = std::string(submissionsTopic), .pause = settings.submissionsPollInterval};
+        submissions.tailKey = std::string(beforeAnnouncements);
+        submissions.scanDelay = scanDelay();
+        submissionsFollower =
+            std::make_unique<TopicFollower>(std::move(submissions), hooks.store, hooks.clock,
+                                            TopicFollowerHooks{[this](const KeyedRecord &r) { applySubmissionRecord(r); }, contact, {}});
+        TopicFollowerSettings state{.topic = std::string(stateTopic), .pause = settings.statePollInterval};
+        state.tailKey = std::string(beforeHolderRecord);
+        state.scanDelay = scanDelay();
+        TopicFollowerHooks stateHooks;
+        stateHooks.apply = [this](const KeyedRecord &r) { applyStateRecord(r); };
+        stateHooks.applyScanned = [this](const KeyedRecord &r) { applyKnownStateRecord(r); };
+        stateHooks.contact = [this](bool ok, TimePoint) {
+            lease.recordContact(ok, now());
+            recordStoreContact(ok);
+        };
+        stateFollower = std::make_unique<TopicFollower>(std::move(state), hooks.store, hooks.clock, std::move(stateHooks));
         submissionsFollower->start();
         stateFollower->start();
         announce();
@@ -124,11 +140,28 @@
         });
     }
 
-    auto applyStateRecord(const KeyedRecord &record) -> void
+    auto decodeStateRecord(const KeyedRecord &record, StateEntry &entry) const -> bool
     {
-        StateEntry entry;
         if (const auto ec = decodeState(record, entry)) {
             logEvent(LogLevel::Warning, "record-skipped", {{"topic", stateTopic}, {"key", record.key}, {"error", ec.message()}});
+            return false;
+        }
+        return true;
+    }
+
+    /// Applies a record that may have been written long ago, and therefore says nothing about the present holder.
+    auto applyKnownStateRecord(const KeyedRecord &record) -> void
+    {
+        StateEntry entry;
+        if (decodeStateRecord(record, entry) && !std::holds_alternative<HolderRecord>(entry)) {
+            applyState(entry);
+        }
+    }
+
+    auto applyStateRecord(const KeyedRecord &record) -> void
+    {
+        StateEntry entry;
+        if (!decodeStateRecord(record, entry)) {
             return;
         }
         const auto *claim = std::get_if<HolderRecord>(&entry);
@@ -154,7 +187,9 @@
 
     auto claimIfDue() -> void
     {
-        if (!stateLoaded || claiming || holder || draining || !configuration || !stateFollower->atEnd()) {
+        // The announcements come with the tail of the submissions.
+        const bool attached = stateFollower->isAttached() && submissionsFollower->isAttached();
+        if (!attached || claiming || holder || draining || !configuration || !stateFollower->atEnd()) {
             return;
         }
         const auto claim =
@@ -197,24 +232,17 @@
         holder = std::make_shared<Holder>(settings, hooks, lease,
                                           Holder::Hooks{[this](const std::vector<KeyedRecord> &records) {
                                                             for (const auto &it : records) {
-                                                                applyOwnRecord(it);
+                                                                applyKnownStateRecord(it);
                                                             }
                                                         },
                                                         [this](std::string_view source) { stepDown(source); }});
         submissionsFollower->setPollInterval(settings.submissionsReadWait, Duration::zero());
+        submissionsFollower->scanAtOnce();
         // The records of this holder are applied when they are stored; the state topic is still read to notice a successor.
         holder->start(claimSequence() + 1, configuration);
         submissionsFollower->refresh([](bool) {});
     }
 
-    auto applyOwnRecord(const KeyedRecord &record) -> void
-    {
-        StateEntry entry;
-        if (!decodeState(record, entry) && !std::holds_alternative<HolderRecord>(entry)) {
-            applyState(entry);
-        }
-    }
-
     auto stepDown(std::string_view source) -> void
     {
         if (!holder) {
@@ -239,15 +267,49 @@
         }
         stateFollower->refresh([weak = weak_from_this(), job, done = std::move(done)](bool stateRead) {
             const auto self = weak.lock();
-            const auto phase = self ? self->directory.phase(job) : std::nullopt;
-            if (!self || phase) {
-                done({phase, stateRead});
+            if (!self) {
+                done({});
                 return;
             }
-            self->submissionsFollower->refresh([weak, job, stateRead, done](bool submissionsRead) {
-                const auto s = weak.lock();
-                done({s ? s->directory.phase(job) : std::nullopt, stateRead && submissionsRead});
-            });
+            const auto phase = self->directory.phase(job);
+            if (self->stateFollower->isLoaded() || (phase && isFinal(*phase))) {
+                self->findSubmission(job, stateRead, done);
+            } else {
+                self->readStateOf(job, done);
+            }
+        });
+    }
+
+    /// Reads the state records of one job, while those of all jobs are still being read.
+    auto readStateOf(const JobId &job, std::function<void(const LookupResult &)> done) -> void
+    {
+        hooks.store.readNewest(std::string(stateTopic), keyBefore(job),
+                               [weak = weak_from_this(), job, done = std::move(done)](const NewestResult &page) {
+                                   const auto self = weak.lock();
+                                   if (!self) {
+                                       done({});
+                                       return;
+                                   }
+                                   for (const auto &it : page.records) {
+                                       if (isStateKeyOf(it.key, job)) {
+                                           self->applyKnownStateRecord(it);
+                                       }
+                                   }
+                                   self->findSubmission(job, page.ok, done);
+                               });
+    }
+
+    /// Looks up a job whose state is known as far as \a stateRead says, and reads new submissions if it is not known at all.
+    auto findSubmission(const JobId &job, bool stateRead, std::function<void(const LookupResult &)> done) -> void
+    {
+        if (const auto phase = directory.phase(job)) {
+            done({phase, stateRead});
+            return;
+        }
+        submissionsFollower->refresh([weak = weak_from_this(), job, stateRead, done = std::move(done)](bool submissionsRead) {
+            const auto self = weak.lock();
+            const bool complete = self && submissionsRead && self->submissionsFollower->isLoaded();
+            done({self ? self->directory.phase(job) : std::nullopt, stateRead && complete});
         });
     }
 
@@ -315,6 +377,7 @@
     EngineSettings settings;
     EngineHooks hooks;
     LogLease lease;
+    std::minstd_rand random;
     JobDirectory directory;
     /// Jobs whose last append got no response, with the time at which it failed.
     std::map<JobId, TimePoint> unansweredAppends;
@@ -325,7 +388,6 @@
     TimePoint configurationConfirmedAt;
     std::shared_ptr<Holder> holder;
     double largestProcessorShare = 0;
-    bool stateLoaded = false;
     bool claiming = false;
     bool draining = false;
     bool storeHealthy = false;
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -2,6 +2,7 @@
 
 #include <acaciarail/core/logging.h>
 
+#include <array>
 #include <string>
 #include <utility>
 
@@ -9,6 +10,9 @@
 
 namespace {
 
+/// Divide the state topic into ranges of about equal size, since job ids are random hexadecimal numbers.
+constexpr std::array<const char *, 7> stateSplitKeys{"2", "4", "6", "8", "a", "c", "e"};
+
 auto logDecision(const DispatchEvent &event, std::uint64_t term) -> void
 {
     if (event.job.empty()) {
@@ -55,61 +59,60 @@
     // The claim may have been stored some time ago; the validity of the lease is counted from this renewal.
     append({}, guarded([](Holder &self) {
                self.m_hooks.workers.watchWorkers(true);
-               self.loadState({});
+               self.load();
            }));
 }
 
-auto Holder::loadState(const std::string &after) -> void
+auto Holder::load() -> void
 {
-    m_hooks.store.readNewest(
-        std::string(stateTopic), after, guarded([after](Holder &self, const NewestResult &page) {
-            if (!page.ok) {
-                self.m_hooks.clock.schedule(self.m_settings.appendRetryDelay, self.guarded([after](Holder &s) { s.loadState(after); }));
-                return;
-            }
-            for (const auto &it : page.records) {
-                StateEntry entry;
-                if (const auto ec = decodeState(it, entry)) {
-                    logEvent(LogLevel::Warning, "record-skipped", {{"topic", stateTopic}, {"key", it.key}, {"error", ec.message()}});
-                } else if (auto *unit = std::get_if<UnitEntry>(&entry)) {
-                    if (unit->state) {
-                        self.m_loadedUnits.emplace_back(unit->unit, std::move(*unit->state));
-                    }
-                } else if (const auto *outcome = std::get_if<OutcomeEntry>(&entry)) {
-                    self.m_loadedOutcomes.insert(outcome->job);
-                }
-            }
-            if (page.hasMore && !page.records.empty()) {
-                self.loadState(page.records.back().key);
-            } else {
-                self.loadSubmissions({});
+    using Apply = void (Holder::*)(const std::vector<KeyedRecord> &);
+    const auto scan = [this](std::string_view topic, std::vector<std::string> splitKeys, Apply applyPage,
+                             std::unique_ptr<TopicScan> Holder::*slot) {
+        TopicScanHooks hooks;
+        hooks.page = guarded(
+            [applyPage](Holder &self, const std::vector<KeyedRecord> &records, std::uint64_t, TimePoint) { (self.*applyPage)(records); });
+        hooks.failed = [] {};
+        hooks.done = guarded([slot](Holder &self) {
+            (self.*slot).reset();
+            if (!self.m_stateScan && !self.m_submissionsScan) {
+                self.finishLoading();
             }
-        }));
+        });
+        return std::make_unique<TopicScan>(TopicScanSettings{std::string(topic), std::move(splitKeys), m_settings.appendRetryDelay},
+                                           m_hooks.store, m_hooks.clock, std::move(hooks));
+    };
+    m_stateScan = scan(stateTopic, {stateSplitKeys.begin(), stateSplitKeys.end()}, &Holder::applyLoadedState, &Holder::m_stateScan);
+    m_submissionsScan = scan(submissionsTopic, {}, &Holder::applyLoadedSubmissions, &Holder::m_submissionsScan);
+    m_stateScan->start();
+    m_submissionsScan->start();
 }
 
-auto Holder::loadSubmissions(const std::string &after) -> void
+auto Holder::applyLoadedState(const std::vector<KeyedRecord> &records) -> void
 {
-    m_hooks.store.readNewest(
-        std::string(submissionsTopic), after, guarded([after](Holder &self, const NewestResult &page) {
-            if (!page.ok) {
-                self.m_hooks.clock.schedule(self.m_settings.appendRetryDelay,
-                                            self.guarded([after](Holder &s) { s.loadSubmissions(after); }));
-                return;
-            }
-            for (const auto &it : page.records) {
-                SubmissionEntry entry;
-                if (const auto ec = decodeSubmission(it, entry)) {
-                    logEvent(LogLevel::Warning, "record-skipped", {{"topic", submissionsTopic}, {"key", it.key}, {"error", ec.message()}});
-                } else if (auto *job = std::get_if<JobEntry>(&entry)) {
-                    self.m_loadedSubmissions.push_back(std::move(*job));
-                }
-            }
-            if (page.hasMore && !page.records.empty()) {
-                self.loadSubmissions(page.records.back().key);
-            } else {
-                self.finishLoading();
+    for (const auto &it : records) {
+        StateEntry entry;
+        if (const auto ec = decodeState(it, entry)) {
+            logEvent(LogLevel::Warning, "record-skipped", {{"topic", stateTopic}, {"key", it.key}, {"error", ec.message()}});
+        } else if (auto *unit = std::get_if<UnitEntry>(&entry)) {
+            if (unit->state) {
+                m_loadedUnits.emplace_back(unit->unit, std::move(*unit->state));
             }
-        }));
+        } else if (const auto *outcome = std::get_if<OutcomeEntry>(&entry)) {
+            m_loadedOutcomes.insert(outcome->job);
+        }
+    }
+}
+
+auto Holder::applyLoadedSubmissions(const std::vector<KeyedRecord> &records) -> void
+{
+    for (const auto &it : records) {
+        SubmissionEntry entry;
+        if (const auto ec = decodeSubmission(it, entry)) {
+            logEvent(LogLevel::Warning, "record-skipped", {{"topic", submissionsTopic}, {"key", it.key}, {"error", ec.message()}});
+        } else if (auto *job = std::get_if<JobEntry>(&entry)) {
+            m_loadedSubmissions.push_back(std::move(*job));
+        }
+    }
 }
 
 auto Holder::finishLoading() -> void
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -3,6 +3,7 @@
 #include <acaciarail/workflow/dispatcher.h>
 #include <acaciarail/workflow/engine.h>
 #include <acaciarail/workflow/job_directory.h>
+#include <acaciarail/workflow/topic_scan.h>
 
 #include <deque>
 #include <functional>
@@ -48,8 +49,9 @@
 
     template<typename F>
     auto guarded(F call);
-    auto loadState(const std::string &after) -> void;
-    auto loadSubmissions(const std::string &after) -> void;
+    auto load() -> void;
+    auto applyLoadedState(const std::vector<KeyedRecord> &records) -> void;
+    auto applyLoadedSubmissions(const std::vector<KeyedRecord> &records) -> void;
     auto finishLoading() -> void;
     auto scheduleStep(Duration delay) -> void;
     auto step() -> void;
@@ -79,6 +81,9 @@
     bool m_removing = false;
     /// Jobs that have been removed from the submissions topic and whose outcomes are removed next.
     std::vector<JobId> m_outcomesToRemove;
+    /// The scans of both topics while they are in progress.
+    std::unique_ptr<TopicScan> m_stateScan;
+    std::unique_ptr<TopicScan> m_submissionsScan;
     std::vector<std::pair<UnitId, UnitRecord>> m_loadedUnits;
     std::set<JobId> m_loadedOutcomes;
     std::vector<JobEntry> m_loadedSubmissions;
--- a/packages/workflow/src/job_directory.cpp
+++ b/packages/workflow/src/job_directory.cpp
@@ -57,7 +57,8 @@
 auto JobDirectory::phase(const JobId &job) const -> std::optional<JobPhase>
 {
     const auto it = m_jobs.find(job);
-    if (it == m_jobs.end() || (!it->second.accepted && !it->second.outcome)) {
+    // Only an accepted job is started, but the two topics are read independently of each other.
+    if (it == m_jobs.end() || (!it->second.accepted && !it->second.started && !it->second.outcome)) {
         return std::nullopt;
     }
     const auto &entry = it->second;
--- a/packages/workflow/src/records.cpp
+++ b/packages/workflow/src/records.cpp
@@ -86,6 +86,20 @@
     return names.at(static_cast<std::size_t>(phase));
 }
 
+auto keyBefore(const JobId &job) -> std::string
+{
+    // '~' sorts after everything that follows an id in a key.
+    auto key = job.str();
+    --key.back();
+    return key + '~';
+}
+
+auto isStateKeyOf(std::string_view key, const JobId &job) -> bool
+{
+    const std::string_view id = job.str();
+    return key.starts_with(id) && (key.size() == id.size() || key[id.size()] == '/');
+}
+
 auto submissionRecord(const JobSpec &spec) -> KeyedRecord
 {
     return {spec.id.str(), encode(EncodedJob{spec, spec.firstRun.count(), spec.interval.count(), spec.acceptedAt.count()})};
--- a/packages/workflow/src/topic_follower.cpp
+++ b/packages/workflow/src/topic_follower.cpp
@@ -1,4 +1,5 @@
 #include <acaciarail/workflow/topic_follower.h>
+#include <acaciarail/workflow/topic_scan.h>
 
 #include <algorithm>
 #include <array>
@@ -9,6 +10,13 @@
 
 namespace Acaciarail::Workflow {
 
+namespace {
+
+/// No record of the store is larger.
+constexpr std::size_t maxRecordBytes = std::size_t{1024} * 1024;
+
+} // namespace
+
 auto appendStatusName(AppendStatus status) noexcept -> const char *
 {
     constexpr std::array<const char *, 6> names{"stored", "refused", "fenced", "conflict", "out-of-sequence", "unknown"};
@@ -35,45 +43,120 @@
         });
     }
 
-    auto load() -> void
+    /// Reads the tail of the topic, or all of it, and then every further record.
+    auto attach() -> void
     {
-        loadEnd.reset();
-        loadedKeys.clear();
-        loadPage({});
+        scan.reset();
+        loaded = false;
+        if (settings.tailKey) {
+            attachAtTail();
+        } else {
+            loadAll();
+        }
     }
 
-    auto loadPage(const std::string &after) -> void
+    auto attachAtTail() -> void
     {
         const auto sentAt = clock.now();
-        store.readNewest(settings.topic, after, [weak = weak_from_this(), sentAt](const NewestResult &result) {
-            if (const auto self = weak.lock()) {
-                self->applyPage(result, sentAt);
+        store.readNewest(settings.topic, *settings.tailKey, [weak = weak_from_this(), sentAt](const NewestResult &result) {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            if (!result.ok) {
+                self->callLater(self->settings.retryDelay, [](State &s) { s.attachAtTail(); });
+                self->hooks.contact(false, {});
+                return;
+            }
+            for (const auto &it : result.records) {
+                self->hooks.apply(it);
             }
+            self->scheduleScan();
+            self->beginPolling(result.end, sentAt);
         });
     }
 
-    auto applyPage(const NewestResult &result, TimePoint sentAt) -> void
+    auto scheduleScan() -> void
     {
-        if (!result.ok) {
-            hooks.contact(false, {});
-            callLater(settings.retryDelay, [](State &s) { s.load(); });
-            return;
+        const auto number = ++scanNumber;
+        callLater(settings.scanDelay, [number](State &s) {
+            if (number == s.scanNumber) {
+                s.scanInBackground();
+            }
+        });
+    }
+
+    auto scanInBackground() -> void
+    {
+        ++scanNumber;
+        keysReadSinceScan.clear();
+        startScan([](State &s, const std::vector<KeyedRecord> &records, std::uint64_t, TimePoint) { s.applyScanned(records); },
+                  [](State &s) {
+                      s.loaded = true;
+                      s.scan.reset();
+                  });
+    }
+
+    auto applyScanned(const std::vector<KeyedRecord> &records) -> void
+    {
+        for (const auto &it : records) {
+            // What was read from the log meanwhile is at least as new.
+            if (!keysReadSinceScan.contains(it.key)) {
+                (hooks.applyScanned ? hooks.applyScanned : hooks.apply)(it);
+            }
         }
+    }
+
+    auto loadAll() -> void
+    {
         // The pages are not a snapshot: records appended meanwhile are read from the end offset that came with the first page.
-        if (!loadEnd) {
-            loadEnd = result.end;
-            loadStartedAt = sentAt;
+        loadEnd.reset();
+        loadedKeys.clear();
+        startScan([](State &s, const std::vector<KeyedRecord> &records, std::uint64_t end,
+                     TimePoint sentAt) { s.applyLoaded(records, end, sentAt); },
+                  [](State &s) { s.finishLoading(); });
+    }
+
+    auto applyLoaded(const std::vector<KeyedRecord> &records, std::uint64_t end, TimePoint sentAt) -> void
+    {
+        if (!loadEnd || end < loadEnd->first) {
+            loadEnd.emplace(end, sentAt);
         }
-        for (const auto &it : result.records) {
+        for (const auto &it : records) {
             hooks.apply(it);
             if (settings.reportsRemovals) {
                 loadedKeys.insert(it.key);
             }
         }
-        if (result.hasMore && !result.records.empty()) {
-            loadPage(result.records.back().key);
-            return;
-        }
+    }
+
+    template<typename Page, typename Done>
+    auto startScan(Page page, Done done) -> void
+    {
+        const auto weak = weak_from_this();
+        TopicScanHooks scanHooks;
+        scanHooks.page = [weak, page](const std::vector<KeyedRecord> &records, std::uint64_t end, TimePoint sentAt) {
+            if (const auto self = weak.lock()) {
+                page(*self, records, end, sentAt);
+            }
+        };
+        scanHooks.failed = [weak] {
+            if (const auto self = weak.lock()) {
+                self->hooks.contact(false, {});
+            }
+        };
+        scanHooks.done = [weak, done] {
+            if (const auto self = weak.lock()) {
+                done(*self);
+            }
+        };
+        scan = std::make_unique<TopicScan>(TopicScanSettings{settings.topic, settings.splitKeys, settings.retryDelay}, store, clock,
+                                           std::move(scanHooks));
+        scan->start();
+    }
+
+    auto finishLoading() -> void
+    {
         if (settings.reportsRemovals) {
             for (const auto &it : keys) {
                 if (!loadedKeys.contains(it)) {
@@ -82,12 +165,16 @@
             }
             keys = std::exchange(loadedKeys, {});
         }
-        nextOffset = *loadEnd;
-        const bool first = !std::exchange(loaded, true);
-        hooks.contact(true, loadStartedAt);
-        if (first && hooks.loaded) {
-            hooks.loaded();
-        }
+        loaded = true;
+        scan.reset();
+        beginPolling(loadEnd->first, loadEnd->second);
+    }
+
+    auto beginPolling(std::uint64_t end, TimePoint confirmedAt) -> void
+    {
+        nextOffset = end;
+        attached = true;
+        hooks.contact(true, confirmedAt);
         poll();
     }
 
@@ -95,14 +182,14 @@
     {
         const auto sentAt = clock.now();
         const auto wait = settings.readWait;
-        store.read(settings.topic, nextOffset, wait, [weak = weak_from_this(), sentAt, wait](const ReadResult &result) {
+        store.read(readRequest(wait), [weak = weak_from_this(), sentAt, wait](const ReadResult &result) {
             const auto self = weak.lock();
             if (!self) {
                 return;
             }
             self->applyRead(result, sentAt, wait);
             if (result.status == ReadStatus::NotRetained) {
-                self->load();
+                self->attach();
                 return;
             }
             const bool failed = result.status == ReadStatus::Failed;
@@ -118,6 +205,9 @@
     {
         if (result.status != ReadStatus::Ok) {
             caughtUp = false;
+            if (result.status == ReadStatus::Failed) {
+                readBytes = std::max(readBytes / 2, settings.minReadBytes);
+            }
             hooks.contact(result.status == ReadStatus::NotRetained, sentAt);
             return;
         }
@@ -129,10 +219,19 @@
             if (settings.reportsRemovals && !record.key.empty()) {
                 keys.insert(record.key);
             }
+            if (scan) {
+                keysReadSinceScan.insert(record.key);
+            }
             nextOffset = result.first + i + 1;
             hooks.apply(record);
         }
         caughtUp = nextOffset >= result.end;
+        if (caughtUp) {
+            readBytes = settings.maxReadBytes;
+        } else if (result.records.empty()) {
+            // The next record is larger than the response may be.
+            readBytes = std::min(readBytes * 2, maxRecordBytes);
+        }
         // A read that waited without result shows that nothing was appended until the wait had ended.
         const auto confirmed = result.records.empty() ? std::min(sentAt + wait, clock.now()) : sentAt;
         hooks.contact(true, confirmed);
@@ -140,7 +239,7 @@
 
     auto refresh(std::function<void(bool)> done) -> void
     {
-        if (!loaded) {
+        if (!attached) {
             callLater(settings.retryDelay, [done = std::move(done)](State &) { done(false); });
             return;
         }
@@ -152,11 +251,11 @@
 
     auto awaitRecords(Duration wait) -> void
     {
-        if (!loaded || std::exchange(awaitingRecords, true)) {
+        if (!attached || std::exchange(awaitingRecords, true)) {
             return;
         }
         const auto sentAt = clock.now();
-        store.read(settings.topic, nextOffset, wait, [weak = weak_from_this(), sentAt, wait](const ReadResult &result) {
+        store.read(readRequest(wait), [weak = weak_from_this(), sentAt, wait](const ReadResult &result) {
             if (const auto self = weak.lock()) {
                 self->awaitingRecords = false;
                 self->applyRead(result, sentAt, wait);
@@ -168,7 +267,7 @@
     {
         refreshing = true;
         const auto sentAt = clock.now();
-        store.read(settings.topic, nextOffset, Duration::zero(),
+        store.read(readRequest(Duration::zero()),
                    [weak = weak_from_this(), sentAt, callbacks = std::exchange(refreshCallbacks, {})](const ReadResult &result) {
                        const auto self = weak.lock();
                        if (!self) {
@@ -185,13 +284,23 @@
                    });
     }
 
+    [[nodiscard]] auto readRequest(Duration wait) const -> ReadRequest
+    {
+        return {settings.topic, nextOffset, wait, readBytes};
+    }
+
     TopicFollowerSettings settings;
     const StoreHooks &store;
     const ClockHooks &clock;
     TopicFollowerHooks hooks;
     std::uint64_t nextOffset = 0;
-    std::optional<std::uint64_t> loadEnd;
-    TimePoint loadStartedAt;
+    std::size_t readBytes = settings.maxReadBytes;
+    /// End of the topic before the first page was read, and when that page was requested.
+    std::optional<std::pair<std::uint64_t, TimePoint>> loadEnd;
+    std::unique_ptr<TopicScan> scan;
+    std::uint64_t scanNumber = 0;
+    std::set<std::string> keysReadSinceScan;
+    bool attached = false;
     bool loaded = false;
     bool caughtUp = false;
     bool refreshing = false;
@@ -210,7 +319,16 @@
 
 auto TopicFollower::start() -> void
 {
-    m_state->load();
+    m_state->attach();
+}
+
+auto TopicFollower::scanAtOnce() -> void
+{
+    auto &s = *m_state;
+    s.settings.scanDelay = Duration::zero();
+    if (s.attached && !s.loaded && !s.scan) {
+        s.scanInBackground();
+    }
 }
 
 auto TopicFollower::setPollInterval(Duration wait, Duration pause) -> void
@@ -229,6 +347,16 @@
     m_state->awaitRecords(wait);
 }
 
+auto TopicFollower::isAttached() const noexcept -> bool
+{
+    return m_state->attached;
+}
+
+auto TopicFollower::isLoaded() const noexcept -> bool
+{
+    return m_state->loaded;
+}
+
 auto TopicFollower::position() const noexcept -> std::uint64_t
 {
     return m_state->nextOffset;
--- a/tests/workflow/engine_test.cpp
+++ b/tests/workflow/engine_test.cpp
@@ -197,6 +197,98 @@
     BOOST_TEST(world->workers.startCount == 2U);
 }
 
+struct FleetRestartCase
+{
+    const char *name;
+    std::size_t jobs;
+    std::uint32_t tasksPerJob;
+    /// Another instance than the restarted ones held the lease, so that its time to live must pass first.
+    bool foreignHolder;
+    Duration limit;
+};
+
+auto operator<<(std::ostream &out, const FleetRestartCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<FleetRestartCase> fleetRestartCases{
+    {"a small backlog", 16, 10, false, 700ms},
+    {"the backlog of a large fleet", 16, 600, false, 1s},
+    {"the backlog of a large fleet, after another holder", 16, 600, true, 2200ms},
+};
+
+// All instances lose power while thousands of tasks are recorded. Guards against an outage that grows with the number of records, because
+// every instance reads all of them before one claims the lease, and that one reads them again.
+BOOST_DATA_TEST_CASE(aRestartOfAllInstancesStartsWorkSoon, data::make(fleetRestartCases), c)
+{
+    auto world = std::make_unique<SimWorld>(3, 1);
+    world->workers.add("w0", {32'000, 65'536, 8}, "rack0");
+    world->store.bytesPerSecond = 2e6;
+    for (std::size_t i = 0; i < c.jobs; ++i) {
+        StepSpec step;
+        step.count = c.tasksPerJob;
+        step.taskDemand = {1000, 1000, 1};
+        step.estimate = 2s;
+        const auto id = std::string(1, "0123456789abcdef"[i % 16]) + std::to_string(100'000'000'000'000 + i);
+        const auto spec = simpleJob(id, "queue", step);
+        world->store.topics["keyed.intake"].records.push_back(submissionRecord(spec));
+        // The last task of each job waits.
+        for (std::uint32_t task = 0; task + 1 < c.tasksPerJob; ++task) {
+            UnitRecord record;
+            record.phase = UnitPhase::Done;
+            record.run = 1;
+            record.workers = {WorkerName("w0")};
+            world->store.topics["keyed.state"].records.push_back(unitRecord({spec.id, 0, 0, task}, false, record));
+        }
+    }
+    if (c.foreignHolder) {
+        auto &topic = world->store.topics["keyed.state"];
+        topic.epoch = 1;
+        topic.records.push_back(holderRecord({topic.epoch, InstanceName("instance-9"), 7, false}));
+    }
+    for (std::size_t i = 0; i < world->instances.size(); ++i) {
+        world->restart(i);
+    }
+    world->run(c.limit);
+    BOOST_TEST(world->workers.startCount > 0U);
+    world->run(30s);
+    BOOST_TEST(world->workers.startCount == c.jobs);
+    BOOST_TEST(world->workers.violations.empty());
+}
+
+// Guards against a restarted instance that denies a job, or reports it as queued, because it has not read all records yet.
+BOOST_DATA_TEST_CASE(aRestartedInstanceLooksUpJobsBeforeItHasReadAllRecords, data::xrange(1, 9), seed)
+{
+    auto world = makeWorld(2, static_cast<std::uint64_t>(seed));
+    world->workers.taskTime = 20s;
+    world->run(3s);
+    world->submit(0, simpleJob("00000000000000a0", "queue", gang(2)));
+    world->submit(0, simpleJob("00000000000000a1", "queue", gang(2)));
+    world->run(2s);
+    const auto other = 1 - world->holders().at(0);
+    world->restart(other);
+    world->run(200ms);
+    for (const auto *job : {"00000000000000a0", "00000000000000a1"}) {
+        std::optional<LookupResult> found;
+        world->instances[other].engine->lookup(JobId(job), [&found](const LookupResult &result) { found = result; });
+        world->run(300ms);
+        BOOST_REQUIRE(found.has_value());
+        BOOST_TEST((found->phase == JobPhase::Running), job);
+    }
+    std::optional<LookupResult> unknown;
+    world->instances[other].engine->lookup(JobId("00000000000000b0"), [&unknown](const LookupResult &result) { unknown = result; });
+    world->run(100ms);
+    BOOST_REQUIRE(unknown.has_value());
+    BOOST_TEST(!unknown->phase.has_value());
+    world->run(5s);
+    unknown.reset();
+    world->instances[other].engine->lookup(JobId("00000000000000b0"), [&unknown](const LookupResult &result) { unknown = result; });
+    world->run(100ms);
+    BOOST_REQUIRE(unknown.has_value());
+    BOOST_TEST((!unknown->phase.has_value() && unknown->upToDate));
+}
+
 struct RetryCase
 {
     const char *name;
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -68,26 +68,42 @@
     return {AppendStatus::Stored, 0};
 }
 
-auto FakeStore::waitForRecords(const std::string &topic, std::uint64_t from, TimePoint until, const std::shared_ptr<bool> &reachable,
+auto FakeStore::waitForRecords(const ReadRequest &request, TimePoint until, const std::shared_ptr<bool> &reachable,
                                std::function<void(ReadResult)> done) -> void
 {
-    const auto &records = topics[topic].records;
+    const auto &records = topics[request.topic].records;
+    const auto from = request.from;
     if (from < retainedFrom && from < records.size()) {
         m_clock.schedule(latency, [done = std::move(done)] { done({ReadStatus::NotRetained, 0, 0, {}}); });
         return;
     }
     if (from >= records.size() && m_clock.now() < until) {
-        m_clock.schedule(pollInterval, [this, topic, from, until, reachable, done = std::move(done)] {
-            waitForRecords(topic, from, until, reachable, done);
-        });
+        m_clock.schedule(pollInterval,
+                         [this, request, until, reachable, done = std::move(done)] { waitForRecords(request, until, reachable, done); });
         return;
     }
     ReadResult result{ReadStatus::Ok, from, records.size(), {}};
-    if (from < records.size()) {
-        result.records.assign(records.begin() + static_cast<std::ptrdiff_t>(from), records.end());
+    std::size_t bytes = 0;
+    for (auto i = from; i < records.size(); ++i) {
+        const auto size = records[i].key.size() + records[i].value.size();
+        if (bytes + size > request.maxBytes) {
+            break;
+        }
+        bytes += size;
+        result.records.push_back(records[i]);
     }
-    m_clock.schedule(latency,
-                     [result = std::move(result), reachable, done = std::move(done)] { done(*reachable ? result : ReadResult{}); });
+    const auto transfer = transferTime(bytes);
+    const bool inTime = transfer < callTimeout;
+    m_clock.schedule(latency + std::min(transfer, callTimeout), [result = std::move(result), inTime, reachable, done = std::move(done)] {
+        done(*reachable && inTime ? result : ReadResult{});
+    });
+}
+
+auto FakeStore::transferTime(std::size_t bytes) const -> Duration
+{
+    return bytesPerSecond > 0
+        ? std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(bytes) / bytesPerSecond))
+        : Duration::zero();
 }
 
 auto FakeStore::hooks(const std::shared_ptr<bool> &reachable) -> StoreHooks
@@ -104,11 +120,11 @@
         };
         roundTrip(reachable, call, failed, request.timeout);
     };
-    out.read = [this, reachable](const std::string &topic, std::uint64_t from, Duration wait, const std::function<void(ReadResult)> &done) {
+    out.read = [this, reachable](const ReadRequest &request, const std::function<void(ReadResult)> &done) {
         const auto failed = [done] { done({}); };
         roundTrip(
-            reachable, [this, topic, from, wait, reachable, done] { waitForRecords(topic, from, m_clock.now() + wait, reachable, done); },
-            failed, wait + callTimeout);
+            reachable, [this, request, reachable, done] { waitForRecords(request, m_clock.now() + request.wait, reachable, done); }, failed,
+            request.wait + callTimeout);
     };
     out.readNewest = [this, reachable](const std::string &topic, const std::string &after, const std::function<void(NewestResult)> &done) {
         const auto call = [this, topic, after, reachable, done] {
@@ -118,12 +134,19 @@
                 newest[it.key] = it.value;
             }
             NewestResult result{true, records.size(), {}, false};
-            for (const auto &[key, value] : newest) {
-                if (key > after && !value.empty()) {
-                    result.records.push_back({key, value});
+            std::size_t bytes = 0;
+            for (auto it = newest.upper_bound(after); it != newest.end(); ++it) {
+                if (it->second.empty()) {
+                    continue;
+                }
+                if (result.records.size() == pageRecords) {
+                    result.hasMore = true;
+                    break;
                 }
+                bytes += it->first.size() + it->second.size();
+                result.records.push_back({it->first, it->second});
             }
-            m_clock.schedule(latency, [result, reachable, done] { done(*reachable ? result : NewestResult{}); });
+            m_clock.schedule(latency + transferTime(bytes), [result, reachable, done] { done(*reachable ? result : NewestResult{}); });
         };
         roundTrip(
             reachable, call, [done] { done({}); }, callTimeout);
--- a/tests/workflow/sim_world.h
+++ b/tests/workflow/sim_world.h
@@ -67,6 +67,10 @@
     double responseLossRate = 0;
     /// The store neither carries out nor answers any call.
     bool down = false;
+    /// Speed at which one response arrives; 0 for no limit. A read whose response takes longer than its timeout fails.
+    double bytesPerSecond = 0;
+    /// Most records of a page of newest records.
+    std::size_t pageRecords = 500;
     /// Records before this offset can only be read as the newest of their key.
     std::uint64_t retainedFrom = 0;
 
@@ -82,8 +86,9 @@
     auto append(const AppendRequest &request) -> AppendResult;
     auto roundTrip(const std::shared_ptr<bool> &reachable, std::function<void()> call, std::function<void()> failed, Duration timeout)
         -> void;
-    auto waitForRecords(const std::string &topic, std::uint64_t from, TimePoint until, const std::shared_ptr<bool> &reachable,
+    auto waitForRecords(const ReadRequest &request, TimePoint until, const std::shared_ptr<bool> &reachable,
                         std::function<void(ReadResult)> done) -> void;
+    [[nodiscard]] auto transferTime(std::size_t bytes) const -> Duration;
 
     SimClock &m_clock;
     std::mt19937_64 m_random;
--- /dev/null
+++ b/tests/workflow/topic_follower_test.cpp
@@ -0,0 +1,154 @@
+#include "sim_world.h"
+
+#include <acaciarail/workflow/topic_follower.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <string>
+
+namespace Acaciarail::Workflow::Tests {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+constexpr const char *topicName = "keyed.workers";
+
+/// A follower of a topic, and the newest value of each key that it has reported.
+struct FollowerFixture
+{
+    auto follow(TopicFollowerSettings settings) -> void
+    {
+        storeHooks = store.hooks(reachable);
+        clockHooks = {[this] { return clock.now(); }, [] { return std::chrono::milliseconds(); },
+                      [this](Duration delay, std::function<void()> task) { clock.schedule(delay, std::move(task)); }};
+        TopicFollowerHooks hooks;
+        hooks.apply = [this](const KeyedRecord &r) { values[r.key] = r.value; };
+        hooks.contact = [](bool, TimePoint) {};
+        follower = std::make_unique<TopicFollower>(std::move(settings), storeHooks, clockHooks, std::move(hooks));
+        follower->start();
+    }
+
+    /// Appends a record of \a bytes for each of \a keys keys.
+    auto append(std::size_t keys, std::size_t bytes, char fill) -> void
+    {
+        for (std::size_t i = 0; i < keys; ++i) {
+            store.topics[topicName].records.push_back({"w" + std::to_string(i), std::string(bytes, fill)});
+        }
+    }
+
+    auto countWith(char fill) const -> std::size_t
+    {
+        return static_cast<std::size_t>(
+            std::count_if(values.begin(), values.end(), [&](const auto &v) { return !v.second.empty() && v.second[0] == fill; }));
+    }
+
+    SimClock clock;
+    FakeStore store{clock, 1};
+    std::shared_ptr<bool> reachable = std::make_shared<bool>(true);
+    StoreHooks storeHooks;
+    ClockHooks clockHooks;
+    std::map<std::string, std::string> values;
+    std::unique_ptr<TopicFollower> follower;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(topicFollower)
+
+struct BacklogCase
+{
+    const char *name;
+    /// Speed of one response.
+    double bytesPerSecond;
+    std::size_t recordBytes;
+    Duration limit;
+};
+
+auto operator<<(std::ostream &out, const BacklogCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<BacklogCase> backlogCases{
+    {"a connection with a small window", 600'000, 400, 3s},
+    {"a link of 2 Mbit/s", 250'000, 400, 6s},
+    {"records larger than the smallest read", 250'000, 40'000, 8s},
+};
+
+// Workers write their entries while a store that discards its history answers nothing for some seconds. Guards against a follower that
+// requests the whole backlog in one response, which never arrives within the timeout, so that it follows the workers no longer.
+BOOST_DATA_TEST_CASE(aBacklogIsReadOverASlowConnection, data::make(backlogCases), c)
+{
+    FollowerFixture f;
+    f.append(20, c.recordBytes, 'a');
+    f.store.bytesPerSecond = c.bytesPerSecond;
+    f.follow({.topic = topicName, .pause = 500ms, .reportsRemovals = true});
+    f.clock.run(5s);
+    BOOST_REQUIRE(f.countWith('a') == 20U);
+    f.store.down = true;
+    f.append(900'000 / c.recordBytes, c.recordBytes, 'b');
+    f.clock.run(2s);
+    f.store.down = false;
+    f.clock.run(c.limit);
+    BOOST_TEST(f.countWith('b') == 900'000 / c.recordBytes);
+}
+
+struct TailCase
+{
+    const char *name;
+    std::optional<std::string> tailKey;
+    /// Time after which a new record is known.
+    Duration knownAfter;
+};
+
+auto operator<<(std::ostream &out, const TailCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<TailCase> tailCases{
+    {"from the tail", "w0~", 100ms},
+    {"after all records", std::nullopt, 3s},
+};
+
+// Guards against an instance that takes no part until it has read the records of a large fleet, and against records that a background scan
+// overwrites with older ones.
+BOOST_DATA_TEST_CASE(aFollowerOfALargeTopicReadsNewRecordsAtOnce, data::make(tailCases), c)
+{
+    constexpr std::size_t keyCount = 8000;
+    FollowerFixture f;
+    f.append(keyCount, 100, 'a');
+    f.store.bytesPerSecond = 1e6;
+    TopicFollowerSettings settings{.topic = topicName, .readWait = 1s};
+    settings.tailKey = c.tailKey;
+    settings.scanDelay = 20ms;
+    f.follow(std::move(settings));
+    f.clock.run(30ms);
+    f.append(1, 100, 'b');
+    f.clock.run(c.knownAfter);
+    BOOST_TEST(f.countWith('b') == 1U);
+    f.clock.run(5s);
+    BOOST_TEST(f.follower->isLoaded());
+    BOOST_TEST(f.countWith('b') == 1U);
+    BOOST_TEST(f.countWith('a') == keyCount - 1);
+    // The store discards records that have not been read yet.
+    *f.reachable = false;
+    f.clock.run(2s);
+    f.append(keyCount, 100, 'c');
+    f.store.retainedFrom = f.store.topics[topicName].records.size();
+    *f.reachable = true;
+    f.clock.run(10s);
+    BOOST_TEST(f.countWith('c') == keyCount);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Acaciarail::Workflow::Tests
