Check depth, type and range of everything that is read from the platform

Ruled out: a port out of range (was refused already; port 0 now too), keys that are not text (quoted in logs, never in JSON).

Change: json_input checks the nesting before it parses, and type and range of each number before it converts it, with a fault that names the field, what was expected and what was found. An odd entry is skipped, logged once and counted, and the reader goes on. Submissions and reports of workers go through the same reader.

Tests: wireCodec/malformedWorkerEntriesAreRejected ended with a memory access violation on the code of before, and four cases of malformedJobsAreRejected failed.

--- a/tests/adapter/instance_metrics_test.cpp
+++ b/tests/adapter/instance_metrics_test.cpp
@@ -60,6 +60,7 @@
     metrics.recordWorkerCommand("hold", "200", 3ms);
     metrics.recordDecision({"unit-placed", JobId("j1"), {}, 5ms, 0});
     metrics.recordTakeover(100ms);
+    metrics.recordSkippedWorkerEntry();
     const auto rendered = renderedNames(metrics.render(engine));
     const auto documented = documentedNames();
     BOOST_TEST(!documented.empty());
--- a/tests/adapter/wire_codec_test.cpp
+++ b/tests/adapter/wire_codec_test.cpp
@@ -37,6 +37,12 @@
     {"a later step", R"({"steps":[{"count":1,"dependsOn":[0]}]})", false},
     {"a negative demand", R"({"steps":[{"count":1,"cpu":-5}]})", false},
     {"a huge count", R"({"steps":[{"count":4000000000}]})", false},
+    {"a demand that sums would overflow", R"({"steps":[{"count":1,"cpu":9223372036854775807}]})", false},
+    {"a fraction without limit", R"({"steps":[{"count":1,"estimateMs":1e300}]})", false},
+    {"an estimate of another type", R"({"steps":[{"count":1,"estimateMs":"long"}]})", false},
+    {"a fraction", R"({"steps":[{"count":1,"estimateMs":900.5}]})", true},
+    {"an earlier step that is a fraction out of range", R"({"steps":[{"count":1},{"count":2,"dependsOn":[4294967296]}]})", false},
+    {"a schedule beyond all times", R"({"repeatCount":4294967297,"steps":[{"count":1}]})", false},
     {"steps of another type", R"({"steps":{"count":1}})", false},
     {"a step of another type", R"({"steps":[3]})", false},
     {"not JSON", "\x01\xff{", false},
@@ -74,6 +80,18 @@
 const std::string goodEntry = R"({"service":"s","address":"10.0.0.9:8080","zone":"z","state":"ready","born":17,
     "capacity":{"cpu":16000,"memMb":32768,"gpus":8},"labels":["a","r1-3"],"sequence":4})";
 
+/// Returns a worker's entry with one more field, or another value of one.
+auto entryWith(const std::string &field) -> std::string
+{
+    return R"({"service":"s","address":"10.0.0.9:8080","state":"ready","capacity":{"cpu":1,"memMb":1,"gpus":1},)" + field + "}";
+}
+
+/// Returns lists that are nested \a depth deep.
+auto nested(std::size_t depth) -> std::string
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
 const std::vector<BodyCase> entryCases{
     {"complete", goodEntry, true},
     {"draining", R"({"service":"s","address":"10.0.0.9:80","state":"draining","remainingMs":900,"capacity":{}})", true},
@@ -82,6 +100,24 @@
     {"an unknown state", R"({"service":"s","address":"10.0.0.9:80","state":"asleep","capacity":{}})", false},
     {"a capacity of another type", R"({"service":"s","address":"10.0.0.9:80","state":"ready","capacity":7})", false},
     {"no service", R"({"address":"10.0.0.9:80","state":"ready","capacity":{}})", false},
+    {"unknown fields", entryWith(R"("later":{"a":[1,[2]]},"text":"[[[[{{{{\"[[")"), true},
+    {"lists nested a million deep", entryWith(R"("labels":)" + nested(1'000'000)), false},
+    {"lists nested a million deep that are not closed", entryWith(R"("labels":)" + std::string(1'000'000, '[')), false},
+    {"an unknown field that is nested too deeply", entryWith(R"("odd":)" + nested(100)), false},
+    {"a port out of range", entryWith(R"("address":"10.0.0.9:70000")"), false},
+    {"port 0", entryWith(R"("address":"10.0.0.9:0")"), false},
+    {"a capacity above the range of its type", entryWith(R"("capacity":{"gpus":18446744073709551615})"), false},
+    {"a capacity that sums would overflow", entryWith(R"("capacity":{"cpu":9223372036854775807})"), false},
+    {"a fraction above the range of any integer", entryWith(R"("capacity":{"memMb":1e300})"), false},
+    {"a number that no type can hold", entryWith(R"("capacity":{"memMb":1e999})"), false},
+    {"a negative capacity", entryWith(R"("capacity":{"cpu":-1})"), false},
+    {"a capacity that is text", entryWith(R"("capacity":{"cpu":"32"})"), false},
+    {"a start out of range", entryWith(R"("born":1e300)"), false},
+    {"a negative start", entryWith(R"("born":-1)"), false},
+    {"a time left out of range", entryWith(R"("remainingMs":9223372036854775807)"), false},
+    {"a time left that has passed", entryWith(R"("remainingMs":-20)"), true},
+    {"labels of another type", entryWith(R"("labels":["a",7])"), false},
+    {"a state of another type", entryWith(R"("state":[])"), false},
     {"damaged", "\x80\x81", false},
 };
 
@@ -123,6 +159,13 @@
     {"foreign task names", R"({"running":[["foreign",2,"c",41]],"ended":[]})", true, 0, 0, 1},
     {"an unknown end", R"({"running":[],"ended":[[1,"j.0.1.9",1,"vanished",""]]})", true, 0, 0, 1},
     {"a row of another type", R"({"running":[7],"ended":[{}]})", true, 0, 0, 2},
+    {"a run and a number above their range",
+     R"({"running":[["j.0.1.17",4294967297,"c",41]],"ended":[[18446744073709551615,"j.0.1.9",1,"done",""]]})", true, 0, 0, 2},
+    {"a progress without limit", R"({"running":[["j.0.1.17",1,"c",1e300]],"ended":[]})", true, 1, 0, 0},
+    {"a list of another type", R"({"running":{},"ended":[]})", false, 0, 0, 0},
+    {"a clock out of range", R"({"clockMs":1e300,"running":[],"ended":[]})", true, 0, 0, 0},
+    {"a start out of range", R"({"born":-1,"running":[],"ended":[]})", false, 0, 0, 0},
+    {"rows that are nested too deeply", R"({"running":)" + nested(100) + R"(,"ended":[]})", false, 0, 0, 0},
     {"no lists", R"({"clockMs":5})", false, 0, 0, 0},
     {"damaged", "{", false, 0, 0, 0},
 };
