Keep the holder of a large fleet from overload, and reserve workers for each priority

The holder's processor was used up: 286 workers that had left were polled, and runs there stopped, every 0.3 and 0.5 s, each time over a new connection; each end and each start of a task was a log line; and each placement round went over all waiting units every 10 ms. News of workers came up to 14 s late, so their units stayed active, and the workers reserved for urgent work, by the usage of units on workers that were gone, left none for other work: no gang of priority 1 was placed for 11 s. After that gangs waited for whole workers while single tasks took each accelerator that became free. Ruled out: the size of a read (64 kB took as long as 256 kB), the store (other instances' calls were quick), memory.

Change: the delay between polls of an unreachable worker doubles up to 2.4 s, and it gets stops once it has answered. Ends and placements of single tasks are logged by job. A placement round is followed by a pause of five times what it took. Members on workers that are gone do not count as usage. Workers are reserved for the usage of each priority but the last, from opposite ends of the racks; while a unit waits for them, only tasks that end before the worker would be free are placed there.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -38,8 +38,9 @@
     Duration urgentRenewPeriod = 2s;
     /// A worker that declined a start is avoided for this long.
     Duration declineAvoidTime = 1s;
-    /// Delay before an unreachable worker is polled again.
+    /// Delay before an unreachable worker is polled again; it doubles up to maxPollRetryDelay, as each attempt costs a connection.
     Duration pollRetryDelay = 300ms;
+    Duration maxPollRetryDelay = 2400ms;
     /// Attempts to send a start command that is not answered. Repeating it is safe: the worker does not start a run twice.
     std::uint32_t maxStartAttempts = 4;
     /// A worker is unreachable when this many consecutive polls were not answered; a single response can be lost while the worker is
@@ -58,6 +59,8 @@
     Duration schedulePausePerUnit = 10us;
     /// Interval at which the progress of runs is checked for stalls, slow workers and draining workers.
     Duration progressCheckInterval = 100ms;
+    /// Interval at which the ends of tasks are logged, gathered by job.
+    Duration endsLogInterval = 1s;
     /// Delay before a stop command that has had no effect is repeated; covers several round trips between regions and the stop itself.
     Duration stopRetryDelay = 500ms;
     /// A run without progress for this long is restarted on another worker; covers several polls.
@@ -85,13 +88,15 @@
     std::size_t maxReservedGangs = 4;
     /// Workers are reserved for urgent work up to this many times its recent usage, so that most of it needs no preemption.
     double urgentReserveFactor = 1.25;
-    /// Time constant of the moving average of that usage; about the length of a burst.
-    Duration urgentUsageWindow = 4s;
+    /// Time constant of the moving average of the usage of each priority; about the length of a burst.
+    Duration usageWindow = 4s;
+    /// Interval at which that usage is determined.
+    Duration usageInterval = 50ms;
     /// Preemption for an urgent unit may lose up to this many times the unit's own core-seconds.
     double maxPreemptionLossFactor = 3.0;
 };
 
-/// A decision that is logged.
+/// A decision.
 struct DispatchEvent
 {
     std::string_view name;
@@ -102,6 +107,8 @@
     Duration waited{};
     /// Of a unit that was placed: the priority of its queue.
     std::uint32_t priority = 0;
+    /// False when the decision is part of a later event, which is logged.
+    bool logged = true;
 };
 
 /// What a holder has to do next.
@@ -125,6 +132,8 @@
     bool mayStart = true;
     /// Records can be appended.
     bool mayRecord = true;
+    /// Least pause between two placement rounds, so that they leave processor time for commands and renewals.
+    Duration minSchedulePause{};
 };
 
 struct DispatcherStats
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -136,6 +136,35 @@
     observe({name, job, std::move(details), {}, 0});
 }
 
+auto Dispatcher::State::logEnds(const JobId &job, const EndCounts &counts) const -> void
+{
+    emitEvent("tasks-ended", job,
+              detail("done", counts.done) + ' ' + detail("stopped", counts.stopped) + ' ' + detail("broken", counts.broken));
+}
+
+auto Dispatcher::State::logGatheredEnds(TimePoint now) -> void
+{
+    if (now < nextEndsLog) {
+        return;
+    }
+    nextEndsLog = now + settings.endsLogInterval;
+    for (const auto &[job, counts] : std::exchange(gatheredEnds, {})) {
+        logEnds(job, counts);
+    }
+}
+
+auto Dispatcher::State::logPlacedTasks() -> void
+{
+    for (const auto &[key, placed] : std::exchange(placedTasks, {})) {
+        const auto &[job, occurrence, step] = key;
+        const auto waitedMs = static_cast<std::uint64_t>(toMilliseconds(placed.longestWait).count());
+        emitEvent("tasks-placed", job,
+                  detail("occurrence", occurrence) + ' ' + detail("step", step) + ' ' + detail("tasks", placed.count) + ' '
+                      + detail("first_index", placed.firstIndex) + ' ' + detail("last_index", placed.lastIndex) + ' '
+                      + detail("priority", placed.priority) + ' ' + detail("waited_ms", waitedMs));
+    }
+}
+
 auto Dispatcher::State::createOccurrence(Job &job, std::uint32_t occurrence, TimePoint now) -> void
 {
     for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
@@ -335,6 +364,10 @@
             out.records.push_back(std::move(record));
         }
     }
+    if (const auto it = gatheredEnds.find(job.spec.id); it != gatheredEnds.end()) {
+        logEnds(it->first, it->second);
+        gatheredEnds.erase(it);
+    }
     emitEvent("job-ended", job.spec.id, std::string("outcome=") + jobPhaseName(phase));
 }
 
@@ -385,6 +418,7 @@
     auto &s = *m_state;
     Decisions out;
     s.expireWorkers(now);
+    s.logGatheredEnds(now);
     if (scope.mayStart) {
         s.startDueOccurrences(now, unixNow);
         if (now >= s.nextProgressCheck) {
@@ -395,7 +429,7 @@
         }
         if (now >= s.nextSchedule) {
             const auto pause = s.settings.schedulePausePerUnit * static_cast<Duration::rep>(s.waitingUnits.size());
-            s.nextSchedule = now + std::max(s.settings.scheduleInterval, pause);
+            s.nextSchedule = now + std::max({s.settings.scheduleInterval, pause, scope.minSchedulePause});
             s.placeReserved(now);
             if (std::exchange(s.capacityChanged, false) || now >= s.latestSchedule) {
                 s.latestSchedule = now + s.settings.maxScheduleInterval;
@@ -404,6 +438,7 @@
         } else if (s.capacityChanged) {
             out.deferredFor = s.nextSchedule - now;
         }
+        s.logPlacedTasks();
         if (scope.mayRecord) {
             s.collectRecords(out, now);
         }
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -5,6 +5,7 @@
 #include <numeric>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace Acaciarail::Workflow {
 
@@ -80,6 +81,7 @@
             }
         }
         m_reservedFor.resize(m_workers.size(), unreserved);
+        m_exclusive.resize(m_workers.size(), false);
         for (const auto *it : m_workers) {
             auto &bounds = m_capacityBounds[it->info.service];
             const auto free = it->free() - it->reservedCapacity;
@@ -108,7 +110,7 @@
     {
         // The tasks of a step have the same key and are next to each other in the queue, so the candidates are seldom rebuilt.
         const CandidatesKey key{shapeOf(unit), unit.job->policy.priority, unit.job->policy.service,
-                                m_now < unit.readySince + unit.step->estimate};
+                                m_now < unit.readySince + unit.step->estimate, unit.step->estimate};
         if (unit.step->maxPerWorker > 0 || m_candidatesKey != key) {
             m_candidates = makeCandidates(unit);
             m_candidatesKey = key;
@@ -168,20 +170,23 @@
         return capacity.covers({2 * used.milliCores, 2 * used.memoryMiB, 2 * used.accelerators});
     }
 
-    /// Reserves workers with that many accelerators in total for urgent units: always the same workers, rack by rack, in fast zones first.
-    auto reserveForUrgent(double accelerators) -> void
+    /// Reserves workers for the usage of each priority, rack by rack and always the same ones as far as possible. Urgent units get the fast
+    /// zones and the others the opposite end, so that neither moves when the usage of the other changes, and the single tasks of the least
+    /// urgent work do not stand on every rack. Work of a priority that does not wait may be displaced by less urgent work.
+    auto reserveForPriorities() -> void
     {
         std::vector<std::size_t> order(m_workers.size());
         std::iota(order.begin(), order.end(), 0);
         const auto key = [&](std::size_t i) { return std::pair(m_slowZones.contains(m_workers[i]->info.zone), m_workers[i]->rack); };
         std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return key(a) < key(b); });
-        for (const auto i : order) {
-            if (accelerators <= 0) {
-                return;
-            }
-            if (m_now >= m_workers[i]->avoidUntil) {
-                m_reservedFor[i] = 0;
-                accelerators -= static_cast<double>(m_workers[i]->info.capacity.accelerators);
+        for (const auto &[group, usage] : m_state.usage) {
+            const auto &[service, priority] = group;
+            const bool urgent = priority == 0;
+            const auto amount = urgent ? usage.average * m_state.settings.urgentReserveFactor : std::max(usage.average, usage.present);
+            if (urgent) {
+                reserve(order.begin(), order.end(), service, priority, true, amount);
+            } else {
+                reserve(order.rbegin(), order.rend(), service, priority, usage.waiting, amount);
             }
         }
     }
@@ -202,6 +207,7 @@
         const auto priority = unit.job->policy.priority;
         for (const auto i : *assignment) {
             m_reservedFor[i] = std::min(m_reservedFor[i], priority);
+            m_exclusive[i] = true;
         }
         invalidateCandidates();
         return true;
@@ -217,8 +223,23 @@
     }
 
 private:
+    /// Reserves free workers of a service in the order of the iterators until they have \a accelerators in total.
+    template<typename Iterator>
+    auto reserve(Iterator begin, Iterator end, const ServiceName &service, std::uint32_t priority, bool exclusive, double accelerators)
+        -> void
+    {
+        for (auto it = begin; it != end && accelerators > 0; ++it) {
+            const auto &worker = *m_workers[*it];
+            if (worker.info.service == service && m_reservedFor[*it] == unreserved && m_now >= worker.avoidUntil) {
+                m_reservedFor[*it] = priority;
+                m_exclusive[*it] = exclusive;
+                accelerators -= static_cast<double>(worker.info.capacity.accelerators);
+            }
+        }
+    }
+
     /// Units with an equal key have the same candidates.
-    using CandidatesKey = std::tuple<Shape, std::uint32_t, ServiceName, bool>;
+    using CandidatesKey = std::tuple<Shape, std::uint32_t, ServiceName, bool, Duration>;
 
     auto makeCandidates(const Unit &unit) const -> std::vector<Candidate>
     {
@@ -228,6 +249,7 @@
         const auto stepTasks = tasksPerWorker(unit);
         const auto priority = unit.job->policy.priority;
         const bool urgent = priority == 0;
+        const bool hasReservation = m_state.usage.contains({unit.job->policy.service, priority});
         for (std::size_t i = 0; i < out.size(); ++i) {
             const auto &w = *m_workers[i];
             const auto &step = *unit.step;
@@ -236,10 +258,42 @@
             const bool nearData = !dataRackOnly || step.dataRack.empty() || w.info.rack == step.dataRack;
             const auto count = stepTasks.find(&w);
             const bool crowded = step.maxPerWorker > 0 && count != stepTasks.end() && count->second >= step.maxPerWorker;
-            const bool reserved = m_reservedFor[i] < priority;
-            const bool allowed = w.info.service == unit.job->policy.service && labelled && nearData && !crowded && !reserved;
+            const bool forMoreUrgent = m_reservedFor[i] < priority;
+            const bool blocked = forMoreUrgent && m_exclusive[i] && (m_reservedFor[i] == 0 || !endsBeforeDrained(unit, w));
+            const bool allowed = w.info.service == unit.job->policy.service && labelled && nearData && !crowded && !blocked;
+            const bool elsewhere = forMoreUrgent || (hasReservation && m_reservedFor[i] != priority);
             out[i] = {w.rack, allowed ? w.free() - w.reservedCapacity : noCapacity, m_now < w.avoidUntil,
-                      urgent && m_slowZones.contains(w.info.zone), urgent && m_reservedFor[i] == unreserved};
+                      urgent && m_slowZones.contains(w.info.zone), elsewhere};
+        }
+        return out;
+    }
+
+    /// Returns whether a unit is expected to end before a worker runs nothing else, so that it does not delay the unit that waits for it.
+    auto endsBeforeDrained(const Unit &unit, const Worker &worker) const -> bool
+    {
+        if (m_drainTimes.empty()) {
+            m_drainTimes = drainTimes();
+        }
+        return unit.step->estimate <= m_drainTimes[worker.candidateIndex];
+    }
+
+    /// Returns for each worker the time until all that it runs now is expected to have ended.
+    auto drainTimes() const -> std::vector<Duration>
+    {
+        std::vector<Duration> out(m_workers.size());
+        for (const auto *w : m_workers) {
+            for (auto *other : w->units) {
+                // A gang has members on several workers.
+                if (std::exchange(other->drainRound, m_state.placementRounds) == m_state.placementRounds) {
+                    continue;
+                }
+                for (const auto &it : other->members) {
+                    if (it.phase != MemberPhase::Ended && it.worker->candidateIndex != invalidIndex) {
+                        auto &time = out[it.worker->candidateIndex];
+                        time = std::max(time, remainingTime(*other, it, m_now));
+                    }
+                }
+            }
         }
         return out;
     }
@@ -295,8 +349,12 @@
     TimePoint m_now;
     std::set<ZoneName> m_slowZones;
     std::vector<Worker *> m_workers;
-    /// The priority that each worker is reserved for; less urgent work is not placed there.
+    /// The priority that each worker is reserved for.
     std::vector<std::uint32_t> m_reservedFor;
+    /// Whether less urgent work must not be placed on a reserved worker; otherwise other workers are preferred for it.
+    std::vector<bool> m_exclusive;
+    /// Computed when first needed.
+    mutable std::vector<Duration> m_drainTimes;
 };
 
 namespace {
@@ -339,21 +397,79 @@
 
 } // namespace
 
-auto Dispatcher::State::updateUrgentUsage(TimePoint now) -> void
+/// Returns whether a unit could be placed if nothing else ran; a job that never can must not keep workers free.
+auto Dispatcher::State::fitsWithoutOthers(const Unit &unit) const -> bool
+{
+    const auto found = serviceCapacities.find(unit.job->policy.service);
+    if (found == serviceCapacities.end()) {
+        return false;
+    }
+    const auto &capacity = found->second;
+    const auto needed = unit.demand().accelerators * unit.taskCount();
+    return capacity.largestWorker.covers(unit.demand())
+        && needed <= (unit.step->sameRack ? capacity.largestRackAccelerators : capacity.accelerators);
+}
+
+auto Dispatcher::State::updateUsage(TimePoint now) -> void
 {
-    double usage = 0;
+    if (now < usageUpdatedAt + settings.usageInterval) {
+        return;
+    }
+    serviceCapacities.clear();
+    std::map<std::pair<ServiceName, std::size_t>, std::int64_t> rackAccelerators;
+    for (const auto &[name, worker] : workers) {
+        if (!worker->schedulable()) {
+            continue;
+        }
+        const auto &has = worker->info.capacity;
+        auto &capacity = serviceCapacities[worker->info.service];
+        capacity.largestWorker.milliCores = std::max(capacity.largestWorker.milliCores, has.milliCores);
+        capacity.largestWorker.memoryMiB = std::max(capacity.largestWorker.memoryMiB, has.memoryMiB);
+        capacity.largestWorker.accelerators = std::max(capacity.largestWorker.accelerators, has.accelerators);
+        capacity.accelerators += has.accelerators;
+        auto &rack = rackAccelerators[{worker->info.service, worker->rack}];
+        rack += has.accelerators;
+        capacity.largestRackAccelerators = std::max(capacity.largestRackAccelerators, rack);
+    }
+    std::map<ServiceName, std::uint32_t> leastUrgent;
     for (const auto &[id, job] : jobs) {
-        if (job->ended || job->policy.priority != 0) {
+        auto &priority = leastUrgent[job->policy.service];
+        priority = std::max(priority, job->policy.priority);
+    }
+    for (auto &[group, it] : usage) {
+        it.present = 0;
+        it.waiting = false;
+    }
+    for (const auto &[id, job] : jobs) {
+        const auto priority = job->policy.priority;
+        if (job->ended || (priority != 0 && priority == leastUrgent[job->policy.service])) {
             continue;
         }
+        auto &group = usage[{job->policy.service, priority}];
         for (const auto &[key, unit] : job->units) {
-            const bool counts = unit->stage == UnitStage::Active || unit->stage == UnitStage::Reserved || unit->stage == UnitStage::Waiting;
-            usage += counts ? static_cast<double>(unit->step->taskDemand.accelerators * unit->taskCount()) : 0;
-        }
-    }
-    const auto weight = std::min(seconds(now - urgentUsageUpdatedAt) / seconds(settings.urgentUsageWindow), 1.0);
-    urgentUsage += (usage - urgentUsage) * weight;
-    urgentUsageUpdatedAt = now;
+            const auto accelerators = static_cast<double>(unit->step->taskDemand.accelerators);
+            const bool waits = unit->stage == UnitStage::Waiting
+                && (priority == 0 || (!job->cancelled && !job->failed && !cannotFinishInTime(*unit, now) && fitsWithoutOthers(*unit)));
+            if (waits || unit->stage == UnitStage::Reserved) {
+                group.present += accelerators * unit->taskCount();
+            }
+            // Members on workers that are gone use none of the capacity that is left.
+            group.present +=
+                accelerators * static_cast<double>(std::count_if(unit->members.begin(), unit->members.end(), [](const Member &m) {
+                    return m.phase != MemberPhase::Ended && m.worker->schedulable();
+                }));
+            group.waiting = group.waiting || waits;
+        }
+    }
+    const auto weight = std::min(seconds(now - usageUpdatedAt) / seconds(settings.usageWindow), 1.0);
+    for (auto it = usage.begin(); it != usage.end();) {
+        auto &group = it->second;
+        group.average += (group.present - group.average) * weight;
+        const bool unused =
+            group.present <= 0 && (group.average < 1 || (it->first.second != 0 && it->first.second >= leastUrgent[it->first.first]));
+        it = unused ? usage.erase(it) : std::next(it);
+    }
+    usageUpdatedAt = now;
 }
 
 auto Dispatcher::State::assign(Unit &unit, const std::vector<Worker *> &assignedWorkers, TimePoint now) -> void
@@ -377,6 +493,16 @@
     }
     const auto waited = now - unit.waitingSince;
     const auto priority = unit.job->policy.priority;
+    if (!unit.step->gang) {
+        auto &placed = placedTasks[{unit.id.job, unit.id.occurrence, unit.id.step}];
+        placed.firstIndex = placed.count == 0 ? unit.id.index : std::min(placed.firstIndex, unit.id.index);
+        placed.lastIndex = std::max(placed.lastIndex, unit.id.index);
+        placed.longestWait = std::max(placed.longestWait, waited);
+        placed.priority = priority;
+        ++placed.count;
+        observe({"unit-placed", unit.id.job, {}, waited, priority, false});
+        return;
+    }
     const auto waitedMs = toMilliseconds(waited);
     observe({"unit-placed", unit.id.job,
              "step=" + std::to_string(unit.id.step) + " index=" + std::to_string(unit.id.index) + " run=" + std::to_string(unit.record.run)
@@ -424,11 +550,12 @@
         Unit *unit;
         QueuePosition position;
     };
-    updateUrgentUsage(now);
+    updateUsage(now);
     if (waitingUnits.empty()) {
         return;
     }
     const auto guaranteed = guaranteedJobs(*this);
+    ++placementRounds;
     PlacementRound round(*this, guaranteed, now);
     std::vector<Waiting> queue;
     for (auto *unit : waitingUnits) {
@@ -439,7 +566,7 @@
     }
     std::stable_sort(queue.begin(), queue.end(), [](const Waiting &a, const Waiting &b) { return precedes(a.position, b.position); });
 
-    round.reserveForUrgent(urgentUsage * settings.urgentReserveFactor);
+    round.reserveForPriorities();
     std::set<Shape> unplaceable;
     std::size_t reservedGangs = 0;
     for (const auto &it : queue) {
@@ -565,7 +692,8 @@
             const bool sent =
                 member.phase == MemberPhase::Unknown || member.phase == MemberPhase::Running || member.phase == MemberPhase::Restored;
             const bool due = member.stopSentAt == TimePoint{} || now > member.stopSentAt + settings.stopRetryDelay;
-            if (member.stopping && sent && due) {
+            // A worker that is unreachable gets its stops once it has answered a poll.
+            if (member.stopping && sent && due && !member.worker->unreachableSince) {
                 member.stopSentAt = now;
                 out.stops.push_back({member.worker->info.name, unit.task(i), unit.record.run});
             }
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Acaciarail::Workflow {
@@ -89,6 +90,8 @@
     /// How often it was restarted because a worker was slow.
     std::uint32_t slowRestarts = 0;
     std::vector<Worker *> reservedWorkers;
+    /// The placement round in which its remaining time was last computed.
+    std::uint64_t drainRound = 0;
 
     [[nodiscard]] auto taskCount() const -> std::uint32_t
     {
@@ -169,6 +172,7 @@
     /// Consecutive polls that were not answered.
     std::uint32_t unansweredPolls = 0;
     std::optional<TimePoint> unreachableSince;
+    Duration pollRetryDelay{};
     /// Time of the first of the consecutive commands that may have granted or renewed a task lease and were not answered.
     std::optional<TimePoint> unansweredGrant;
     /// Number of the newest end of a run: reported by the worker, contained in the batch that is being stored, and stored.
@@ -203,6 +207,42 @@
     }
 };
 
+/// The largest amounts that a service's workers have, whether or not they are in use.
+struct ServiceCapacity
+{
+    Demand largestWorker;
+    std::int64_t accelerators = 0;
+    std::int64_t largestRackAccelerators = 0;
+};
+
+/// Accelerators that the units of a service and a priority use or wait for.
+struct PriorityUsage
+{
+    /// Averaged over DispatcherSettings::usageWindow.
+    double average = 0;
+    double present = 0;
+    /// Whether a unit waits that could be placed if no less urgent work ran.
+    bool waiting = false;
+};
+
+/// Ends of the tasks of a job that are not logged yet.
+struct EndCounts
+{
+    std::uint32_t done = 0;
+    std::uint32_t stopped = 0;
+    std::uint32_t broken = 0;
+};
+
+/// Tasks of a step that were placed in one round, other than gangs.
+struct PlacedTasks
+{
+    std::uint32_t count = 0;
+    std::uint32_t firstIndex = 0;
+    std::uint32_t lastIndex = 0;
+    std::uint32_t priority = 0;
+    Duration longestWait{};
+};
+
 struct Dispatcher::State
 {
     State(DispatcherSettings s, std::function<void(const DispatchEvent &)> o, TimePoint previousGrant)
@@ -218,7 +258,8 @@
     auto policyFor(const JobSpec &spec) const -> QueuePolicy;
     auto recordRunTimeRatio(const Unit &unit, TimePoint now) -> void;
     auto slowZones() const -> std::set<ZoneName>;
-    auto updateUrgentUsage(TimePoint now) -> void;
+    auto updateUsage(TimePoint now) -> void;
+    auto fitsWithoutOthers(const Unit &unit) const -> bool;
     auto findUnit(const TaskId &task) -> Unit *;
     auto setStage(Unit &unit, UnitStage stage) -> void;
     auto requestStop(Unit &unit, Member &member) -> void;
@@ -231,6 +272,9 @@
     auto closeJobs(Decisions &out) -> void;
     auto startDueOccurrences(TimePoint now, std::chrono::milliseconds unixNow) -> void;
     auto emitEvent(std::string_view name, const JobId &job, std::string details) const -> void;
+    auto logEnds(const JobId &job, const EndCounts &counts) const -> void;
+    auto logGatheredEnds(TimePoint now) -> void;
+    auto logPlacedTasks() -> void;
 
     // dispatcher_workers.cpp: worker listings, responses and reports
     auto findOrCreateWorker(const WorkerName &name) -> Worker &;
@@ -291,9 +335,16 @@
     /// Units whose assignment is in the batch that is being stored, with the run that it assigns.
     std::vector<std::pair<Unit *, std::uint32_t>> batchAssignments;
     std::map<ZoneName, RunTimeRatio> zoneRunTimeRatios;
-    /// Accelerators that urgent work uses or waits for, averaged over DispatcherSettings::urgentUsageWindow.
-    double urgentUsage = 0;
-    TimePoint urgentUsageUpdatedAt;
+    /// By service and priority, but without the least urgent priority of each service.
+    std::map<std::pair<ServiceName, std::uint32_t>, PriorityUsage> usage;
+    TimePoint usageUpdatedAt;
+    std::uint64_t placementRounds = 0;
+    /// Accelerators of the racks of each service.
+    std::map<ServiceName, ServiceCapacity> serviceCapacities;
+    std::map<JobId, EndCounts> gatheredEnds;
+    TimePoint nextEndsLog;
+    /// By job, occurrence and step.
+    std::map<std::tuple<JobId, std::uint32_t, std::uint32_t>, PlacedTasks> placedTasks;
     bool batchInProgress = false;
     TimePoint nextSchedule;
     /// Something has changed that may allow a waiting unit to be placed.
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -162,10 +162,15 @@
         ++worker.unansweredPolls;
         if (worker.unansweredPolls >= s.settings.unansweredPollLimit && !worker.unreachableSince) {
             worker.unreachableSince = sentAt;
+            worker.pollRetryDelay = s.settings.pollRetryDelay;
             s.unverifiedWorkers.insert(command.worker);
             s.emitEvent("worker-unreachable", {}, workerDetail(worker));
         }
-        worker.nextPoll = worker.unreachableSince ? now + s.settings.pollRetryDelay : now;
+        worker.nextPoll = now;
+        if (worker.unreachableSince) {
+            worker.nextPoll += worker.pollRetryDelay;
+            worker.pollRetryDelay = std::min(worker.pollRetryDelay * 2, s.settings.maxPollRetryDelay);
+        }
         return;
     }
     worker.unansweredPolls = 0;
@@ -252,9 +257,22 @@
     if (member == nullptr) {
         return;
     }
-    emitEvent("run-ended", end.task.job,
-              workerDetail(worker) + " step=" + std::to_string(end.task.step) + " index=" + std::to_string(end.task.index)
-                  + " run=" + std::to_string(end.run) + " how=" + endKindName(end.kind));
+    switch (auto &gathered = gatheredEnds[end.task.job]; end.kind) {
+    case EndKind::Done:
+        ++gathered.done;
+        break;
+    case EndKind::Stopped:
+        ++gathered.stopped;
+        break;
+    case EndKind::GangFailed:
+        ++gathered.broken;
+        break;
+    default:
+        // Ends that explain why a job is late or failed are logged one by one.
+        emitEvent("run-ended", end.task.job,
+                  workerDetail(worker) + " step=" + std::to_string(end.task.step) + " index=" + std::to_string(end.task.index)
+                      + " run=" + std::to_string(end.run) + " how=" + endKindName(end.kind));
+    }
     releaseMember(*unit, *member);
     if (!end.checkpoint.empty() && unit->stage == UnitStage::Active) {
         unit->record.checkpoint = end.checkpoint;
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -13,6 +13,10 @@
 /// Divide the state topic into ranges of about equal size, since job ids are random hexadecimal numbers.
 constexpr std::array<const char *, 7> stateSplitKeys{"2", "4", "6", "8", "a", "c", "e"};
 
+/// The pause between placement rounds is this many times the time of a round, so that they take at most a sixth of the time of an instance,
+/// whatever its processor and the size of the fleet.
+constexpr int schedulePauseFactor = 5;
+
 auto logDecision(const DispatchEvent &event, std::uint64_t term) -> void
 {
     if (event.job.empty()) {
@@ -49,7 +53,9 @@
 {
     m_sequence = sequence;
     const auto observe = [this](const DispatchEvent &event) {
-        logDecision(event, m_term);
+        if (event.logged) {
+            logDecision(event, m_term);
+        }
         if (m_hooks.observe) {
             m_hooks.observe(event);
         }
@@ -223,7 +229,10 @@
 {
     const auto now = m_hooks.clock.now();
     if (!m_paused && m_lease.mayRenewTaskLeases(now)) {
-        auto decisions = m_dispatcher->decide(now, m_hooks.clock.unixNow(), {m_lease.isValid(now), !m_appending});
+        auto decisions =
+            m_dispatcher->decide(now, m_hooks.clock.unixNow(), {m_lease.isValid(now), !m_appending, m_decisionTime * schedulePauseFactor});
+        // A decision without a placement round is short; it must not hide how long a round takes.
+        m_decisionTime = std::max(m_hooks.clock.now() - now, m_decisionTime * 15 / 16);
         sendCommands(decisions);
         if (decisions.deferredFor) {
             scheduleStep(*decisions.deferredFor);
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -70,6 +70,8 @@
     bool m_loaded = false;
     bool m_paused = false;
     bool m_appending = false;
+    /// Time that recent decisions took.
+    Duration m_decisionTime{};
     /// When the next decision is due.
     std::optional<TimePoint> m_nextStepAt;
     std::uint64_t m_sequence = 0;
