Send starts within a window that follows the responses, and slow a scan down that fails

Over 2 Mbit/s most of 270 starts reached their timeout of 300 ms (583 refused or unanswered starts in 3 s), 121 workers counted as unreachable, the holder's own append waited behind them, and another instance took the role over. Ruled out: the number of calls to the store, memory.

Change: CommandWindow bounds the bytes of unanswered starts; it grows with quick responses, shrinks with slow ones, and is halved when most starts of an interval get no response. Work that is not urgent is placed only as far as its starts can be sent; a start that has waited 500 ms, or whose holder's lease has run out meanwhile, is dropped and decided anew. A scan whose pages fail reads fewer at once and gives each more time.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -4,7 +4,10 @@
 #include <acaciarail/workflow/records.h>
 #include <acaciarail/workflow/worker.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -111,6 +114,14 @@
     bool logged = true;
 };
 
+/// Returns the approximate size of a start command with this payload in bytes. \pre none. Thread-safe.
+[[nodiscard]] constexpr auto startCommandBytes(std::size_t payloadBytes) noexcept -> std::size_t
+{
+    // Headers, names and numbers.
+    constexpr std::size_t overhead = 400;
+    return payloadBytes + overhead;
+}
+
 /// What a holder has to do next.
 struct Decisions
 {
@@ -134,6 +145,8 @@
     bool mayRecord = true;
     /// Least pause between two placement rounds, so that they leave processor time for commands and renewals.
     Duration minSchedulePause{};
+    /// Bytes of start commands for work that is not urgent which may be added; further work is placed in a later round.
+    std::int64_t startBytes = std::numeric_limits<std::int64_t>::max();
 };
 
 struct DispatcherStats
--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -57,6 +57,8 @@
     Duration idleDecisionInterval = 50ms;
     /// Events that arrive within this time are handled by one decision; limits the processor time of a burst.
     Duration eventBatchDelay = 2ms;
+    /// A start command that has waited this long to be sent is dropped, and the unit is placed again.
+    Duration maxStartDelay = 500ms;
     /// Longest time for which a revoked API key may still work; from the platform's limits.
     Duration keyRevocationDelay = 5s;
     /// API keys are trusted for keyRevocationDelay less this margin after the last confirmation of the configuration; the margin is for
--- a/packages/workflow/include/acaciarail/workflow/store.h
+++ b/packages/workflow/include/acaciarail/workflow/store.h
@@ -75,6 +75,14 @@
     std::vector<KeyedRecord> records;
 };
 
+struct NewestRequest
+{
+    std::string topic;
+    /// The page begins after this key.
+    std::string after;
+    Duration timeout = 1s;
+};
+
 struct NewestResult
 {
     bool ok = false;
@@ -91,8 +99,8 @@
     std::function<void(AppendRequest, std::function<void(AppendResult)>)> append;
     /// Reads a topic from an offset on.
     std::function<void(const ReadRequest &, std::function<void(ReadResult)>)> read;
-    /// Reads a page of the newest records, one for each key, that begins after the given key.
-    std::function<void(const std::string &topic, const std::string &after, std::function<void(NewestResult)>)> readNewest;
+    /// Reads a page of the newest records, one for each key.
+    std::function<void(const NewestRequest &, std::function<void(NewestResult)>)> readNewest;
 };
 
 /// Clocks and timers of the process.
--- a/packages/workflow/include/acaciarail/workflow/topic_scan.h
+++ b/packages/workflow/include/acaciarail/workflow/topic_scan.h
@@ -30,10 +30,15 @@
 };
 
 /// Reads the newest record of every key of a topic, page by page. The pages are not a snapshot. A page that fails is read again on its own,
-/// so that a slow store does not make the whole scan start over. Not thread-safe.
+/// with twice the time for its response, and fewer pages are read at the same time: over a slow link they would otherwise never arrive.
+/// Not thread-safe.
 class TopicScan
 {
 public:
+    /// Timeout of the first attempt to read a page, and the longest one.
+    static constexpr Duration minPageTimeout = 1s;
+    static constexpr Duration maxPageTimeout = 8s;
+
     /// \pre \a store and \a clock stay valid.
     TopicScan(TopicScanSettings settings, const StoreHooks &store, const ClockHooks &clock, TopicScanHooks hooks);
     /// No hook is called afterwards.
--- a/packages/workflow/include/acaciarail/workflow/worker.h
+++ b/packages/workflow/include/acaciarail/workflow/worker.h
@@ -86,6 +86,8 @@
     OtherIncarnation,
     /// No response; the run may have started, or may start later.
     Unknown,
+    /// The command waited too long to be sent, and was dropped.
+    NotSent,
 };
 
 /// Returns a kebab-case name of \a outcome. \pre none. Thread-safe.
@@ -101,6 +103,8 @@
     std::string checkpoint;
     /// How long the worker may run it without a renewal.
     Duration lease{};
+    /// Priority of the job's queue; more urgent commands are sent first.
+    std::uint32_t priority = 0;
 };
 
 /// Stops a run. A run that has not started yet will not start.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -379,6 +379,25 @@
     }
 }
 
+/// Returns the size of the start commands of units that are placed and whose starts have not been returned by a decision yet.
+auto Dispatcher::State::unsentStartBytes() const -> std::int64_t
+{
+    std::size_t bytes = 0;
+    for (const auto &it : pendingStarts) {
+        bytes += startCommandBytes(it.payload.size());
+    }
+    const auto add = [&bytes](const Unit &unit) {
+        bytes += unit.recordingAssignment ? unit.taskCount() * startCommandBytes(unit.job->spec.payload.size()) : 0;
+    };
+    for (const auto *unit : dirtyUnits) {
+        add(*unit);
+    }
+    for (const auto &[unit, run] : batchAssignments) {
+        add(*unit);
+    }
+    return static_cast<std::int64_t>(bytes);
+}
+
 auto Dispatcher::recordsStored(TimePoint now) -> void
 {
     auto &s = *m_state;
@@ -407,7 +426,7 @@
             member.startedAt = now;
             member.lastProgress = now;
             s.pendingStarts.push_back({member.worker->info.name, unit->task(i), unit->record.run, unit->job->spec.payload,
-                                       unit->record.checkpoint, s.settings.taskLease});
+                                       unit->record.checkpoint, s.settings.taskLease, unit->job->policy.priority});
         }
         s.requeueIfEnded(*unit, now);
     }
@@ -433,6 +452,7 @@
             s.placeReserved(now);
             if (std::exchange(s.capacityChanged, false) || now >= s.latestSchedule) {
                 s.latestSchedule = now + s.settings.maxScheduleInterval;
+                s.placementBudget = scope.startBytes - s.unsentStartBytes();
                 s.schedule(now);
             }
         } else if (s.capacityChanged) {
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -475,6 +475,7 @@
 auto Dispatcher::State::assign(Unit &unit, const std::vector<Worker *> &assignedWorkers, TimePoint now) -> void
 {
     setStage(unit, UnitStage::Active);
+    placementBudget -= static_cast<std::int64_t>(assignedWorkers.size() * startCommandBytes(unit.job->spec.payload.size()));
     unit.record.phase = UnitPhase::Assigned;
     ++unit.record.run;
     unit.record.workers.clear();
@@ -572,7 +573,7 @@
     for (const auto &it : queue) {
         auto &unit = *it.unit;
         const bool urgent = it.position.priority == 0;
-        if (!urgent && unplaceable.contains(shapeOf(unit))) {
+        if (!urgent && (placementBudget <= 0 || unplaceable.contains(shapeOf(unit)))) {
             continue;
         }
         if (tryPlace(round, unit, now)) {
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -275,6 +275,7 @@
     auto logEnds(const JobId &job, const EndCounts &counts) const -> void;
     auto logGatheredEnds(TimePoint now) -> void;
     auto logPlacedTasks() -> void;
+    auto unsentStartBytes() const -> std::int64_t;
 
     // dispatcher_workers.cpp: worker listings, responses and reports
     auto findOrCreateWorker(const WorkerName &name) -> Worker &;
@@ -339,6 +340,8 @@
     std::map<std::pair<ServiceName, std::uint32_t>, PriorityUsage> usage;
     TimePoint usageUpdatedAt;
     std::uint64_t placementRounds = 0;
+    /// What is left of DecisionScope::startBytes in this round.
+    std::int64_t placementBudget = 0;
     /// Accelerators of the racks of each service.
     std::map<ServiceName, ServiceCapacity> serviceCapacities;
     std::map<JobId, EndCounts> gatheredEnds;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -48,8 +48,8 @@
 
 auto startOutcomeName(StartOutcome outcome) noexcept -> const char *
 {
-    constexpr std::array<const char *, 9> names{"started", "fenced",   "superseded", "late",   "no-room",
-                                                "invalid", "declined", "other-life", "unknown"};
+    constexpr std::array<const char *, 10> names{"started", "fenced",   "superseded", "late",    "no-room",
+                                                 "invalid", "declined", "other-life", "unknown", "not-sent"};
     return names.at(static_cast<std::size_t>(outcome));
 }
 
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -283,7 +283,7 @@
     /// Reads the state records of one job, while those of all jobs are still being read.
     auto readStateOf(const JobId &job, std::function<void(const LookupResult &)> done) -> void
     {
-        hooks.store.readNewest(std::string(stateTopic), keyBefore(job),
+        hooks.store.readNewest({std::string(stateTopic), keyBefore(job)},
                                [weak = weak_from_this(), job, done = std::move(done)](const NewestResult &page) {
                                    const auto self = weak.lock();
                                    if (!self) {
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -229,8 +229,8 @@
 {
     const auto now = m_hooks.clock.now();
     if (!m_paused && m_lease.mayRenewTaskLeases(now)) {
-        auto decisions =
-            m_dispatcher->decide(now, m_hooks.clock.unixNow(), {m_lease.isValid(now), !m_appending, m_decisionTime * schedulePauseFactor});
+        auto decisions = m_dispatcher->decide(now, m_hooks.clock.unixNow(),
+                                              {m_lease.isValid(now), !m_appending, m_decisionTime * schedulePauseFactor, startBudget()});
         // A decision without a placement round is short; it must not hide how long a round takes.
         m_decisionTime = std::max(m_hooks.clock.now() - now, m_decisionTime * 15 / 16);
         sendCommands(decisions);
@@ -351,6 +351,55 @@
     m_hooks.clock.schedule(m_settings.appendRetryDelay, guarded([records, done](Holder &self) { self.append(records, done); }));
 }
 
+auto Holder::startBudget() const -> std::int64_t
+{
+    // One window is in progress while the next one is decided and recorded.
+    return static_cast<std::int64_t>(2 * m_startWindow.size()) - static_cast<std::int64_t>(m_queuedBytes + m_startWindow.inProgress());
+}
+
+auto Holder::sendStarts() -> void
+{
+    const auto now = m_hooks.clock.now();
+    // The lease may have expired since the decision.
+    const bool permitted = !m_paused && m_lease.isValid(now);
+    for (auto &[priority, queue] : m_queuedStarts) {
+        while (!queue.empty()) {
+            const auto bytes = startCommandBytes(queue.front().command.payload.size());
+            const bool expired = !permitted || now > queue.front().queuedAt + m_settings.maxStartDelay;
+            if (!expired && !m_startWindow.hasRoom(bytes)) {
+                return;
+            }
+            const auto command = std::move(queue.front().command);
+            queue.pop_front();
+            m_queuedBytes -= bytes;
+            if (expired) {
+                // What was decided then may be wrong by now, so it is decided anew.
+                m_dispatcher->startAnswered(command, StartOutcome::NotSent, now);
+                scheduleStep(m_settings.eventBatchDelay);
+            } else {
+                sendStart(command);
+            }
+        }
+    }
+}
+
+auto Holder::sendStart(const StartCommand &command) -> void
+{
+    const auto bytes = startCommandBytes(command.payload.size());
+    m_startWindow.sent(bytes);
+    m_hooks.workers.start(command, m_term, guarded([command, bytes, sentAt = m_hooks.clock.now()](Holder &self, StartOutcome outcome) {
+                              const auto now = self.m_hooks.clock.now();
+                              self.m_startWindow.finished(bytes, outcome != StartOutcome::Unknown, now - sentAt, now);
+                              self.m_dispatcher->startAnswered(command, outcome, now);
+                              if (outcome == StartOutcome::Fenced) {
+                                  self.m_holderHooks.fenced(command.worker.str());
+                                  return;
+                              }
+                              self.sendStarts();
+                              self.scheduleStep(self.m_settings.eventBatchDelay);
+                          }));
+}
+
 auto Holder::sendCommands(Decisions &decisions) -> void
 {
     for (const auto &it : decisions.stops) {
@@ -363,16 +412,12 @@
                                  self.scheduleStep(self.m_settings.eventBatchDelay);
                              }));
     }
-    for (const auto &it : decisions.starts) {
-        m_hooks.workers.start(it, m_term, guarded([it](Holder &self, StartOutcome outcome) {
-                                  self.m_dispatcher->startAnswered(it, outcome, self.m_hooks.clock.now());
-                                  if (outcome == StartOutcome::Fenced) {
-                                      self.m_holderHooks.fenced(it.worker.str());
-                                      return;
-                                  }
-                                  self.scheduleStep(self.m_settings.eventBatchDelay);
-                              }));
+    const auto now = m_hooks.clock.now();
+    for (auto &it : decisions.starts) {
+        m_queuedBytes += startCommandBytes(it.payload.size());
+        m_queuedStarts[it.priority].push_back({std::move(it), now});
     }
+    sendStarts();
     for (const auto &it : decisions.polls) {
         const auto sentAt = m_hooks.clock.now();
         m_hooks.workers.poll(it, m_term, guarded([it, sentAt](Holder &self, const WorkerHooks::PollResponse &response) {
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <acaciarail/workflow/command_window.h>
 #include <acaciarail/workflow/dispatcher.h>
 #include <acaciarail/workflow/engine.h>
 #include <acaciarail/workflow/job_directory.h>
@@ -58,6 +59,11 @@
     auto append(std::vector<KeyedRecord> records, Done done) -> void;
     auto appendAnswered(const AppendResult &result, const std::vector<KeyedRecord> &records, TimePoint sentAt, const Done &done) -> void;
     auto sendCommands(Decisions &decisions) -> void;
+    /// Sends queued starts as far as the window allows, the most urgent first, and drops those that have waited too long.
+    auto sendStarts() -> void;
+    auto sendStart(const StartCommand &command) -> void;
+    /// Bytes of starts that may be added to the queue.
+    [[nodiscard]] auto startBudget() const -> std::int64_t;
     auto removeExpiredJobs() -> void;
 
     const EngineSettings &m_settings;
@@ -70,6 +76,16 @@
     bool m_loaded = false;
     bool m_paused = false;
     bool m_appending = false;
+    struct QueuedStart
+    {
+        StartCommand command;
+        TimePoint queuedAt;
+    };
+
+    CommandWindow m_startWindow{{}};
+    /// By priority, in the order of the decisions.
+    std::map<std::uint32_t, std::deque<QueuedStart>> m_queuedStarts;
+    std::size_t m_queuedBytes = 0;
     /// Time that recent decisions took.
     Duration m_decisionTime{};
     /// When the next decision is due.
--- a/packages/workflow/src/topic_follower.cpp
+++ b/packages/workflow/src/topic_follower.cpp
@@ -58,16 +58,18 @@
     auto attachAtTail() -> void
     {
         const auto sentAt = clock.now();
-        store.readNewest(settings.topic, *settings.tailKey, [weak = weak_from_this(), sentAt](const NewestResult &result) {
+        store.readNewest({settings.topic, *settings.tailKey, tailTimeout}, [weak = weak_from_this(), sentAt](const NewestResult &result) {
             const auto self = weak.lock();
             if (!self) {
                 return;
             }
             if (!result.ok) {
+                self->tailTimeout = std::min(self->tailTimeout * 2, TopicScan::maxPageTimeout);
                 self->callLater(self->settings.retryDelay, [](State &s) { s.attachAtTail(); });
                 self->hooks.contact(false, {});
                 return;
             }
+            self->tailTimeout = TopicScan::minPageTimeout;
             for (const auto &it : result.records) {
                 self->hooks.apply(it);
             }
@@ -299,6 +301,7 @@
     std::optional<std::pair<std::uint64_t, TimePoint>> loadEnd;
     std::unique_ptr<TopicScan> scan;
     std::uint64_t scanNumber = 0;
+    Duration tailTimeout = TopicScan::minPageTimeout;
     std::set<std::string> keysReadSinceScan;
     bool attached = false;
     bool loaded = false;
--- a/packages/workflow/src/topic_scan.cpp
+++ b/packages/workflow/src/topic_scan.cpp
@@ -1,6 +1,7 @@
 #include <acaciarail/workflow/topic_scan.h>
 
 #include <algorithm>
+#include <deque>
 #include <utility>
 
 namespace Acaciarail::Workflow {
@@ -15,29 +16,58 @@
     {
     }
 
-    /// Reads the keys after \a after, up to and including \a last; an empty \a last stands for the end of the topic.
-    auto readPage(const std::string &after, const std::string &last) -> void
+    /// A page that is to be read: the keys after \c after, up to and including \c last; an empty \c last stands for the end of the topic.
+    struct Page
+    {
+        std::string after;
+        std::string last;
+    };
+
+    auto readPages() -> void
+    {
+        while (!pending.empty() && pagesInProgress < maxPagesInProgress) {
+            auto page = std::move(pending.front());
+            pending.pop_front();
+            ++pagesInProgress;
+            readPage(page);
+        }
+    }
+
+    auto readPage(const Page &page) -> void
     {
         const auto sentAt = clock.now();
-        store.readNewest(settings.topic, after, [weak = weak_from_this(), after, last, sentAt](const NewestResult &result) {
+        store.readNewest({settings.topic, page.after, timeout}, [weak = weak_from_this(), page, sentAt](const NewestResult &result) {
             const auto self = weak.lock();
             if (!self || self->stopped) {
                 return;
             }
+            --self->pagesInProgress;
             if (result.ok) {
-                self->applyPage(result, last, sentAt);
-                return;
+                self->applyPage(result, page.last, sentAt);
+            } else {
+                self->retry(page, sentAt);
             }
-            self->clock.schedule(self->settings.retryDelay, [weak, after, last] {
-                const auto s = weak.lock();
-                if (s && !s->stopped) {
-                    s->readPage(after, last);
-                }
-            });
-            self->hooks.failed();
         });
     }
 
+    auto retry(const Page &page, TimePoint sentAt) -> void
+    {
+        pending.push_front(page);
+        // Pages that were requested together fail together.
+        if (sentAt >= slowedDownAt) {
+            slowedDownAt = clock.now();
+            maxPagesInProgress = std::max<std::size_t>(maxPagesInProgress / 2, 1);
+            timeout = std::min(timeout * 2, TopicScan::maxPageTimeout);
+        }
+        clock.schedule(settings.retryDelay, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (self && !self->stopped) {
+                self->readPages();
+            }
+        });
+        hooks.failed();
+    }
+
     auto applyPage(const NewestResult &result, const std::string &last, TimePoint sentAt) -> void
     {
         auto records = result.records;
@@ -48,13 +78,16 @@
             std::erase_if(records, [&](const KeyedRecord &r) { return r.key > last; });
             more = more && next < last;
         }
+        if (more) {
+            pending.push_front({next, last});
+        }
         hooks.page(records, result.end, sentAt);
         if (stopped) {
             return;
         }
-        if (more) {
-            readPage(next, last);
-        } else if (--openRanges == 0) {
+        if (!pending.empty()) {
+            readPages();
+        } else if (pagesInProgress == 0) {
             hooks.done();
         }
     }
@@ -63,7 +96,12 @@
     const StoreHooks &store;
     const ClockHooks &clock;
     TopicScanHooks hooks;
-    std::size_t openRanges = 0;
+    std::deque<Page> pending;
+    std::size_t pagesInProgress = 0;
+    std::size_t maxPagesInProgress = 1;
+    Duration timeout = TopicScan::minPageTimeout;
+    /// Pages requested earlier than this no longer slow the scan down.
+    TimePoint slowedDownAt;
     bool stopped = false;
 };
 
@@ -81,10 +119,11 @@
 {
     const auto state = m_state;
     const auto &splits = state->settings.splitKeys;
-    state->openRanges = splits.size() + 1;
     for (std::size_t i = 0; i <= splits.size(); ++i) {
-        state->readPage(i == 0 ? std::string() : splits[i - 1], i < splits.size() ? splits[i] : std::string());
+        state->pending.push_back({i == 0 ? std::string() : splits[i - 1], i < splits.size() ? splits[i] : std::string()});
     }
+    state->maxPagesInProgress = state->pending.size();
+    state->readPages();
 }
 
 } // namespace Acaciarail::Workflow
