Queue a start before its priority is moved from

The priority survives the move, so nothing was wrong at run time, but the order is unspecified. Change: the queue is looked up first. Two comments of the reservation say what they mean.

--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -223,7 +223,7 @@
     }
 
 private:
-    /// Reserves free workers of a service in the order of the iterators until they have \a accelerators in total.
+    /// Reserves workers of a service that are not reserved yet, in the order of the iterators, until they have \a accelerators in total.
     template<typename Iterator>
     auto reserve(Iterator begin, Iterator end, const ServiceName &service, std::uint32_t priority, bool exclusive, double accelerators)
         -> void
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -342,7 +342,7 @@
     std::uint64_t placementRounds = 0;
     /// What is left of DecisionScope::startBytes in this round.
     std::int64_t placementBudget = 0;
-    /// Accelerators of the racks of each service.
+    /// Of the workers that can be used, by service; determined with the usage.
     std::map<ServiceName, ServiceCapacity> serviceCapacities;
     std::map<JobId, EndCounts> gatheredEnds;
     TimePoint nextEndsLog;
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -415,7 +415,8 @@
     const auto now = m_hooks.clock.now();
     for (auto &it : decisions.starts) {
         m_queuedBytes += startCommandBytes(it.payload.size());
-        m_queuedStarts[it.priority].push_back({std::move(it), now});
+        auto &queue = m_queuedStarts[it.priority];
+        queue.push_back({std::move(it), now});
     }
     sendStarts();
     for (const auto &it : decisions.polls) {
