Keep the runs of a draining worker that is cut off until its lease has expired

Its worker had announced a shutdown, was cut off for 5.5 s and came back; by then the task had been started elsewhere.

Cause: expireWorkers() took a worker for shut down when it drained, was no longer listed and had not answered for 1 s. The platform removes an entry after three check-in intervals of silence too, so a cut looks the same. Its runs were given up 4.2 s after its last answer, on a site whose task leases last 10 s.

Evidence: order of events in the case: draining at 7.03 s, cut off at 7.43 s, run 1 done behind the cut at 8.63 s, entry removed at 11.61 s, `worker-lost` and run 2 0.06 s later, worker back at 12.93 s, its `done` acknowledged at 13.17 s. Ruled out: a lease computed too short (leaseExpiry() was not asked), a restart, another worker at the address (neither is logged).

Change: runs of a worker that does not answer are given up only when their lease has expired. Nothing less shows that they have ended: a closed connection is also what some cuts look like.

Related paths, where silence could be taken for an end: - workerReplaced(), handleRestart(): need an answer, or an entry, of another life of the worker. Sound. - processMissing(): needs a list that was asked for after a stop was answered, or after the takeover. Sound. - startAnswered(): a refusal after an unanswered start does not count as an end. Sound. - leaseExpiry(): an answered poll clears `unansweredGrant`, though the grant may still be carried out later. Suspected, not shown here. - processEnd(): a `done` of the newest run is ignored when the unit was given up and waits. To be decided with the users' own runs.

Test: dispatcher/aDrainingWorkerThatIsCutOffKeepsItsRunsUntilItsLeaseHasExpired. Before, its three rows with a cut failed ("two runs of j1", "a run after the end of j1"); the rows in which the worker shuts down bound the price, the lease and 3 s.

A worker that exits with runs on it, earlier than it announced, now holds them until its lease has expired.

--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -26,8 +26,6 @@
 constexpr Duration restartCost = 500ms;
 /// Added to a task lease for the accuracy of the worker's timer and for network delay.
 constexpr Duration leaseSlack = 300ms;
-/// A draining worker that is no longer listed and has not answered for this long has shut down.
-constexpr Duration departureConfirmationTime = 1s;
 /// When a gang is done, a member whose end has not been reported after this long is stopped.
 constexpr Duration gangEndWait = 1500ms;
 /// Work on a draining worker is moved unless it is expected to end at least this long before the worker shuts down.
@@ -490,8 +488,8 @@
         const auto it = workers.find(*name);
         auto &w = *it->second;
         const bool noContact = w.unreachableSince || (!w.lastAnsweredPoll && !w.listed);
-        const bool hasLeft = w.info.draining && !w.listed && w.unreachableSince && now > *w.unreachableSince + departureConfirmationTime;
-        if (noContact && !w.units.empty() && (hasLeft || now > leaseExpiry(w))) {
+        // A worker that has announced its shutdown, is not listed and does not answer may be cut off and run on.
+        if (noContact && !w.units.empty() && now > leaseExpiry(w)) {
             markWorkerLost(w, "worker-lost", now);
         }
         const bool removable =
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -187,6 +187,60 @@
     BOOST_TEST(fleet.violations.empty());
 }
 
+struct DepartureCase
+{
+    const char *name;
+    Duration runTime;
+    std::uint32_t tasks;
+    /// Whether the worker is cut off and comes back; otherwise it shuts down.
+    bool comesBack;
+    /// Longest time from the cut or the shutdown to the end of the job.
+    Duration atMost;
+};
+
+auto operator<<(std::ostream &out, const DepartureCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<DepartureCase> departureCases{
+    {"a task that is done behind the cut", 2400ms, 1, true, 8s},      {"a task that runs on behind the cut", 20s, 1, true, 28s},
+    {"a gang that is done behind the cut", 2400ms, 2, true, 8s},      {"a task whose worker shuts down", 2400ms, 1, false, 13s},
+    {"a gang of which one worker shuts down", 2400ms, 2, false, 13s},
+};
+
+// Guards against work that runs twice because a worker that has announced its shutdown, and whose entry is removed, is only cut off.
+BOOST_DATA_TEST_CASE(aDrainingWorkerThatIsCutOffKeepsItsRunsUntilItsLeaseHasExpired, data::make(departureCases), c)
+{
+    auto fleet = makeFleet();
+    fleet.settings.taskLease = 10s;
+    fleet.takeOver();
+    fleet.duration = [&](const TaskId &) { return c.runTime; };
+    auto step = gangStep(c.tasks, 8);
+    step.gang = c.tasks > 1;
+    fleet.submit(simpleJob("j1", "normal", step));
+    fleet.run(800ms);
+    BOOST_REQUIRE(fleet.starts.size() == c.tasks);
+    const auto worker = fleet.starts[0].worker.str();
+    // Before the next check of what can end in time.
+    fleet.announceShutdown(worker, 2500ms);
+    const auto cutAt = fleet.now();
+    if (c.comesBack) {
+        // The platform removes an entry after 4.5 s of silence.
+        fleet.disconnect(worker);
+        fleet.run(4500ms);
+        fleet.unlist(worker);
+        fleet.run(1s);
+        fleet.reconnect(worker);
+    } else {
+        fleet.shutDown(worker);
+    }
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 60s));
+    BOOST_TEST((fleet.now() - cutAt <= c.atMost));
+    BOOST_TEST((fleet.outcome("j1") == JobPhase::Completed));
+    BOOST_TEST(fleet.violations.empty());
+}
+
 struct UnansweredStartCase
 {
     const char *name;
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -49,8 +49,7 @@
     m_batch.clear();
     m_batchOutcomes.clear();
     m_dispatcher = std::make_unique<Dispatcher>(
-        DispatcherSettings{},
-        [this](const DispatchEvent &e) { events.push_back(std::string(e.name) + ' ' + e.job.str() + ' ' + e.details); }, m_now);
+        settings, [this](const DispatchEvent &e) { events.push_back(std::string(e.name) + ' ' + e.job.str() + ' ' + e.details); }, m_now);
     m_dispatcher->setConfiguration(configuration);
     for (const auto &[key, value] : stored) {
         StateEntry entry;
@@ -102,6 +101,33 @@
     }
 }
 
+auto FakeFleet::reconnect(const std::string &worker) -> void
+{
+    workers.at(WorkerName(worker)).reachable = true;
+}
+
+auto FakeFleet::announceShutdown(const std::string &worker, Duration remaining) -> void
+{
+    auto &info = workers.at(WorkerName(worker)).info;
+    info.draining = true;
+    info.timeUntilShutdown = remaining;
+    m_dispatcher->workerListed(info, m_now);
+}
+
+auto FakeFleet::unlist(const std::string &worker) -> void
+{
+    m_dispatcher->workerUnlisted(WorkerName(worker), m_now);
+}
+
+auto FakeFleet::shutDown(const std::string &worker) -> void
+{
+    disconnect(worker);
+    for (auto &run : workers.at(WorkerName(worker)).runs) {
+        run.end = run.end.value_or(EndKind::Stopped);
+    }
+    unlist(worker);
+}
+
 auto FakeFleet::run(Duration length) -> void
 {
     runUntil([] { return false; }, length);
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -28,6 +28,14 @@
     auto takeOver() -> void;
     /// Disconnects a worker. Its runs continue until their leases expire by the worker's clock, which is 2% slow.
     auto disconnect(const std::string &worker) -> void;
+    /// Connects a disconnected worker again.
+    auto reconnect(const std::string &worker) -> void;
+    /// A worker reports that it is going to shut down, in \a remaining at the earliest.
+    auto announceShutdown(const std::string &worker, Duration remaining) -> void;
+    /// Removes a worker's entry from the list.
+    auto unlist(const std::string &worker) -> void;
+    /// Shuts a worker down: its runs end without a report, and its entry is removed.
+    auto shutDown(const std::string &worker) -> void;
 
     [[nodiscard]] auto now() const -> TimePoint;
     [[nodiscard]] auto outcome(const std::string &job) const -> std::optional<JobPhase>;
@@ -61,6 +69,8 @@
         std::optional<std::pair<PollCommand, TimePoint>> pendingPoll;
     };
 
+    /// Of the next holder.
+    DispatcherSettings settings;
     /// Run time of a task on a healthy worker.
     std::function<Duration(const TaskId &)> duration;
     /// How a run ends when its run time has passed.
