Share the ownership of a worker with the runs that refer to it

Cause: Member::worker was a bare pointer. A member that has ended does not keep its worker, so expireWorkers() removes a worker that has left, and the member of a gang whose other members have not reported yet dangles. recordRunTimeRatio() reads the zone of all members, for each `done` of the gang.

Evidence: the case; AddressSanitizer reports a heap-use-after-free in recordRunTimeRatio() with the new test, its first and second row. Ruled out: a unit or a job that is removed too early; a job stays until all its members have ended.

Change: members, reservations and the sets of workers with unrecorded ends share the ownership of a worker.

Found on the way: - Unit::reservedWorkers kept a worker only by the capacity that is reserved; a task without demands reserved none. Shared now. - findMember() compared pointers, so a worker that was removed and is listed again was not a member's any more, and its `done` was ignored and acknowledged. It compares names now. - A record that names fewer workers than a gang has tasks leaves members without a worker; the zone is not read there any more.

Test: dispatcher/aMemberOutlivesTheEntryOfItsWorker, which failed under AddressSanitizer before.

--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -119,7 +119,7 @@
     unit.members.assign(unit.taskCount(), Member{});
     for (std::size_t i = 0; i < unit.members.size() && i < record.workers.size(); ++i) {
         auto &member = unit.members[i];
-        member.worker = &m_state->findOrCreateWorker(record.workers[i]);
+        member.worker = m_state->findOrCreateWorker(record.workers[i]).shared_from_this();
         member.phase = MemberPhase::Restored;
         member.startedAt = now;
         member.lastProgress = now;
@@ -402,7 +402,7 @@
 {
     auto &s = *m_state;
     s.batchInProgress = false;
-    for (auto *worker : std::exchange(s.workersWithEndsInBatch, {})) {
+    for (const auto &worker : std::exchange(s.workersWithEndsInBatch, {})) {
         s.endsRecorded(*worker, now);
     }
     for (const auto &[unit, run] : std::exchange(s.batchAssignments, {})) {
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -213,11 +213,11 @@
         return true;
     }
 
-    [[nodiscard]] auto workersAt(const Assignment &assignment) const -> std::vector<Worker *>
+    [[nodiscard]] auto workersAt(const Assignment &assignment) const -> std::vector<std::shared_ptr<Worker>>
     {
-        std::vector<Worker *> out;
+        std::vector<std::shared_ptr<Worker>> out;
         for (const auto it : assignment) {
-            out.push_back(m_workers[it]);
+            out.push_back(m_workers[it]->shared_from_this());
         }
         return out;
     }
@@ -327,7 +327,7 @@
                 break;
             }
             for (const auto &m : it->second->members) {
-                out[m.worker] += m.phase != MemberPhase::Ended ? 1 : 0;
+                out[m.worker.get()] += m.phase != MemberPhase::Ended ? 1 : 0;
             }
         }
         return out;
@@ -472,7 +472,7 @@
     usageUpdatedAt = now;
 }
 
-auto Dispatcher::State::assign(Unit &unit, const std::vector<Worker *> &assignedWorkers, TimePoint now) -> void
+auto Dispatcher::State::assign(Unit &unit, const std::vector<std::shared_ptr<Worker>> &assignedWorkers, TimePoint now) -> void
 {
     setStage(unit, UnitStage::Active);
     placementBudget -= static_cast<std::int64_t>(assignedWorkers.size() * startCommandBytes(unit.job->spec.payload.size()));
@@ -516,7 +516,7 @@
     if (unit.stage != UnitStage::Reserved) {
         return;
     }
-    for (auto *it : unit.reservedWorkers) {
+    for (const auto &it : unit.reservedWorkers) {
         it->reservedCapacity -= unit.demand();
     }
     unit.reservedWorkers.clear();
@@ -529,8 +529,8 @@
     const std::vector<Unit *> reserved(reservedUnits.begin(), reservedUnits.end());
     for (auto *unit : reserved) {
         std::map<Worker *, Demand> needs;
-        for (auto *it : unit->reservedWorkers) {
-            needs[it] += unit->demand();
+        for (const auto &it : unit->reservedWorkers) {
+            needs[it.get()] += unit->demand();
         }
         const bool usable = std::all_of(needs.begin(), needs.end(), [](const auto &n) { return n.first->schedulable(); });
         const bool fits = std::all_of(needs.begin(), needs.end(), [](const auto &n) { return n.first->free().covers(n.second); });
@@ -642,7 +642,7 @@
     setStage(unit, UnitStage::Reserved);
     unit.reservedAt = now;
     unit.reservedWorkers = round.workersAt(plan->assignment);
-    for (auto *w : unit.reservedWorkers) {
+    for (const auto &w : unit.reservedWorkers) {
         w->reservedCapacity += unit.demand();
     }
     for (const auto v : plan->victims) {
@@ -671,7 +671,7 @@
             batchAssignments.emplace_back(unit, unit->record.run);
         }
     }
-    for (auto *worker : std::exchange(workersWithUnrecordedEnds, {})) {
+    for (const auto &worker : std::exchange(workersWithUnrecordedEnds, {})) {
         worker->batchEnds = worker->seenEnds;
         if (out.records.empty()) {
             endsRecorded(*worker, now);
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -35,7 +35,7 @@
 /// One task of the newest run of a unit. A run is one start of all the unit's tasks; runs are numbered from 1.
 struct Member
 {
-    Worker *worker = nullptr;
+    std::shared_ptr<Worker> worker;
     MemberPhase phase = MemberPhase::Ended;
     std::uint32_t percent = 0;
     /// Progress when the run was first known to be running.
@@ -89,7 +89,7 @@
     TimePoint nextPreemption;
     /// How often it was restarted because a worker was slow.
     std::uint32_t slowRestarts = 0;
-    std::vector<Worker *> reservedWorkers;
+    std::vector<std::shared_ptr<Worker>> reservedWorkers;
     /// The placement round in which its remaining time was last computed.
     std::uint64_t drainRound = 0;
 
@@ -146,7 +146,8 @@
     bool ended = false;
 };
 
-struct Worker
+/// Runs and reservations share the ownership, as they may outlive the entry of a worker that has left.
+struct Worker : std::enable_shared_from_this<Worker>
 {
     WorkerInfo info;
     bool listed = false;
@@ -303,7 +304,7 @@
     auto tryPlace(PlacementRound &round, Unit &unit, TimePoint now) -> bool;
     auto tryPreempt(PlacementRound &round, Unit &unit, bool guaranteed, TimePoint now) -> void;
     auto placeReserved(TimePoint now) -> void;
-    auto assign(Unit &unit, const std::vector<Worker *> &assignedWorkers, TimePoint now) -> void;
+    auto assign(Unit &unit, const std::vector<std::shared_ptr<Worker>> &assignedWorkers, TimePoint now) -> void;
     auto cancelReservation(Unit &unit) -> void;
     auto endsRecorded(Worker &worker, TimePoint now) -> void;
     auto collectRecords(Decisions &out, TimePoint now) -> void;
@@ -323,14 +324,14 @@
     /// Their records have changed.
     UnitSet dirtyUnits;
     /// Workers with ended runs that are not recorded, and those whose ends are in the batch that is being stored.
-    std::set<Worker *> workersWithUnrecordedEnds;
-    std::set<Worker *> workersWithEndsInBatch;
+    std::set<std::shared_ptr<Worker>> workersWithUnrecordedEnds;
+    std::set<std::shared_ptr<Worker>> workersWithEndsInBatch;
     /// Workers that are not listed or not reachable.
     std::set<WorkerName> unverifiedWorkers;
     std::map<RackName, std::size_t> rackNumbers;
     /// Jobs that may have ended.
     std::set<JobId> changedJobs;
-    std::map<WorkerName, std::unique_ptr<Worker>> workers;
+    std::map<WorkerName, std::shared_ptr<Worker>> workers;
     std::vector<StartCommand> pendingStarts;
     std::vector<StopCommand> orphanStops;
     /// Units whose assignment is in the batch that is being stored, with the run that it assigns.
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -65,7 +65,7 @@
 {
     auto &slot = workers[name];
     if (!slot) {
-        slot = std::make_unique<Worker>();
+        slot = std::make_shared<Worker>();
         slot->info.name = name;
         unverifiedWorkers.insert(name);
     }
@@ -97,7 +97,9 @@
 auto Dispatcher::State::findMember(Unit &unit, const Worker &worker, const TaskId &task) -> Member *
 {
     const std::size_t i = unit.step->gang ? task.index : 0;
-    return i < unit.members.size() && unit.members[i].worker == &worker ? &unit.members[i] : nullptr;
+    // A worker that was removed from the list and is back is another object with the same name.
+    const bool isItsMember = i < unit.members.size() && unit.members[i].worker && unit.members[i].worker->info.name == worker.info.name;
+    return isItsMember ? &unit.members[i] : nullptr;
 }
 
 /// Returns the member that a run belongs to, or null when it is not of the unit's newest run.
@@ -242,7 +244,7 @@
         return;
     }
     worker.seenEnds = end.number;
-    workersWithUnrecordedEnds.insert(&worker);
+    workersWithUnrecordedEnds.insert(worker.shared_from_this());
     auto *unit = findUnit(end.task);
     if (unit == nullptr) {
         return;
@@ -318,7 +320,7 @@
             auto &member = unit->members[i];
             const bool sent =
                 member.phase != MemberPhase::Planned && member.phase != MemberPhase::Ended && member.phase != MemberPhase::Starting;
-            if (member.worker != &worker || !sent) {
+            if (member.worker.get() != &worker || !sent) {
                 continue;
             }
             const auto task = unit->task(i);
@@ -410,13 +412,17 @@
 
 auto Dispatcher::State::recordRunTimeRatio(const Unit &unit, TimePoint now) -> void
 {
-    const auto &zone = unit.members.front().worker->info.zone;
-    const bool oneZone =
-        std::all_of(unit.members.begin(), unit.members.end(), [&](const Member &m) { return m.worker->info.zone == zone; });
     // The time of a run that started from a checkpoint, or was taken over from an earlier holder, is not that of the whole work.
     const bool completeRun = unit.stage == UnitStage::Active && unit.record.checkpoint.empty() && unit.runStartedAt > latestPreviousGrant;
-    if (oneZone && completeRun && unit.step->estimate > Duration::zero()) {
-        auto &ratio = zoneRunTimeRatios[zone];
+    if (!completeRun || unit.step->estimate <= Duration::zero()) {
+        return;
+    }
+    // A record may name fewer workers than the gang has tasks.
+    const auto &first = unit.members.front().worker;
+    const bool oneZone = std::all_of(unit.members.begin(), unit.members.end(),
+                                     [&](const Member &m) { return m.worker && m.worker->info.zone == first->info.zone; });
+    if (oneZone) {
+        auto &ratio = zoneRunTimeRatios[first->info.zone];
         ratio.sum += std::chrono::duration<double>(now - unit.runStartedAt) / std::chrono::duration<double>(unit.step->estimate);
         ++ratio.runs;
     }
@@ -447,7 +453,7 @@
     for (const auto *unit : worker.units) {
         for (const auto &it : unit->members) {
             const bool startUnanswered = it.phase == MemberPhase::Starting || it.phase == MemberPhase::Unknown;
-            if (startUnanswered && it.worker == &worker) {
+            if (startUnanswered && it.worker.get() == &worker) {
                 lastGrant = std::max(lastGrant, it.startedAt + settings.maxCommandDelay);
             }
         }
@@ -465,7 +471,7 @@
         for (auto &member : unit->members) {
             const bool startUnanswered = member.phase == MemberPhase::Starting || member.phase == MemberPhase::Unknown;
             const bool spared = member.phase == MemberPhase::Planned || (keepUnansweredStarts && startUnanswered);
-            if (member.worker == &worker && !spared) {
+            if (member.worker.get() == &worker && !spared) {
                 releaseMember(*unit, member);
             }
         }
@@ -496,8 +502,8 @@
             !w.listed && w.units.empty() && !w.pollOutstanding && !w.renewalOutstanding && w.reservedCapacity == Demand{};
         const bool verified = w.listed && !w.unreachableSince;
         if (removable) {
-            workersWithUnrecordedEnds.erase(&w);
-            workersWithEndsInBatch.erase(&w);
+            workersWithUnrecordedEnds.erase(it->second);
+            workersWithEndsInBatch.erase(it->second);
             workers.erase(it);
         }
         name = removable || verified ? unverifiedWorkers.erase(name) : std::next(name);
@@ -530,7 +536,7 @@
                 // Time without a report does not count as time without progress.
                 const bool stalled = it.phase == MemberPhase::Running && !finished && it.lastReport >= it.lastProgress + limit
                     && !it.worker->unreachableSince;
-                if (it.worker == worker.get() && stalled) {
+                if (it.worker == worker && stalled) {
                     const auto sinceProgress = toMilliseconds(now - it.lastProgress);
                     emitEvent("run-stalled", unit->id.job,
                               workerDetail(*worker) + " run=" + std::to_string(unit->record.run) + " percent=" + std::to_string(it.percent)
@@ -624,7 +630,7 @@
         const auto units = worker->units;
         for (auto *unit : units) {
             for (const auto &it : unit->members) {
-                const bool affected = it.worker == worker.get() && it.phase == MemberPhase::Running && !unit->ending;
+                const bool affected = it.worker == worker && it.phase == MemberPhase::Running && !unit->ending;
                 if (affected && now + remainingTime(*unit, it, now) + drainMargin > worker->drainEnds) {
                     stopUnit(*unit, "worker-draining");
                 }
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -241,6 +241,57 @@
     BOOST_TEST(fleet.violations.empty());
 }
 
+struct RemovedWorkerCase
+{
+    const char *name;
+    /// Whether the worker that leaves is listed again before the others report.
+    bool isListedAgain;
+    bool takeOver;
+};
+
+auto operator<<(std::ostream &out, const RemovedWorkerCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<RemovedWorkerCase> removedWorkerCases{
+    {"the worker does not come back", false, false},
+    {"the worker is listed again", true, false},
+    {"a new holder", false, true},
+};
+
+// Guards against a member that refers to a worker which was removed, when another member of its gang reports its end late. The access shows
+// with AddressSanitizer.
+BOOST_DATA_TEST_CASE(aMemberOutlivesTheEntryOfItsWorker, data::make(removedWorkerCases), c)
+{
+    FakeFleet fleet(1, 3, workerCapacity);
+    addQueue(*fleet.configuration, "normal", 1);
+    fleet.duration = [](const TaskId &) { return Duration(2s); };
+    fleet.submit(simpleJob("j1", "normal", gangStep(3, 8)));
+    fleet.run(1s);
+    BOOST_REQUIRE(fleet.starts.size() == 3U);
+    if (c.takeOver) {
+        fleet.takeOver();
+        fleet.run(100ms);
+    }
+    fleet.announceShutdown("w0-0", 2500ms);
+    fleet.disconnect("w0-1");
+    fleet.disconnect("w0-2");
+    fleet.run(1200ms);
+    fleet.shutDown("w0-0");
+    fleet.run(1s);
+    if (c.isListedAgain) {
+        fleet.announceShutdown("w0-0", 1s);
+    }
+    fleet.reconnect("w0-1");
+    fleet.reconnect("w0-2");
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 10s));
+    fleet.run(5s);
+    BOOST_TEST((fleet.outcome("j1") == JobPhase::Completed));
+    BOOST_TEST(fleet.starts.size() == 3U);
+    BOOST_TEST(fleet.violations.empty());
+}
+
 struct UnansweredStartCase
 {
     const char *name;
