Start a gang on several racks when no rack is large enough for it, whatever its priority

Cause: tryPlace() spreads a gang over racks only after 2.5 s and never for priority 0; tryPreempt() only for a job under its organisation's guarantee. updateUsage() counted each waiting unit of priority 0, even one without room in an idle fleet, and reserveForPriorities() kept workers free for it. Ruled out: avoided or reserved workers, the fleet was idle and nothing had failed.

Change: idleFit() says whether a unit fits in one rack, on several, or nowhere if nothing else ran. A gang that only fits on several is placed, preempts and reserves there at once; the platform only makes it slower. One that fits in a rack waits for it, and is spread after 2.5 s in a fleet that is mostly idle, now with priority 0 too. What fits nowhere is reserved for no more. fitsWithoutOthers() looked at accelerators by rack and at the largest worker; labels, memory and cores of a whole gang count now.

Related paths, "what else is reserved for work that cannot be placed": - reserveForGang(): a gang that fits on several racks only got no workers reserved; it asks for the same request now. - mayFit(): bounded a spread gang by one rack; it takes the request now. - Reserved units: end by reservationTimeout.

--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -43,9 +43,6 @@
     return lost;
 }
 
-/// What a request asks for. When one could not be placed, an equal one is not tried again in the same round.
-using Shape = std::tuple<std::uint32_t, std::int64_t, std::int64_t, std::int64_t, bool, std::string, RackName, std::uint32_t>;
-
 auto shapeOf(const Unit &unit) -> Shape
 {
     const auto demand = unit.demand();
@@ -92,9 +89,9 @@
         }
     }
 
-    /// Returns false when no worker has capacity for a task of \a unit, or no rack for all of them. This bounds the cost of a backlog in
-    /// which hardly any unit can be placed. Relies on capacity only shrinking during a round.
-    [[nodiscard]] auto mayFit(const Unit &unit) const -> bool
+    /// Returns false when no worker has capacity for a task of \a unit, or no rack for all of a request \a inOneRack. This bounds the cost
+    /// of a backlog in which hardly any unit can be placed. Relies on capacity only shrinking during a round.
+    [[nodiscard]] auto mayFit(const Unit &unit, bool inOneRack) const -> bool
     {
         const auto found = m_capacityBounds.find(unit.job->policy.service);
         if (found == m_capacityBounds.end() || !found->second.maxFree.covers(unit.demand())) {
@@ -102,7 +99,7 @@
         }
         const auto needed = unit.demand().accelerators * unit.taskCount();
         const auto &racks = found->second.freeAcceleratorsByRack;
-        return !unit.step->sameRack || std::any_of(racks.begin(), racks.end(), [&](const auto &it) { return it.second >= needed; });
+        return !inOneRack || std::any_of(racks.begin(), racks.end(), [&](const auto &it) { return it.second >= needed; });
     }
 
     /// Returns the workers as candidates for \a unit. Valid until the next call, or the next reservation.
@@ -200,7 +197,7 @@
         for (std::size_t i = 0; i < pool.size(); ++i) {
             capacities.push_back(pool[i].free == noCapacity ? noCapacity : m_workers[i]->info.capacity);
         }
-        const auto assignment = chooseReservedWorkers(pool, capacities, unit.request());
+        const auto assignment = chooseReservedWorkers(pool, capacities, m_state.requestFor(unit));
         if (!assignment) {
             return false;
         }
@@ -397,17 +394,41 @@
 
 } // namespace
 
-/// Returns whether a unit could be placed if nothing else ran; a job that never can must not keep workers free.
-auto Dispatcher::State::fitsWithoutOthers(const Unit &unit) const -> bool
+/// Returns where a unit could be placed if nothing else ran. A worker that is listed and does not answer counts: it may be back soon.
+auto Dispatcher::State::idleFit(const Unit &unit) -> IdleFit
+{
+    const auto [it, isNew] = idleFits.try_emplace({unit.job->policy.service, shapeOf(unit)}, IdleFit::Nowhere);
+    if (isNew) {
+        it->second = computeIdleFit(unit);
+    }
+    return it->second;
+}
+
+auto Dispatcher::State::computeIdleFit(const Unit &unit) const -> IdleFit
+{
+    std::vector<Candidate> candidates;
+    for (const auto &[name, worker] : workers) {
+        const auto &info = worker->info;
+        const auto &label = unit.step->requiredLabel;
+        const bool labelled = label.empty() || std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
+        if (worker->listed && !info.draining && info.service == unit.job->policy.service && labelled) {
+            candidates.push_back({worker->rack, info.capacity});
+        }
+    }
+    auto request = unit.request();
+    if (place(candidates, request)) {
+        return IdleFit::AsAsked;
+    }
+    const bool needsOneRack = std::exchange(request.sameRack, false);
+    return needsOneRack && place(candidates, request) ? IdleFit::SeveralRacks : IdleFit::Nowhere;
+}
+
+/// Returns the request for a unit. A gang that no rack is large enough for is not kept waiting for one: it runs on several, if more slowly.
+auto Dispatcher::State::requestFor(const Unit &unit) -> PlacementRequest
 {
-    const auto found = serviceCapacities.find(unit.job->policy.service);
-    if (found == serviceCapacities.end()) {
-        return false;
-    }
-    const auto &capacity = found->second;
-    const auto needed = unit.demand().accelerators * unit.taskCount();
-    return capacity.largestWorker.covers(unit.demand())
-        && needed <= (unit.step->sameRack ? capacity.largestRackAccelerators : capacity.accelerators);
+    auto request = unit.request();
+    request.sameRack = request.sameRack && idleFit(unit) != IdleFit::SeveralRacks;
+    return request;
 }
 
 auto Dispatcher::State::updateUsage(TimePoint now) -> void
@@ -415,22 +436,6 @@
     if (now < usageUpdatedAt + settings.usageInterval) {
         return;
     }
-    serviceCapacities.clear();
-    std::map<std::pair<ServiceName, std::size_t>, std::int64_t> rackAccelerators;
-    for (const auto &[name, worker] : workers) {
-        if (!worker->schedulable()) {
-            continue;
-        }
-        const auto &has = worker->info.capacity;
-        auto &capacity = serviceCapacities[worker->info.service];
-        capacity.largestWorker.milliCores = std::max(capacity.largestWorker.milliCores, has.milliCores);
-        capacity.largestWorker.memoryMiB = std::max(capacity.largestWorker.memoryMiB, has.memoryMiB);
-        capacity.largestWorker.accelerators = std::max(capacity.largestWorker.accelerators, has.accelerators);
-        capacity.accelerators += has.accelerators;
-        auto &rack = rackAccelerators[{worker->info.service, worker->rack}];
-        rack += has.accelerators;
-        capacity.largestRackAccelerators = std::max(capacity.largestRackAccelerators, rack);
-    }
     std::map<ServiceName, std::uint32_t> leastUrgent;
     for (const auto &[id, job] : jobs) {
         auto &priority = leastUrgent[job->policy.service];
@@ -448,8 +453,9 @@
         auto &group = usage[{job->policy.service, priority}];
         for (const auto &[key, unit] : job->units) {
             const auto accelerators = static_cast<double>(unit->step->taskDemand.accelerators);
-            const bool waits = unit->stage == UnitStage::Waiting
-                && (priority == 0 || (!job->cancelled && !job->failed && !cannotFinishInTime(*unit, now) && fitsWithoutOthers(*unit)));
+            // Work that can never be placed must not keep workers free.
+            const bool waits = unit->stage == UnitStage::Waiting && !job->cancelled && !job->failed
+                && (priority == 0 || !cannotFinishInTime(*unit, now)) && idleFit(*unit) != IdleFit::Nowhere;
             if (waits || unit->stage == UnitStage::Reserved) {
                 group.present += accelerators * unit->taskCount();
             }
@@ -592,19 +598,21 @@
 
 auto Dispatcher::State::tryPlace(PlacementRound &round, Unit &unit, TimePoint now) -> bool
 {
-    auto request = unit.request();
+    auto request = requestFor(unit);
+    const bool hasWaitedLong = now >= unit.waitingSince + settings.useAvoidedAfter;
     // A worker on which runs just failed or made no progress would otherwise get the same unit repeatedly, as its capacity is the first to
     // become free.
-    request.useAvoided = unit.job->policy.priority != 0 && now >= unit.waitingSince + settings.useAvoidedAfter;
+    request.useAvoided = unit.job->policy.priority != 0 && hasWaitedLong;
     std::optional<Assignment> assignment;
-    if (round.mayFit(unit)) {
+    if (round.mayFit(unit, request.sameRack)) {
         assignment = place(round.candidates(unit), request);
     }
-    if (!assignment && request.useAvoided && request.sameRack && round.isMostlyIdle(unit.job->policy.service)) {
+    if (!assignment && hasWaitedLong && request.sameRack && round.isMostlyIdle(unit.job->policy.service)) {
         // A gang that is spread over racks takes longer, but otherwise it may wait forever for a rack with enough capacity while workers
         // are idle.
         auto anywhere = request;
         anywhere.sameRack = false;
+        anywhere.useAvoided = true;
         assignment = place(round.candidates(unit), anywhere);
     }
     if (assignment) {
@@ -616,7 +624,7 @@
 
 auto Dispatcher::State::tryPreempt(PlacementRound &round, Unit &unit, bool guaranteed, TimePoint now) -> void
 {
-    auto request = unit.request();
+    auto request = requestFor(unit);
     const auto &pool = round.candidates(unit);
     std::vector<Unit *> victimUnits;
     const auto victims = round.victims(unit, guaranteed, victimUnits);
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -208,12 +208,16 @@
     }
 };
 
-/// The largest amounts that a service's workers have, whether or not they are in use.
-struct ServiceCapacity
-{
-    Demand largestWorker;
-    std::int64_t accelerators = 0;
-    std::int64_t largestRackAccelerators = 0;
+/// What a unit asks for. When one could not be placed, an equal one is not tried again in the same round.
+using Shape = std::tuple<std::uint32_t, std::int64_t, std::int64_t, std::int64_t, bool, std::string, RackName, std::uint32_t>;
+
+/// Where a unit could be placed if nothing else ran.
+enum class IdleFit : std::uint8_t {
+    Nowhere,
+    /// Only on workers of several racks.
+    SeveralRacks,
+    /// As its step asks for: in one rack, if it is a gang that prefers that.
+    AsAsked,
 };
 
 /// Accelerators that the units of a service and a priority use or wait for.
@@ -260,7 +264,9 @@
     auto recordRunTimeRatio(const Unit &unit, TimePoint now) -> void;
     auto slowZones() const -> std::set<ZoneName>;
     auto updateUsage(TimePoint now) -> void;
-    auto fitsWithoutOthers(const Unit &unit) const -> bool;
+    auto idleFit(const Unit &unit) -> IdleFit;
+    auto computeIdleFit(const Unit &unit) const -> IdleFit;
+    auto requestFor(const Unit &unit) -> PlacementRequest;
     auto findUnit(const TaskId &task) -> Unit *;
     auto setStage(Unit &unit, UnitStage stage) -> void;
     auto requestStop(Unit &unit, Member &member) -> void;
@@ -343,8 +349,8 @@
     std::uint64_t placementRounds = 0;
     /// What is left of DecisionScope::startBytes in this round.
     std::int64_t placementBudget = 0;
-    /// Of the workers that can be used, by service; determined with the usage.
-    std::map<ServiceName, ServiceCapacity> serviceCapacities;
+    /// Of units with these services and shapes; valid until a worker is added, removed, changed or announces its shutdown.
+    std::map<std::pair<ServiceName, Shape>, IdleFit> idleFits;
     std::map<JobId, EndCounts> gatheredEnds;
     TimePoint nextEndsLog;
     /// By job, occurrence and step.
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -36,6 +36,11 @@
     return "worker=" + worker.info.name.str();
 }
 
+auto isEqualForPlacement(const WorkerInfo &a, const WorkerInfo &b) -> bool
+{
+    return a.service == b.service && a.rack == b.rack && a.labels == b.labels && a.capacity == b.capacity && a.draining == b.draining;
+}
+
 } // namespace
 
 auto endKindName(EndKind kind) noexcept -> const char *
@@ -120,6 +125,9 @@
     if (!worker.listed) {
         worker.nextPoll = now;
     }
+    if (!worker.listed || !isEqualForPlacement(worker.info, info)) {
+        m_state->idleFits.clear();
+    }
     worker.info = info;
     worker.rack = m_state->rackNumbers.emplace(info.rack, m_state->rackNumbers.size()).first->second;
     worker.listed = true;
@@ -134,6 +142,7 @@
     const auto it = m_state->workers.find(name);
     if (it != m_state->workers.end()) {
         it->second->listed = false;
+        m_state->idleFits.clear();
         m_state->unverifiedWorkers.insert(name);
         m_state->emitEvent("worker-unlisted", {}, workerDetail(*it->second));
     }
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace Acaciarail::Workflow::Tests {
 
@@ -673,6 +674,133 @@
     BOOST_TEST(runsOf(fleet, "gang", 0).empty() == !c.spreads);
 }
 
+struct NoRackCase
+{
+    const char *name;
+    const char *queue;
+    std::int64_t guaranteed;
+    /// Workers that background tasks fill for a long time before the gang is submitted.
+    std::uint32_t busyWorkers;
+    /// The workers that are missing leave, or are cut off for a while.
+    bool missingWorkersReturn;
+    /// Latest time from the submission of the gang to the start of all its tasks.
+    Duration atMost;
+    bool startsInOneRack;
+};
+
+auto operator<<(std::ostream &out, const NoRackCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<NoRackCase> noRackCases{
+    {"an urgent gang", "urgent", 0, 0, false, 500ms, false},
+    {"a guaranteed urgent gang", "urgent", 100, 0, false, 500ms, false},
+    {"a normal gang", "normal", 0, 0, false, 500ms, false},
+    {"a background gang", "background", 0, 0, false, 500ms, false},
+    {"an urgent gang in a fleet full of background tasks", "urgent", 0, 4, false, 500ms, false},
+    {"an urgent gang, while workers are cut off", "urgent", 0, 0, true, 3s, true},
+    {"a normal gang, while workers are cut off", "normal", 0, 0, true, 3s, true},
+};
+
+// Guards against a gang that prefers one rack and waits forever, or keeps workers free, since no rack is large enough for it.
+BOOST_DATA_TEST_CASE(aGangThatNoRackIsLargeEnoughForStartsOnSeveral, data::make(noRackCases), c)
+{
+    FakeFleet fleet(2, 3, workerCapacity);
+    addQueue(*fleet.configuration, "urgent", 0);
+    addQueue(*fleet.configuration, "normal", 1);
+    addQueue(*fleet.configuration, "background", 2);
+    fleet.configuration->organisations.push_back({OrganisationName("org"), c.guaranteed});
+    fleet.duration = [](const TaskId &t) { return t.job.str().starts_with("gang") ? Duration(2s) : Duration(60s); };
+    fleet.run(1s);
+    for (const auto *worker : {"w0-0", "w1-0"}) {
+        if (c.missingWorkersReturn) {
+            fleet.disconnect(worker);
+        } else {
+            fleet.shutDown(worker);
+        }
+    }
+    fleet.run(1s);
+    if (c.busyWorkers > 0) {
+        auto step = gangStep(c.busyWorkers, 8);
+        step.gang = false;
+        step.estimate = 60s;
+        fleet.submit(simpleJob("full", "background", step));
+        fleet.run(200ms);
+    }
+    auto step = gangStep(3, 8);
+    step.sameRack = true;
+    // Long enough for the loss of a preemption.
+    step.estimate = 20s;
+    fleet.submit(simpleJob("gang", c.queue, step));
+    const auto submitted = fleet.now();
+    fleet.run(1500ms);
+    if (c.missingWorkersReturn) {
+        fleet.reconnect("w0-0");
+        fleet.reconnect("w1-0");
+    }
+    const auto startsOfGang = [&] {
+        return std::count_if(fleet.starts.begin(), fleet.starts.end(), [](const auto &s) { return s.task.job == JobId("gang"); });
+    };
+    BOOST_REQUIRE(fleet.runUntil([&] { return startsOfGang() >= 3; }, 20s));
+    std::set<RackName> racks;
+    TimePoint startedAt;
+    for (const auto &[name, worker] : fleet.workers) {
+        for (const auto &run : worker.runs) {
+            if (run.command.task.job == JobId("gang")) {
+                racks.insert(worker.info.rack);
+                startedAt = std::max(startedAt, run.startedAt);
+            }
+        }
+    }
+    BOOST_TEST((startedAt - submitted <= c.atMost));
+    BOOST_TEST((racks.size() == 1) == c.startsInOneRack);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("gang").has_value(); }, 20s));
+    BOOST_TEST(fleet.violations.empty());
+}
+
+struct ImpossibleCase
+{
+    const char *name;
+    StepSpec step;
+};
+
+auto operator<<(std::ostream &out, const ImpossibleCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+/// Returns a step that requires a label.
+auto labelledStep(StepSpec step, const char *label) -> StepSpec
+{
+    step.requiredLabel = label;
+    return step;
+}
+
+const std::vector<ImpossibleCase> impossibleCases{
+    {"a task that is larger than any worker", largeStep(1, {1000, 1000, 9}, false)},
+    {"a gang that is larger than the fleet", largeStep(5, {1000, 1000, 8}, true)},
+    {"a gang with more memory than any worker has", largeStep(2, {1000, 70'000, 8}, true)},
+    {"a gang with a label that too few workers have", labelledStep(largeStep(3, {1000, 1000, 8}, false), "rack0")},
+};
+
+// Guards against less urgent work that starves while workers are kept free for urgent work that can never be placed.
+BOOST_DATA_TEST_CASE(urgentWorkThatCanNeverBePlacedKeepsNoWorkersFree, data::make(impossibleCases), c)
+{
+    auto fleet = makeFleet();
+    for (int i = 0; i < 8; ++i) {
+        fleet.submit(simpleJob("impossible" + std::to_string(i), "urgent", c.step));
+    }
+    fleet.run(5s);
+    auto step = gangStep(4, 8);
+    step.gang = false;
+    fleet.submit(simpleJob("background", "background", step));
+    fleet.submit(simpleJob("normal", "normal", gangStep(2, 8)));
+    // Two rounds of the run time, as all together need one and a half times the fleet.
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("background") && fleet.outcome("normal"); }, 5s));
+    BOOST_TEST(fleet.violations.empty());
+}
+
 // Guards against a new holder that restarts a unit whose failure is already final.
 BOOST_AUTO_TEST_CASE(aSuccessorDoesNotRunAFailedUnitAgain)
 {
