End the reservation for urgent work when a unit has waited in a fleet that is mostly idle

Cause: workers are reserved for 1.25 times the average usage of urgent work, over 4 s, and nothing less urgent starts there. After a burst that filled the fleet, the average stays above what is in use for seconds, and the fleet is kept free. Ruled out: units that fit nowhere (not counted any more), units that cannot end in time (they only come last).

Change: a unit that has waited for 2.5 s takes no notice of workers that are kept for more urgent work while less than half of the service's capacity is in use. The load of a service is kept for the round, so isMostlyIdle() does not iterate over the workers.

Related paths: reserveForGang() blocks workers by the same flag and is covered; `reservedCapacity` of a preemption ends after 1.2 s; the non-exclusive reservations only order the workers.

Test: dispatcher/workThatHasWaitedStartsOnceABurstOfUrgentWorkHasEnded, 3 of 3 rows failed before.

--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -86,6 +86,9 @@
             bounds.maxFree.memoryMiB = std::max(bounds.maxFree.memoryMiB, free.memoryMiB);
             bounds.maxFree.accelerators = std::max(bounds.maxFree.accelerators, free.accelerators);
             bounds.freeAcceleratorsByRack[it->rack] += std::max<std::int64_t>(free.accelerators, 0);
+            auto &load = m_loads[it->info.service];
+            load.used += it->used;
+            load.capacity += it->info.capacity;
         }
     }
 
@@ -106,8 +109,9 @@
     auto candidates(const Unit &unit) -> const std::vector<Candidate> &
     {
         // The tasks of a step have the same key and are next to each other in the queue, so the candidates are seldom rebuilt.
-        const CandidatesKey key{shapeOf(unit), unit.job->policy.priority, unit.job->policy.service,
-                                m_now < unit.readySince + unit.step->estimate, unit.step->estimate};
+        const CandidatesKey key{
+            shapeOf(unit),       unit.job->policy.priority, unit.job->policy.service, m_now < unit.readySince + unit.step->estimate,
+            unit.step->estimate, ignoresReservations(unit)};
         if (unit.step->maxPerWorker > 0 || m_candidatesKey != key) {
             m_candidates = makeCandidates(unit);
             m_candidatesKey = key;
@@ -120,6 +124,7 @@
     {
         for (const auto it : assignment) {
             m_candidates[it].free -= demand;
+            m_loads[m_workers[it]->info.service].used += demand;
         }
     }
 
@@ -156,17 +161,21 @@
     /// Returns whether less than half of a service's capacity is in use.
     [[nodiscard]] auto isMostlyIdle(const ServiceName &service) const -> bool
     {
-        Demand used;
-        Demand capacity;
-        for (const auto *w : m_workers) {
-            if (w->info.service == service) {
-                used += w->used;
-                capacity += w->info.capacity;
-            }
+        const auto found = m_loads.find(service);
+        if (found == m_loads.end()) {
+            return true;
         }
+        const auto &[used, capacity] = found->second;
         return capacity.covers({2 * used.milliCores, 2 * used.memoryMiB, 2 * used.accelerators});
     }
 
+    /// Returns whether a unit has waited for so long that it may use avoided workers and, in a fleet that is mostly idle, several racks and
+    /// workers that are kept for more urgent work.
+    [[nodiscard]] auto hasWaitedLong(const Unit &unit) const -> bool
+    {
+        return m_now >= unit.waitingSince + m_state.settings.useAvoidedAfter;
+    }
+
     /// Reserves workers for the usage of each priority, rack by rack and always the same ones as far as possible. Urgent units get the fast
     /// zones and the others the opposite end, so that neither moves when the usage of the other changes, and the single tasks of the least
     /// urgent work do not stand on every rack. Work of a priority that does not wait may be displaced by less urgent work.
@@ -236,7 +245,13 @@
     }
 
     /// Units with an equal key have the same candidates.
-    using CandidatesKey = std::tuple<Shape, std::uint32_t, ServiceName, bool, Duration>;
+    using CandidatesKey = std::tuple<Shape, std::uint32_t, ServiceName, bool, Duration, bool>;
+
+    /// The reservations follow the usage of late, which may be far above the present one.
+    [[nodiscard]] auto ignoresReservations(const Unit &unit) const -> bool
+    {
+        return hasWaitedLong(unit) && isMostlyIdle(unit.job->policy.service);
+    }
 
     auto makeCandidates(const Unit &unit) const -> std::vector<Candidate>
     {
@@ -247,6 +262,7 @@
         const auto priority = unit.job->policy.priority;
         const bool urgent = priority == 0;
         const bool hasReservation = m_state.usage.contains({unit.job->policy.service, priority});
+        const bool mayBeBlocked = !ignoresReservations(unit);
         for (std::size_t i = 0; i < out.size(); ++i) {
             const auto &w = *m_workers[i];
             const auto &step = *unit.step;
@@ -256,7 +272,7 @@
             const auto count = stepTasks.find(&w);
             const bool crowded = step.maxPerWorker > 0 && count != stepTasks.end() && count->second >= step.maxPerWorker;
             const bool forMoreUrgent = m_reservedFor[i] < priority;
-            const bool blocked = forMoreUrgent && m_exclusive[i] && (m_reservedFor[i] == 0 || !endsBeforeDrained(unit, w));
+            const bool blocked = mayBeBlocked && forMoreUrgent && m_exclusive[i] && (m_reservedFor[i] == 0 || !endsBeforeDrained(unit, w));
             const bool allowed = w.info.service == unit.job->policy.service && labelled && nearData && !crowded && !blocked;
             const bool elsewhere = forMoreUrgent || (hasReservation && m_reservedFor[i] != priority);
             out[i] = {w.rack, allowed ? w.free() - w.reservedCapacity : noCapacity, m_now < w.avoidUntil,
@@ -338,8 +354,16 @@
         std::map<std::size_t, std::int64_t> freeAcceleratorsByRack;
     };
 
+    /// What the runs on the workers of a service use; includes what this round has placed.
+    struct Load
+    {
+        Demand used;
+        Demand capacity;
+    };
+
     Dispatcher::State &m_state;
     std::map<ServiceName, CapacityBounds> m_capacityBounds;
+    std::map<ServiceName, Load> m_loads;
     std::vector<Candidate> m_candidates;
     std::optional<CandidatesKey> m_candidatesKey;
     std::set<const Job *> m_guaranteed;
@@ -599,7 +623,7 @@
 auto Dispatcher::State::tryPlace(PlacementRound &round, Unit &unit, TimePoint now) -> bool
 {
     auto request = requestFor(unit);
-    const bool hasWaitedLong = now >= unit.waitingSince + settings.useAvoidedAfter;
+    const bool hasWaitedLong = round.hasWaitedLong(unit);
     // A worker on which runs just failed or made no progress would otherwise get the same unit repeatedly, as its capacity is the first to
     // become free.
     request.useAvoided = unit.job->policy.priority != 0 && hasWaitedLong;
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -801,6 +801,52 @@
     BOOST_TEST(fleet.violations.empty());
 }
 
+struct AfterBurstCase
+{
+    const char *name;
+    const char *queue;
+    bool gang;
+};
+
+auto operator<<(std::ostream &out, const AfterBurstCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<AfterBurstCase> afterBurstCases{
+    {"background tasks", "background", false},
+    {"a background gang", "background", true},
+    {"a normal gang", "normal", true},
+};
+
+// Guards against workers that are kept free after a burst of urgent work has ended, while other work has been waiting for seconds.
+BOOST_DATA_TEST_CASE(workThatHasWaitedStartsOnceABurstOfUrgentWorkHasEnded, data::make(afterBurstCases), c)
+{
+    auto fleet = makeFleet();
+    fleet.duration = [](const TaskId &t) { return t.job.str().starts_with("urgent") ? Duration(4s) : Duration(2s); };
+    for (int i = 0; i < 16; ++i) {
+        auto step = gangStep(1, 8);
+        step.estimate = 4s;
+        fleet.submit(simpleJob("urgent" + std::to_string(i), "urgent", step));
+    }
+    fleet.run(1s);
+    auto step = gangStep(2, 8);
+    step.gang = c.gang;
+    fleet.submit(simpleJob("waiting", c.queue, step));
+    const auto urgentWorkHasEnded = [&] {
+        for (int i = 0; i < 16; ++i) {
+            if (!fleet.outcome("urgent" + std::to_string(i))) {
+                return false;
+            }
+        }
+        return true;
+    };
+    BOOST_REQUIRE(fleet.runUntil(urgentWorkHasEnded, 60s));
+    // Most of the fleet is idle now, and the platform counts a job as lost after 3 s.
+    BOOST_TEST(fleet.runUntil([&] { return runsOf(fleet, "waiting", 0).size() + runsOf(fleet, "waiting", 1).size() >= 2; }, 500ms));
+    BOOST_TEST(fleet.violations.empty());
+}
+
 // Guards against a new holder that restarts a unit whose failure is already final.
 BOOST_AUTO_TEST_CASE(aSuccessorDoesNotRunAFailedUnitAgain)
 {
