Confirm a configuration only when the topic was read to its end

Cause: TopicFollower reported each successful read as "every record appended before it was sent has been read", also when records were left, and also a 410, with which nothing is read. After a cut the reads are small, and the first one brought the oldest of six changes; Engine::configurationConfirmed() then let the instance rely on keys that the sixth takes away. Ruled out: the cut itself (503 after 4.3 s), a configuration that could not be decoded (none is logged).

Change: the confirmed time is optional; only a read that reached the end has one. An empty response confirms the time after its wait only if that time has passed.

Related paths, "what else counts as a confirmation of something not read": - 410 of a read, and the page of the tail at attachment: confirmed everything before; they confirm nothing now. - TopicFollower::refresh(): succeeded after one read, even if records were left; a lookup could answer 410 for a stored job. It reads on now. - An empty response: took the time of its arrival when it came early. It takes the time when it was sent now. - loadAll(): confirms the time of its first page, and later records are read from that end on. Sound. - atEnd() and claims: conditional on the offset that was read. Sound. - A configuration that cannot be decoded is skipped and the one before stays trusted; the platform accepts only valid ones. Left as it is.

--- a/packages/workflow/include/acaciarail/workflow/topic_follower.h
+++ b/packages/workflow/include/acaciarail/workflow/topic_follower.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Acaciarail::Workflow {
@@ -37,9 +38,9 @@
 {
     /// Called with the newest record of a key; an empty value means that the key was removed.
     std::function<void(const KeyedRecord &)> apply;
-    /// Called when a call to the store succeeded or failed. Every record that was appended before \c confirmedAt has been read; valid only
-    /// after a success.
-    std::function<void(bool ok, TimePoint confirmedAt)> contact;
+    /// Called when a call to the store was answered or failed. Every record that was appended before \c confirmedAt has been applied; empty
+    /// when the response does not show such a time, as after one that left records to be read.
+    std::function<void(bool ok, std::optional<TimePoint> confirmedAt)> contact;
     /// Called instead of apply with the records of a background scan, which are not new; apply is called when it is empty.
     std::function<void(const KeyedRecord &)> applyScanned = {};
 };
@@ -64,7 +65,8 @@
     /// Changes how long further reads wait, and the delay between them. \pre none.
     auto setPollInterval(Duration wait, Duration pause) -> void;
 
-    /// Reads up to the present end of the topic and calls \a done with whether that succeeded. \pre started.
+    /// Reads up to the present end of the topic, in as many reads as that takes, and calls \a done with whether all of them succeeded.
+    /// \pre started.
     auto refresh(std::function<void(bool ok)> done) -> void;
 
     /// Reads records as soon as they are appended, for \a wait at most. A call during such a read has no further effect. \pre started.
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -52,7 +52,7 @@
 
     auto start() -> void
     {
-        const auto contact = [this](bool ok, TimePoint) { recordStoreContact(ok); };
+        const auto contact = [this](bool ok, std::optional<TimePoint>) { recordStoreContact(ok); };
         TopicFollowerSettings submissions{.topic = std::string(submissionsTopic), .pause = settings.submissionsPollInterval};
         submissions.tailKey = std::string(beforeAnnouncements);
         submissions.scanDelay = scanDelay();
@@ -65,7 +65,7 @@
         TopicFollowerHooks stateHooks;
         stateHooks.apply = [this](const KeyedRecord &r) { applyStateRecord(r); };
         stateHooks.applyScanned = [this](const KeyedRecord &r) { applyKnownStateRecord(r); };
-        stateHooks.contact = [this](bool ok, TimePoint) {
+        stateHooks.contact = [this](bool ok, std::optional<TimePoint>) {
             lease.recordContact(ok, now());
             recordStoreContact(ok);
         };
--- a/packages/workflow/src/topic_follower.cpp
+++ b/packages/workflow/src/topic_follower.cpp
@@ -74,7 +74,8 @@
                 self->hooks.apply(it);
             }
             self->scheduleScan();
-            self->beginPolling(result.end, sentAt);
+            // The other records are still to be read.
+            self->beginPolling(result.end, std::nullopt);
         });
     }
 
@@ -172,7 +173,7 @@
         beginPolling(loadEnd->first, loadEnd->second);
     }
 
-    auto beginPolling(std::uint64_t end, TimePoint confirmedAt) -> void
+    auto beginPolling(std::uint64_t end, std::optional<TimePoint> confirmedAt) -> void
     {
         nextOffset = end;
         attached = true;
@@ -210,7 +211,7 @@
             if (result.status == ReadStatus::Failed) {
                 readBytes = std::max(readBytes / 2, settings.minReadBytes);
             }
-            hooks.contact(result.status == ReadStatus::NotRetained, sentAt);
+            hooks.contact(result.status == ReadStatus::NotRetained, std::nullopt);
             return;
         }
         for (std::size_t i = 0; i < result.records.size(); ++i) {
@@ -234,9 +235,13 @@
             // The next record is larger than the response may be.
             readBytes = std::min(readBytes * 2, maxRecordBytes);
         }
+        if (!caughtUp || (settings.tailKey && !loaded)) {
+            hooks.contact(true, std::nullopt);
+            return;
+        }
         // A read that waited without result shows that nothing was appended until the wait had ended.
-        const auto confirmed = result.records.empty() ? std::min(sentAt + wait, clock.now()) : sentAt;
-        hooks.contact(true, confirmed);
+        const bool waited = result.records.empty() && clock.now() >= sentAt + wait;
+        hooks.contact(true, waited ? sentAt + wait : sentAt);
     }
 
     auto refresh(std::function<void(bool)> done) -> void
@@ -265,27 +270,43 @@
         });
     }
 
+    using RefreshCallbacks = std::vector<std::function<void(bool)>>;
+
     auto readForRefresh() -> void
     {
         refreshing = true;
+        readUntil(std::nullopt, std::exchange(refreshCallbacks, {}));
+    }
+
+    /// Reads up to \a end, or when it is empty, up to the end of the topic as of the first response.
+    auto readUntil(std::optional<std::uint64_t> end, RefreshCallbacks callbacks) -> void
+    {
         const auto sentAt = clock.now();
         store.read(readRequest(Duration::zero()),
-                   [weak = weak_from_this(), sentAt, callbacks = std::exchange(refreshCallbacks, {})](const ReadResult &result) {
-                       const auto self = weak.lock();
-                       if (!self) {
-                           return;
-                       }
-                       self->refreshing = false;
-                       self->applyRead(result, sentAt, Duration::zero());
-                       for (const auto &it : callbacks) {
-                           it(result.status == ReadStatus::Ok);
-                       }
-                       if (!self->refreshCallbacks.empty() && !self->refreshing) {
-                           self->readForRefresh();
+                   [weak = weak_from_this(), sentAt, end, callbacks = std::move(callbacks)](const ReadResult &result) {
+                       if (const auto self = weak.lock()) {
+                           self->applyRead(result, sentAt, Duration::zero());
+                           self->continueRefresh(result, end.value_or(result.end), callbacks);
                        }
                    });
     }
 
+    auto continueRefresh(const ReadResult &result, std::uint64_t end, const RefreshCallbacks &callbacks) -> void
+    {
+        const bool ok = result.status == ReadStatus::Ok;
+        if (ok && nextOffset < end) {
+            readUntil(end, callbacks);
+            return;
+        }
+        refreshing = false;
+        for (const auto &it : callbacks) {
+            it(ok);
+        }
+        if (!refreshCallbacks.empty() && !refreshing) {
+            readForRefresh();
+        }
+    }
+
     [[nodiscard]] auto readRequest(Duration wait) const -> ReadRequest
     {
         return {settings.topic, nextOffset, wait, readBytes};
@@ -310,7 +331,7 @@
     bool awaitingRecords = false;
     std::set<std::string> keys;
     std::set<std::string> loadedKeys;
-    std::vector<std::function<void(bool)>> refreshCallbacks;
+    RefreshCallbacks refreshCallbacks;
 };
 
 TopicFollower::TopicFollower(TopicFollowerSettings settings, const StoreHooks &store, const ClockHooks &clock, TopicFollowerHooks hooks)
--- a/tests/workflow/topic_follower_test.cpp
+++ b/tests/workflow/topic_follower_test.cpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <vector>
 
 namespace Acaciarail::Workflow::Tests {
 
@@ -31,7 +32,12 @@
                       [this](Duration delay, std::function<void()> task) { clock.schedule(delay, std::move(task)); }};
         TopicFollowerHooks hooks;
         hooks.apply = [this](const KeyedRecord &r) { values[r.key] = r.value; };
-        hooks.contact = [](bool, TimePoint) {};
+        hooks.contact = [this](bool, std::optional<TimePoint> confirmedAt) {
+            if (confirmedAt) {
+                ++confirmations;
+                checkConfirmed(*confirmedAt);
+            }
+        };
         follower = std::make_unique<TopicFollower>(std::move(settings), storeHooks, clockHooks, std::move(hooks));
         follower->start();
     }
@@ -44,6 +50,28 @@
         }
     }
 
+    /// Appends the next version of one key in \a bytes.
+    auto appendVersion(std::size_t bytes) -> void
+    {
+        versions.push_back(clock.now());
+        auto value = std::to_string(versions.size());
+        value.resize(std::max(bytes, value.size()), ' ');
+        store.topics[topicName].records.push_back({"config", std::move(value)});
+    }
+
+    auto appliedVersion() const -> std::size_t
+    {
+        const auto it = values.find("config");
+        return it == values.end() ? 0 : std::stoul(it->second);
+    }
+
+    auto checkConfirmed(TimePoint confirmedAt) -> void
+    {
+        const auto appended = std::count_if(versions.begin(), versions.end(), [&](TimePoint t) { return t < confirmedAt; });
+        const auto missing = appended - static_cast<std::ptrdiff_t>(appliedVersion());
+        mostUnreadConfirmed = std::max(mostUnreadConfirmed, missing);
+    }
+
     auto countWith(char fill) const -> std::size_t
     {
         return static_cast<std::size_t>(
@@ -56,6 +84,11 @@
     StoreHooks storeHooks;
     ClockHooks clockHooks;
     std::map<std::string, std::string> values;
+    /// When each version of the key of appendVersion() was appended.
+    std::vector<TimePoint> versions;
+    std::size_t confirmations = 0;
+    /// Most versions that were appended before a time that was confirmed, and had not been applied.
+    std::ptrdiff_t mostUnreadConfirmed = 0;
     std::unique_ptr<TopicFollower> follower;
 };
 
@@ -149,6 +182,77 @@
     BOOST_TEST(f.countWith('c') == keyCount);
 }
 
+struct ConfirmationCase
+{
+    const char *name;
+    std::size_t recordBytes;
+    Duration appendInterval;
+    /// The store discards what was appended during the cut; the newest record of each key can still be read.
+    bool discardsHistory;
+    std::optional<std::string> tailKey;
+};
+
+auto operator<<(std::ostream &out, const ConfirmationCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<ConfirmationCase> confirmationCases{
+    {"records larger than the smallest read", 74'000, 500ms, false, std::nullopt},
+    {"many small records", 400, 20ms, false, std::nullopt},
+    {"a history that is discarded", 74'000, 500ms, true, std::nullopt},
+    {"a history that is discarded, read from the tail", 400, 20ms, true, "w0~"},
+    {"many small records, read from the tail", 400, 20ms, false, "w0~"},
+};
+
+// Guards against a follower that reports as read what it has yet to read, after a cut or a discarded history; an instance would go on to
+// trust API keys that were taken away.
+BOOST_DATA_TEST_CASE(aConfirmationCoversOnlyWhatWasRead, data::make(confirmationCases), c)
+{
+    FollowerFixture f;
+    f.append(20, 400, 'a');
+    f.appendVersion(c.recordBytes);
+    f.store.latency = 8ms;
+    TopicFollowerSettings settings{.topic = topicName, .readWait = 1s};
+    settings.tailKey = c.tailKey;
+    settings.scanDelay = 100ms;
+    f.follow(std::move(settings));
+    f.clock.run(3s);
+    *f.reachable = false;
+    for (Duration elapsed{}; elapsed < 9s; elapsed += c.appendInterval) {
+        f.clock.run(c.appendInterval);
+        f.appendVersion(c.recordBytes);
+    }
+    if (c.discardsHistory) {
+        f.store.retainedFrom = f.store.topics[topicName].records.size();
+    }
+    const auto before = f.confirmations;
+    *f.reachable = true;
+    f.clock.run(2s);
+    f.appendVersion(c.recordBytes);
+    f.clock.run(2s);
+    BOOST_TEST(f.appliedVersion() == f.versions.size());
+    BOOST_TEST(f.confirmations > before);
+    BOOST_TEST(f.mostUnreadConfirmed == 0);
+}
+
+// Guards against a look-up that takes a job for unknown because only a part of the new records was read.
+BOOST_AUTO_TEST_CASE(aRefreshReadsUpToTheEndOfTheTopic)
+{
+    FollowerFixture f;
+    f.append(1, 400, 'a');
+    TopicFollowerSettings settings{.topic = topicName, .pause = 60s};
+    settings.maxReadBytes = settings.minReadBytes;
+    f.follow(std::move(settings));
+    f.clock.run(1s);
+    f.append(200, 400, 'b');
+    std::optional<std::size_t> known;
+    f.follower->refresh([&](bool ok) { known = ok ? f.countWith('b') : 0; });
+    f.clock.run(2s);
+    BOOST_REQUIRE(known.has_value());
+    BOOST_TEST(*known == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
