Remember a renewal without a response until it can no longer take effect

What could be seen (the users' matter, TWICE): a task runs on two workers at once, or again after an acknowledged `done`.

Cause: a renewal or a start without a response may be carried out up to 12 s later, and its lease may count from then. The dispatcher noted the first such command, and forgot it with the next response of the worker to anything. Cut off after that, the worker kept its runs for longer than the lease that the dispatcher computed from the last answered renewal.

Change: the latest grant without a response is kept and later responses do not clear it. So that this buys safety with no more time than needed, a renewal that was certainly not sent, since the connection was refused, grants nothing.

Related paths: starts without a response (the same field), polls without a lease (grant nothing), a restart of the worker (kept: the next incarnation may get the command). A command of an earlier holder that is carried out late stays to be looked at.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -198,8 +198,10 @@
     /// Reports that a worker is no longer listed; its runs may continue. \pre none.
     auto workerUnlisted(const WorkerName &worker, TimePoint now) -> void;
 
-    /// Reports the response to a poll that was sent at \a sentAt; \a report is empty when there was none. \pre none.
-    auto pollAnswered(const PollCommand &command, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now) -> void;
+    /// Reports the response to a poll that was sent at \a sentAt; \a report is empty when there was none, \a maybeSent false when the poll
+    /// was certainly not sent. \pre none.
+    auto pollAnswered(const PollCommand &command, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now,
+                      bool maybeSent = true) -> void;
     /// Reports that another worker answers at the address of this one, which has ended. \pre none.
     auto workerReplaced(const PollCommand &command, TimePoint now) -> void;
     /// \pre none.
--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -80,6 +80,8 @@
         bool replaced = false;
         /// Empty when there was no usable response.
         std::optional<WorkerReport> report;
+        /// False when the command was certainly not sent, and therefore renews nothing.
+        bool maybeSent = true;
     };
     struct StopResponse
     {
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -174,7 +174,8 @@
     std::uint32_t unansweredPolls = 0;
     std::optional<TimePoint> unreachableSince;
     Duration pollRetryDelay{};
-    /// Time of the first of the consecutive commands that may have granted or renewed a task lease and were not answered.
+    /// When the latest command that was not answered was sent, or failed, and may grant or renew a task lease later. A response to another
+    /// command does not show what became of it.
     std::optional<TimePoint> unansweredGrant;
     /// Number of the newest end of a run: reported by the worker, contained in the batch that is being stored, and stored.
     std::uint64_t seenEnds = 0;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -157,16 +157,16 @@
     markWorkerLost(worker, "worker-reborn", now, true);
 }
 
-auto Dispatcher::pollAnswered(const PollCommand &command, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now)
-    -> void
+auto Dispatcher::pollAnswered(const PollCommand &command, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now,
+                              bool maybeSent) -> void
 {
     auto &s = *m_state;
     auto &worker = s.findOrCreateWorker(command.worker);
     const bool renews = command.lease > Duration::zero();
     (renews ? worker.renewalOutstanding : worker.pollOutstanding) = false;
     if (!report) {
-        if (renews) {
-            worker.unansweredGrant = worker.unansweredGrant.value_or(sentAt);
+        if (renews && maybeSent) {
+            worker.unansweredGrant = std::max(sentAt, worker.unansweredGrant.value_or(sentAt));
         }
         ++worker.unansweredPolls;
         if (worker.unansweredPolls >= s.settings.unansweredPollLimit && !worker.unreachableSince) {
@@ -192,7 +192,6 @@
         s.capacityChanged = true;
         worker.unreachableSince.reset();
     }
-    worker.unansweredGrant.reset();
     s.capacityChanged = s.capacityChanged || !worker.lastAnsweredPoll;
     worker.lastAnsweredPoll = std::max(sentAt, worker.lastAnsweredPoll.value_or(sentAt));
     if (worker.incarnation == 0) {
@@ -363,7 +362,7 @@
                         + " run=" + std::to_string(command.run) + " outcome=" + startOutcomeName(outcome));
     }
     if (outcome == StartOutcome::Unknown) {
-        worker.unansweredGrant = worker.unansweredGrant.value_or(now);
+        worker.unansweredGrant = now;
     }
     if (outcome == StartOutcome::Started) {
         worker.renewedAt = now;
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -429,7 +429,7 @@
                                  if (response.replaced) {
                                      self.m_dispatcher->workerReplaced(it, self.m_hooks.clock.now());
                                  }
-                                 self.m_dispatcher->pollAnswered(it, sentAt, response.report, self.m_hooks.clock.now());
+                                 self.m_dispatcher->pollAnswered(it, sentAt, response.report, self.m_hooks.clock.now(), response.maybeSent);
                                  self.scheduleStep(self.m_settings.eventBatchDelay);
                              }));
     }
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Acaciarail::Workflow::Tests {
 
@@ -188,6 +189,90 @@
     BOOST_TEST(fleet.violations.empty());
 }
 
+struct LateGrantCase
+{
+    const char *name;
+    /// Time of the command that gets no response and is carried out 5 s later.
+    Duration delayedAt;
+};
+
+auto operator<<(std::ostream &out, const LateGrantCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<LateGrantCase> lateGrantCases{
+    {"the start, which is repeated", 0s},
+    {"a renewal", 2s},
+};
+
+// Guards against a second run while a renewal, which got no response, still extends the first one's lease: responses to later commands do
+// not show what became of it.
+BOOST_DATA_TEST_CASE(aGrantWithoutAResponseCountsUntilItCanNoLongerTakeEffect, data::make(lateGrantCases), c)
+{
+    auto fleet = makeFleet();
+    fleet.duration = [](const TaskId &) { return Duration(60s); };
+    auto step = gangStep(1, 8);
+    step.gang = false;
+    step.estimate = 60s;
+    fleet.run(1s);
+    fleet.submit(simpleJob("j1", "normal", step));
+    if (c.delayedAt > Duration::zero()) {
+        BOOST_REQUIRE(fleet.runUntil([&] { return !fleet.starts.empty(); }, 1s));
+        fleet.run(c.delayedAt);
+    }
+    bool delayed = false;
+    fleet.commandDelay = [&](bool grants) -> std::optional<Duration> {
+        return !grants || std::exchange(delayed, true) ? std::nullopt : std::optional(5s);
+    };
+    BOOST_REQUIRE(fleet.runUntil([&] { return delayed; }, 2s));
+    fleet.run(500ms);
+    fleet.disconnect(fleet.starts[0].worker.str());
+    fleet.run(30s);
+    BOOST_TEST(fleet.violations.empty());
+    // The longest delay, the lease and its clock error.
+    BOOST_TEST(runsOf(fleet, "j1", 0).back() == 2U);
+}
+
+struct CrashCase
+{
+    const char *name;
+    bool refusesConnections;
+    /// Bounds of the time from the crash to the next start.
+    Duration atLeast;
+    Duration atMost;
+};
+
+auto operator<<(std::ostream &out, const CrashCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<CrashCase> crashCases{
+    {"connections are refused", true, 5s, 8s},
+    {"nothing is answered", false, 12s, 20s},
+};
+
+// Guards against work of a crashed worker that waits for renewals which cannot have been sent.
+BOOST_DATA_TEST_CASE(aRenewalThatWasNotSentGrantsNothing, data::make(crashCases), c)
+{
+    auto fleet = makeFleet();
+    fleet.duration = [](const TaskId &) { return Duration(60s); };
+    auto step = gangStep(1, 8);
+    step.gang = false;
+    step.estimate = 60s;
+    fleet.submit(simpleJob("j1", "normal", step));
+    fleet.run(3s);
+    BOOST_REQUIRE(fleet.starts.size() == 1U);
+    auto &worker = fleet.workers.at(fleet.starts[0].worker);
+    fleet.crash(worker.info.name.str());
+    worker.refusesConnections = c.refusesConnections;
+    const auto crashedAt = fleet.now();
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.starts.size() > 1; }, 60s));
+    BOOST_TEST((fleet.now() - crashedAt >= c.atLeast));
+    BOOST_TEST((fleet.now() - crashedAt <= c.atMost));
+}
+
 struct DepartureCase
 {
     const char *name;
--- /dev/null
+++ b/tests/workflow/exclusive_run_test.cpp
@@ -0,0 +1,239 @@
+#include "fake_fleet.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Acaciarail::Workflow::Tests {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+constexpr Demand workerCapacity{32'000, 65'536, 8};
+/// The platform removes an entry after three check-in intervals of silence.
+constexpr Duration entryExpiry = 4500ms;
+/// Bounds of the delay of a command without a response; stated by the platform.
+constexpr std::int64_t minCommandDelayMs = 2000;
+constexpr std::int64_t maxCommandDelayMs = 12'000;
+
+struct DisruptionMix
+{
+    const char *name;
+    Duration taskLease;
+    std::int64_t longestCutMs;
+    bool commandsAreDelayed;
+    bool holdersChange;
+};
+
+auto operator<<(std::ostream &out, const DisruptionMix &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<DisruptionMix> disruptionMixes{
+    {"cuts, departures and restarts, leases of 10 s", 10s, 6000, false, false},
+    {"cuts, departures and restarts, leases of 6 s", 6s, 14'000, false, false},
+    {"the same with delayed commands", 6s, 14'000, true, false},
+    {"the same with new holders", 6s, 14'000, false, true},
+};
+
+/// Submits jobs to a fleet whose workers are disrupted at random.
+class DisruptedFleet
+{
+public:
+    DisruptedFleet(const DisruptionMix &mix, std::uint64_t seed)
+        : m_mix(mix)
+        , m_random(seed)
+        , m_fleet(2, 4, workerCapacity)
+    {
+        addQueue(*m_fleet.configuration, "urgent", 0, maxAttempts);
+        addQueue(*m_fleet.configuration, "normal", 1, maxAttempts);
+        m_fleet.settings.taskLease = mix.taskLease;
+        m_fleet.allowsRunsAfterLapse = true;
+        m_fleet.duration = [](const TaskId &t) { return 1500ms + t.index % 8 * Duration(700ms); };
+        m_fleet.commandDelay = [this](bool) -> std::optional<Duration> {
+            const bool delays = m_fleet.now() < m_delaysUntil && chance(0.3);
+            return delays ? std::optional(randomDuration(minCommandDelayMs, maxCommandDelayMs)) : std::nullopt;
+        };
+        m_fleet.takeOver();
+        for (const auto &[name, worker] : m_fleet.workers) {
+            m_states[name.str()] = {};
+        }
+    }
+
+    /// Disrupts the workers for \a length, and then lets the jobs end.
+    auto play(Duration length) -> void
+    {
+        const auto end = m_fleet.now() + length;
+        while (m_fleet.now() < end) {
+            submitAndDisrupt();
+            m_fleet.run(100ms);
+        }
+        const auto limit = m_fleet.now() + 120s;
+        while (m_fleet.now() < limit && !allJobsEnded()) {
+            updateWorkers();
+            m_fleet.run(100ms);
+        }
+    }
+
+    [[nodiscard]] auto allJobsEnded() const -> bool
+    {
+        return std::all_of(m_jobs.begin(), m_jobs.end(), [this](const auto &id) { return m_fleet.outcome(id).has_value(); });
+    }
+
+    [[nodiscard]] auto violations() const -> const std::vector<std::string> &
+    {
+        return m_fleet.violations;
+    }
+
+private:
+    static constexpr std::uint32_t maxAttempts = 50;
+
+    struct WorkerState
+    {
+        std::optional<TimePoint> cutSince;
+        TimePoint cutUntil;
+        std::optional<TimePoint> leavesAt;
+        std::optional<TimePoint> returnsAt;
+        bool isListed = true;
+    };
+
+    auto chance(double probability) -> bool
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
+    }
+
+    auto randomDuration(std::int64_t lowMs, std::int64_t highMs) -> Duration
+    {
+        return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(lowMs, highMs)(m_random));
+    }
+
+    auto submitAndDisrupt() -> void
+    {
+        if (chance(0.15)) {
+            submitJob();
+        }
+        if (chance(0.12)) {
+            auto it = m_states.begin();
+            std::advance(it, std::uniform_int_distribution<std::size_t>(0, m_states.size() - 1)(m_random));
+            disrupt(it->first, it->second);
+        }
+        if (m_mix.commandsAreDelayed && chance(0.02)) {
+            m_delaysUntil = m_fleet.now() + randomDuration(500, 4000);
+        }
+        if (m_mix.holdersChange && chance(0.01)) {
+            m_fleet.takeOver();
+            // A new holder reads the list, which lacks the workers whose entries were removed.
+            for (const auto &[name, state] : m_states) {
+                if (!state.isListed) {
+                    m_fleet.unlist(name);
+                }
+            }
+        }
+        updateWorkers();
+    }
+
+    auto submitJob() -> void
+    {
+        StepSpec step;
+        step.count = std::uniform_int_distribution<std::uint32_t>(1, 4)(m_random);
+        step.gang = chance(0.5);
+        step.taskDemand = {4000, 4000, std::uniform_int_distribution<std::int64_t>(1, 8)(m_random)};
+        step.estimate = 2s;
+        m_jobs.push_back("j" + std::to_string(m_jobs.size()));
+        m_fleet.submit(simpleJob(m_jobs.back(), chance(0.3) ? "urgent" : "normal", step));
+        if (chance(0.05)) {
+            m_fleet.cancel(m_jobs.back());
+        }
+    }
+
+    auto disrupt(const std::string &name, WorkerState &state) -> void
+    {
+        if (state.returnsAt) {
+            return;
+        }
+        const auto kind = std::uniform_int_distribution<int>(0, 3)(m_random);
+        const bool departs = kind <= 1;
+        const bool isCutOff = kind >= 1 && kind <= 2;
+        if (departs && !state.leavesAt && !state.cutSince) {
+            const auto remaining = randomDuration(1000, 3000);
+            m_fleet.announceShutdown(name, remaining);
+            // Workers stay longer than they announce.
+            state.leavesAt = m_fleet.now() + remaining + randomDuration(0, 9000);
+        }
+        if (isCutOff && !state.cutSince) {
+            m_fleet.disconnect(name);
+            state.cutSince = m_fleet.now();
+            state.cutUntil = m_fleet.now() + randomDuration(300, m_mix.longestCutMs);
+        }
+        if (kind == 3) {
+            m_fleet.restart(name);
+            state.leavesAt.reset();
+            if (!state.cutSince) {
+                m_fleet.list(name);
+            }
+        }
+    }
+
+    auto updateWorkers() -> void
+    {
+        for (auto &[name, state] : m_states) {
+            const auto now = m_fleet.now();
+            if (state.cutSince && state.isListed && now >= *state.cutSince + entryExpiry) {
+                m_fleet.unlist(name);
+                state.isListed = false;
+            }
+            if (state.leavesAt && now >= *state.leavesAt) {
+                m_fleet.shutDown(name);
+                state = {std::nullopt, {}, std::nullopt, now + randomDuration(500, 4000), false};
+            }
+            const bool isBack = (state.cutSince && now >= state.cutUntil) || (state.returnsAt && now >= *state.returnsAt);
+            if (!isBack) {
+                continue;
+            }
+            if (state.returnsAt) {
+                m_fleet.restart(name);
+            }
+            state.cutSince.reset();
+            state.returnsAt.reset();
+            state.isListed = true;
+            m_fleet.reconnect(name);
+            m_fleet.list(name);
+        }
+    }
+
+    DisruptionMix m_mix;
+    std::mt19937_64 m_random;
+    FakeFleet m_fleet;
+    std::map<std::string, WorkerState> m_states;
+    std::vector<std::string> m_jobs;
+    TimePoint m_delaysUntil;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(exclusiveRun)
+
+// Guards against a task that runs twice at once, or again after an end as done that was acknowledged, and against one that is never started
+// again, whatever happens to its workers.
+BOOST_DATA_TEST_CASE(noTaskRunsTwiceWhileItsWorkersAreDisrupted, data::xrange(1, 21) * data::make(disruptionMixes), seed, mix)
+{
+    DisruptedFleet fleet(mix, static_cast<std::uint64_t>(seed));
+    fleet.play(40s);
+    for (const auto &it : fleet.violations()) {
+        BOOST_TEST_ERROR(it);
+    }
+    BOOST_TEST(fleet.allJobsEnded());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -11,7 +11,8 @@
 
 namespace Acaciarail::Workflow::Tests {
 
-/// Workers, a store and one holder in simulated time. Commands take effect at once; a poll that waits is answered when a run ends.
+/// Workers, a store and one holder in simulated time. Commands take effect at once unless commandDelay says otherwise; a poll that waits is
+/// answered when a run ends.
 class FakeFleet
 {
 public:
@@ -28,12 +29,18 @@
     auto takeOver() -> void;
     /// Disconnects a worker. Its runs continue until their leases expire by the worker's clock, which is 2% slow.
     auto disconnect(const std::string &worker) -> void;
+    /// Crashes a worker whose machine refuses further connections; a poll that waits gets no response.
+    auto crash(const std::string &worker) -> void;
     /// Connects a disconnected worker again.
     auto reconnect(const std::string &worker) -> void;
     /// A worker reports that it is going to shut down, in \a remaining at the earliest.
     auto announceShutdown(const std::string &worker, Duration remaining) -> void;
+    /// Adds a worker's entry to the list again.
+    auto list(const std::string &worker) -> void;
     /// Removes a worker's entry from the list.
     auto unlist(const std::string &worker) -> void;
+    /// Restarts a worker: its runs end without a report, and it knows nothing of before. Its entry is as it was until list() is called.
+    auto restart(const std::string &worker) -> void;
     /// Shuts a worker down: its runs end without a report, and its entry is removed.
     auto shutDown(const std::string &worker) -> void;
 
@@ -47,14 +54,22 @@
     {
         StartCommand command;
         TimePoint startedAt;
-        TimePoint leaseEnds;
         std::optional<EndKind> end;
         TimePoint endedAt;
+        /// The worker restarted or shut down, and will not report the end.
+        bool isForgotten = false;
+        /// Number of the end, and whether the holder has acknowledged it.
+        std::uint64_t endNumber = 0;
+        bool acknowledged = false;
+        /// The worker's lease expired between the end and its acknowledgement, so the end need not be heeded.
+        bool lapsedBeforeAcknowledgement = false;
     };
     struct FakeWorker
     {
         WorkerInfo info;
         bool reachable = true;
+        /// While it is not reachable, commands are known not to have been sent.
+        bool refusesConnections = false;
         /// Responses to the next start commands, whether or not they match what the worker did; the first command is carried out. Further
         /// commands are answered correctly.
         std::vector<StartOutcome> scriptedResponses;
@@ -64,6 +79,12 @@
         double slowdown = 1.0;
         bool failsAllRuns = false;
         std::vector<Run> runs;
+        /// Of everything that runs on the worker.
+        TimePoint leaseEnds;
+        /// The newest term of a command.
+        std::uint64_t term = 0;
+        /// Highest run of each task that was stopped or has ended; starts of these and of earlier runs are refused.
+        std::map<TaskId, std::uint32_t> refusedRuns;
         std::vector<EndedTask> ends;
         std::uint64_t endCount = 0;
         std::optional<std::pair<PollCommand, TimePoint>> pendingPoll;
@@ -80,6 +101,12 @@
     std::map<WorkerName, FakeWorker> workers;
     std::map<std::string, std::string> stored;
     std::shared_ptr<Configuration> configuration = std::make_shared<Configuration>();
+    /// Returns by how much a command is delayed that grants or renews a task lease, or one that does not. A delayed command gets no
+    /// response, and is carried out also by a worker that is disconnected; its lease counts from then on. Commands take effect at once when
+    /// this is empty or returns nothing.
+    std::function<std::optional<Duration>(bool grants)> commandDelay;
+    /// Whether a run may start although another has ended as done, while the end is not acknowledged or no longer counts.
+    bool allowsRunsAfterLapse = false;
     std::vector<StartCommand> starts;
     std::vector<std::string> events;
     bool storeUp = true;
@@ -87,7 +114,26 @@
     std::vector<std::string> violations;
 
 private:
+    struct DelayedCommand
+    {
+        TimePoint at;
+        WorkerName worker;
+        std::int64_t incarnation = 0;
+        std::uint64_t term = 0;
+        std::function<void(FakeWorker &)> execute;
+    };
+
     auto step() -> void;
+    auto executeDelayed() -> void;
+    /// Returns whether a command is delayed, and if so, schedules it.
+    auto isDelayed(const FakeWorker &worker, bool grants, std::function<void(FakeWorker &)> execute) -> bool;
+    auto sendPoll(const PollCommand &command) -> void;
+    auto sendStop(const StopCommand &command) -> void;
+    auto extendLease(FakeWorker &worker, Duration lease) -> void;
+    auto stopRun(FakeWorker &worker, const StopCommand &command) -> void;
+    auto startRun(FakeWorker &worker, const StartCommand &command) -> StartOutcome;
+    auto forgetRuns(FakeWorker &worker) -> void;
+    auto acknowledgeEnds(FakeWorker &worker, std::uint64_t number) -> void;
     auto finishRuns(FakeWorker &worker) -> void;
     auto answerPoll(FakeWorker &worker) -> void;
     auto answer(FakeWorker &worker, const PollCommand &command, TimePoint sentAt) -> void;
@@ -98,6 +144,8 @@
     auto makeReport(const FakeWorker &worker) const -> WorkerReport;
 
     TimePoint m_now{1h};
+    std::uint64_t m_term = 0;
+    std::vector<DelayedCommand> m_delayed;
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::map<std::string, JobSpec> m_jobs;
     std::vector<std::string> m_cancelled;
