Heed the done of a run that was given up while its unit waits

Cause: processEnd() ignored an end of the newest run when that run had been given up and the unit waits, as its members are gone, and acknowledged it. Only a `done` of an earlier run was heeded, by processEarlierEnd(). Ruled out: an end that was lost; its number was acknowledged with the next poll.

Change: the unit is done, as with the end of an earlier run.

Test: dispatcher/aDoneOfARunThatWasGivenUpCounts; its two rows in which the unit waits failed before, with a second run.

--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -263,6 +263,8 @@
     }
     auto *member = findMember(*unit, worker, end.task);
     if (member == nullptr) {
+        // The run was given up, and none has been assigned since.
+        processEarlierEnd(*unit, end, now);
         return;
     }
     switch (auto &gathered = gatheredEnds[end.task.job]; end.kind) {
@@ -308,7 +310,7 @@
 
 auto Dispatcher::State::processEarlierEnd(Unit &unit, const EndedTask &end, TimePoint now) -> void
 {
-    // A run that was treated as lost has done the work anyway; nothing may start after its end is acknowledged.
+    // A run that was given up has done the work anyway; nothing may start after its end is acknowledged.
     if (end.kind != EndKind::Done || unit.stage == UnitStage::Done || unit.step->longRunning) {
         return;
     }
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -234,6 +234,55 @@
     BOOST_TEST(runsOf(fleet, "j1", 0).back() == 2U);
 }
 
+struct GivenUpCase
+{
+    const char *name;
+    std::uint32_t tasks;
+    /// Whether there is room to start the unit again before the end is reported.
+    bool startsAgain;
+};
+
+auto operator<<(std::ostream &out, const GivenUpCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<GivenUpCase> givenUpCases{
+    {"a task that waits", 1, false},
+    {"a gang that waits", 2, false},
+    {"a task that was started again", 1, true},
+    {"a gang that was started again", 2, true},
+};
+
+// Guards against work that is done again although its `done` was reported and acknowledged, after its run was given up.
+BOOST_DATA_TEST_CASE(aDoneOfARunThatWasGivenUpCounts, data::make(givenUpCases), c)
+{
+    auto fleet = makeFleet();
+    fleet.allowsRunsAfterLapse = true;
+    fleet.duration = [](const TaskId &t) { return t.job.str() == "j1" ? Duration(3s) : Duration(60s); };
+    auto step = gangStep(c.tasks, 8);
+    step.gang = c.tasks > 1;
+    step.sameRack = true;
+    auto job = simpleJob("j1", "normal", step);
+    job.steps[0].requiredLabel = c.startsAgain ? "a" : "rack0";
+    fleet.submit(job);
+    fleet.run(1s);
+    BOOST_REQUIRE(fleet.starts.size() == c.tasks);
+    fleet.disconnect("w0-0");
+    fleet.disconnect("w0-1");
+    // Until the lease has expired.
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.stats().waitingUnits > 0 || fleet.starts.size() > c.tasks; }, 30s));
+    fleet.run(500ms);
+    const auto startsBefore = fleet.starts.size();
+    BOOST_TEST((startsBefore > c.tasks) == c.startsAgain);
+    fleet.reconnect("w0-0");
+    fleet.reconnect("w0-1");
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 3s));
+    BOOST_TEST((fleet.outcome("j1") == JobPhase::Completed));
+    BOOST_TEST(fleet.starts.size() == startsBefore);
+    BOOST_TEST(fleet.violations.empty());
+}
+
 struct CrashCase
 {
     const char *name;
