--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -18,6 +18,8 @@
 /// The loss of work of priority 1 is weighted more than that of background work.
 constexpr double normalLossFactor = 1.5;
 
+/// Bounds the memory for the shapes of jobs that have ended.
+constexpr std::size_t maxIdleFits = 1000;
 constexpr Demand noCapacity{-1, -1, -1};
 /// Candidate index of a worker that takes no part in a round.
 constexpr auto invalidIndex = std::numeric_limits<std::size_t>::max();
@@ -51,6 +53,12 @@
             step.sameRack,    step.requiredLabel, step.dataRack,    step.maxPerWorker};
 }
 
+auto hasRequiredLabel(const WorkerInfo &worker, const StepSpec &step) -> bool
+{
+    const auto &label = step.requiredLabel;
+    return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
 auto withoutAvoided(std::vector<Candidate> candidates) -> std::vector<Candidate>
 {
     for (auto &it : candidates) {
@@ -266,14 +274,13 @@
         for (std::size_t i = 0; i < out.size(); ++i) {
             const auto &w = *m_workers[i];
             const auto &step = *unit.step;
-            const auto &labels = w.info.labels;
-            const bool labelled = step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
             const bool nearData = !dataRackOnly || step.dataRack.empty() || w.info.rack == step.dataRack;
             const auto count = stepTasks.find(&w);
             const bool crowded = step.maxPerWorker > 0 && count != stepTasks.end() && count->second >= step.maxPerWorker;
             const bool forMoreUrgent = m_reservedFor[i] < priority;
             const bool blocked = mayBeBlocked && forMoreUrgent && m_exclusive[i] && (m_reservedFor[i] == 0 || !endsBeforeDrained(unit, w));
-            const bool allowed = w.info.service == unit.job->policy.service && labelled && nearData && !crowded && !blocked;
+            const bool allowed =
+                w.info.service == unit.job->policy.service && hasRequiredLabel(w.info, step) && nearData && !crowded && !blocked;
             const bool elsewhere = forMoreUrgent || (hasReservation && m_reservedFor[i] != priority);
             out[i] = {w.rack, allowed ? w.free() - w.reservedCapacity : noCapacity, m_now < w.avoidUntil,
                       urgent && m_slowZones.contains(w.info.zone), elsewhere};
@@ -421,6 +428,9 @@
 /// Returns where a unit could be placed if nothing else ran. A worker that is listed and does not answer counts: it may be back soon.
 auto Dispatcher::State::idleFit(const Unit &unit) -> IdleFit
 {
+    if (idleFits.size() >= maxIdleFits) {
+        idleFits.clear();
+    }
     const auto [it, isNew] = idleFits.try_emplace({unit.job->policy.service, shapeOf(unit)}, IdleFit::Nowhere);
     if (isNew) {
         it->second = computeIdleFit(unit);
@@ -433,9 +443,7 @@
     std::vector<Candidate> candidates;
     for (const auto &[name, worker] : workers) {
         const auto &info = worker->info;
-        const auto &label = unit.step->requiredLabel;
-        const bool labelled = label.empty() || std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
-        if (worker->listed && !info.draining && info.service == unit.job->policy.service && labelled) {
+        if (worker->listed && !info.draining && info.service == unit.job->policy.service && hasRequiredLabel(info, *unit.step)) {
             candidates.push_back({worker->rack, info.capacity});
         }
     }
