--- a/packages/workflow/src/topic_follower.cpp
+++ b/packages/workflow/src/topic_follower.cpp
@@ -57,8 +57,7 @@
 
     auto attachAtTail() -> void
     {
-        const auto sentAt = clock.now();
-        store.readNewest({settings.topic, *settings.tailKey, tailTimeout}, [weak = weak_from_this(), sentAt](const NewestResult &result) {
+        store.readNewest({settings.topic, *settings.tailKey, tailTimeout}, [weak = weak_from_this()](const NewestResult &result) {
             const auto self = weak.lock();
             if (!self) {
                 return;
