Place urgent work on fast workers by speeds that are learned from progress

Cause: a gang is as slow as its slowest member, and a quarter of the workers of one deployment works 2.2 times as fast as the others. Ruled out: waiting for capacity, as the waits show.

Change: WorkerSpeeds compares the progress of tasks of a step with each other, never with estimates. Units with little time beside their run time get fast workers, the others slow ones.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -85,6 +85,8 @@
     std::uint32_t maxSlowGangRestarts = 3;
     /// Fraction of the gang's median rate of progress below which a worker counts as slow.
     double slowRatio = 0.5;
+    /// Interval at which the speeds of workers are determined.
+    Duration speedUpdateInterval = 500ms;
     /// Cost of stopping a run beside the lost work, as time of its cores: the stop, the wait and the next start.
     Duration preemptionCost = 500ms;
     /// Most waiting gangs that have workers reserved, on which no less urgent work starts.
--- a/packages/workflow/include/acaciarail/workflow/placement.h
+++ b/packages/workflow/include/acaciarail/workflow/placement.h
@@ -18,12 +18,20 @@
     Demand free;
     /// Used only when no other worker has capacity.
     bool avoided = false;
-    /// Used only when no worker that is not slow, and otherwise equal, has capacity.
-    bool slow = false;
+    /// 0 for the fastest workers, more for slower ones.
+    std::uint32_t slowness = 0;
     /// Not reserved for work of this kind; used only when no reserved worker that is otherwise equal has capacity.
     bool unreserved = false;
 };
 
+/// Which workers are preferred by their speed.
+enum class SpeedPreference : std::uint8_t {
+    /// Fast ones, before any reservation.
+    Fast,
+    /// Slow ones among those that are otherwise equal, so that the fast ones stay free for work with little time.
+    Slow,
+};
+
 /// Tasks to be placed together.
 struct PlacementRequest
 {
@@ -35,6 +43,7 @@
     std::uint32_t maxPerWorker = 0;
     /// Workers that are avoided may be used too.
     bool useAvoided = true;
+    SpeedPreference speed = SpeedPreference::Fast;
 };
 
 /// The index of the candidate of each task; for a reservation, the indices of the reserved candidates.
@@ -43,7 +52,9 @@
 /// Places all tasks on free capacity, or none.
 ///
 /// Best fit: tasks go where the least capacity is left over, so that whole workers and racks stay free. Prevents single tasks from
-/// occupying a part of every worker while gangs wait for whole ones. \pre none. Thread-safe.
+/// occupying a part of every worker while gangs wait for whole ones. Tasks that are placed together end together or are as late as the
+/// slowest, so with SpeedPreference::Fast they get workers that are as fast as possible, but no faster than the slowest among them.
+/// \pre none. Thread-safe.
 [[nodiscard]] auto place(std::span<const Candidate> candidates, const PlacementRequest &request) -> std::optional<Assignment>;
 
 /// Chooses the workers to reserve for a gang that cannot be placed: those of one rack, or of the whole pool, on which most of its tasks
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -443,6 +443,7 @@
         if (now >= s.nextProgressCheck) {
             s.nextProgressCheck = now + s.settings.progressCheckInterval;
             s.checkProgress(now);
+            s.learnSpeeds(now);
             s.restartSlowRuns(now);
             s.evacuate(now);
         }
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -18,6 +18,9 @@
 /// The loss of work of priority 1 is weighted more than that of background work.
 constexpr double normalLossFactor = 1.5;
 
+/// A unit may run on slow workers while it has this many times its estimated run time left; workers differ by a factor of up to two.
+constexpr int minSpareFactor = 2;
+
 /// Bounds the memory for the shapes of jobs that have ended.
 constexpr std::size_t maxIdleFits = 1000;
 constexpr Demand noCapacity{-1, -1, -1};
@@ -185,13 +188,16 @@
     }
 
     /// Reserves workers for the usage of each priority, rack by rack and always the same ones as far as possible. Urgent units get the fast
-    /// zones and the others the opposite end, so that neither moves when the usage of the other changes, and the single tasks of the least
-    /// urgent work do not stand on every rack. Work of a priority that does not wait may be displaced by less urgent work.
+    /// workers and zones, and the others the opposite end, so that neither moves when the usage of the other changes, and the single tasks
+    /// of the least urgent work do not stand on every rack. Work of a priority that does not wait may be displaced by less urgent work.
     auto reserveForPriorities() -> void
     {
         std::vector<std::size_t> order(m_workers.size());
         std::iota(order.begin(), order.end(), 0);
-        const auto key = [&](std::size_t i) { return std::pair(m_slowZones.contains(m_workers[i]->info.zone), m_workers[i]->rack); };
+        const auto key = [&](std::size_t i) {
+            const auto &worker = *m_workers[i];
+            return std::tuple(worker.slowness, m_slowZones.contains(worker.info.zone), worker.rack);
+        };
         std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return key(a) < key(b); });
         for (const auto &[group, usage] : m_state.usage) {
             const auto &[service, priority] = group;
@@ -283,7 +289,7 @@
                 w.info.service == unit.job->policy.service && hasRequiredLabel(w.info, step) && nearData && !crowded && !blocked;
             const bool elsewhere = forMoreUrgent || (hasReservation && m_reservedFor[i] != priority);
             out[i] = {w.rack, allowed ? w.free() - w.reservedCapacity : noCapacity, m_now < w.avoidUntil,
-                      urgent && m_slowZones.contains(w.info.zone), elsewhere};
+                      w.slowness + (urgent && m_slowZones.contains(w.info.zone) ? 1U : 0U), elsewhere};
         }
         return out;
     }
@@ -411,14 +417,27 @@
     return out;
 }
 
-auto cannotFinishInTime(const Unit &unit, TimePoint now) -> bool
+/// Returns the time from its acceptance within which a job is in time, by the estimates of its steps.
+auto objectiveOf(const Job &job) -> Duration
 {
-    const auto &policy = unit.job->policy;
     Duration chain{};
-    for (const auto &it : unit.job->spec.steps) {
+    for (const auto &it : job.spec.steps) {
         chain += it.estimate;
     }
-    const auto objective = std::chrono::duration_cast<Duration>(chain * policy.stretch) + policy.targetLatency;
+    return std::chrono::duration_cast<Duration>(chain * job.policy.stretch) + job.policy.targetLatency;
+}
+
+/// Returns whether a unit has little time left beside its run time, so that it would be late on a slow worker. Both are derived from the
+/// same estimate, so an error of the estimate changes their ratio little.
+auto isShortOfTime(const Unit &unit, TimePoint now) -> bool
+{
+    const auto left = unit.job->acceptedAt + objectiveOf(*unit.job) - now;
+    return unit.job->policy.priority == 0 || left < unit.step->estimate * minSpareFactor;
+}
+
+auto cannotFinishInTime(const Unit &unit, TimePoint now) -> bool
+{
+    const auto objective = objectiveOf(*unit.job);
     const auto finish = now + unit.step->estimate;
     return unit.job->spec.occurrences == 0 && finish > unit.job->acceptedAt + maxLatenessFactor * objective;
 }
@@ -635,6 +654,7 @@
     // A worker on which runs just failed or made no progress would otherwise get the same unit repeatedly, as its capacity is the first to
     // become free.
     request.useAvoided = unit.job->policy.priority != 0 && hasWaitedLong;
+    request.speed = isShortOfTime(unit, now) ? SpeedPreference::Fast : SpeedPreference::Slow;
     std::optional<Assignment> assignment;
     if (round.mayFit(unit, request.sameRack)) {
         assignment = place(round.candidates(unit), request);
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -2,6 +2,7 @@
 
 #include <acaciarail/workflow/dispatcher.h>
 #include <acaciarail/workflow/placement.h>
+#include <acaciarail/workflow/worker_speeds.h>
 
 #include <cstdint>
 #include <map>
@@ -182,6 +183,8 @@
     std::uint64_t batchEnds = 0;
     std::uint64_t recordedEnds = 0;
     TimePoint avoidUntil;
+    /// 0 for the fastest workers of its service, more for slower ones; see slownessOf().
+    std::uint32_t slowness = 0;
     /// Number of its rack; see Candidate::rack.
     std::size_t rack = 0;
     /// Its index among the candidates of the current placement round.
@@ -265,6 +268,8 @@
     auto recordRunTimeRatio(const Unit &unit, TimePoint now) -> void;
     auto slowZones() const -> std::set<ZoneName>;
     auto updateUsage(TimePoint now) -> void;
+    auto learnSpeeds(TimePoint now) -> void;
+    auto updateSlowness() -> void;
     auto idleFit(const Unit &unit) -> IdleFit;
     auto computeIdleFit(const Unit &unit) const -> IdleFit;
     auto requestFor(const Unit &unit) -> PlacementRequest;
@@ -347,6 +352,8 @@
     /// By service and priority, but without the least urgent priority of each service.
     std::map<std::pair<ServiceName, std::uint32_t>, PriorityUsage> usage;
     TimePoint usageUpdatedAt;
+    WorkerSpeeds speeds;
+    TimePoint nextSpeedUpdate;
     std::uint64_t placementRounds = 0;
     /// What is left of DecisionScope::startBytes in this round.
     std::int64_t placementBudget = 0;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace Acaciarail::Workflow {
 
@@ -19,6 +20,8 @@
 constexpr Duration minRateSpan = 300ms;
 /// The run time of a task outside a gang is projected once its progress has been observed for this long.
 constexpr Duration minSingleSpan = 700ms;
+/// Least progress from which a worker's speed is derived; rounding to whole percents then changes it by a tenth at most.
+constexpr std::uint32_t minSpeedPercent = 10;
 /// Such a task is slow when the projected run time is more than this many times its estimate; estimates are wrong by up to half, and zones
 /// differ by a third.
 constexpr double maxEstimateError = 4.0;
@@ -631,6 +634,68 @@
     }
 }
 
+/// Compares the progress of tasks with equal work, and determines which workers are slow.
+auto Dispatcher::State::learnSpeeds(TimePoint now) -> void
+{
+    if (now < nextSpeedUpdate) {
+        return;
+    }
+    nextSpeedUpdate = now + settings.speedUpdateInterval;
+    std::vector<ProgressSample> siblings;
+    const auto addSample = [&](const Unit &unit, const Member &m) {
+        const auto span = std::chrono::duration<double>(m.lastReport - m.firstSeen);
+        if (m.phase == MemberPhase::Running && m.percent < fullPercent && m.percent >= m.firstPercent + minSpeedPercent
+            && m.lastReport >= m.firstSeen + minRateSpan) {
+            // A run is identified by its place in memory and its number; it is compared only while it exists.
+            const auto id = reinterpret_cast<std::uintptr_t>(&m) + unit.record.run;
+            siblings.push_back({m.worker->info.name, id, (m.percent - m.firstPercent) / span.count()});
+        }
+    };
+    for (const auto &[id, job] : jobs) {
+        std::optional<std::pair<std::uint32_t, std::uint32_t>> step;
+        for (const auto &[key, unit] : job->units) {
+            if (step != std::pair(key.occurrence, key.step)) {
+                speeds.observe(std::exchange(siblings, {}));
+                step.emplace(key.occurrence, key.step);
+            }
+            if (unit->stage == UnitStage::Active && !unit->ending && !unit->step->longRunning) {
+                for (const auto &it : unit->members) {
+                    addSample(*unit, it);
+                }
+            }
+        }
+        speeds.observe(std::exchange(siblings, {}));
+    }
+    updateSlowness();
+}
+
+/// Determines how slow each worker is beside the others of its service. One whose speed is not known is as slow as most.
+auto Dispatcher::State::updateSlowness() -> void
+{
+    std::map<ServiceName, std::vector<double>> speedsByService;
+    for (const auto &[name, worker] : workers) {
+        if (const auto speed = speeds.speed(name)) {
+            speedsByService[worker->info.service].push_back(*speed);
+        }
+    }
+    struct Scale
+    {
+        double fastest = 1.0;
+        double typical = 1.0;
+    };
+    std::map<ServiceName, Scale> scales;
+    for (auto &[service, values] : speedsByService) {
+        const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+        std::nth_element(values.begin(), middle, values.end());
+        scales[service] = {fastestSpeed(values), *middle};
+    }
+    for (auto &[name, worker] : workers) {
+        const auto scale = scales.find(worker->info.service);
+        worker->slowness =
+            scale == scales.end() ? 0 : slownessOf(speeds.speed(name).value_or(scale->second.typical), scale->second.fastest);
+    }
+}
+
 auto Dispatcher::State::evacuate(TimePoint now) -> void
 {
     for (auto &[name, worker] : workers) {
--- a/packages/workflow/src/placement.cpp
+++ b/packages/workflow/src/placement.cpp
@@ -58,9 +58,12 @@
     return request.sameRack ? byRack(candidates) : std::vector<Group>(1, wholePool(candidates));
 }
 
-auto penalty(const Candidate &candidate) -> int
+/// Sort key of a candidate; the smaller one is used first.
+auto preferenceKey(const Candidate &candidate, SpeedPreference speed) -> std::tuple<bool, std::uint32_t, bool, std::int64_t>
 {
-    return (candidate.avoided ? 4 : 0) + (candidate.slow ? 2 : 0) + (candidate.unreserved ? 1 : 0);
+    const bool fast = speed == SpeedPreference::Fast;
+    return {candidate.avoided, fast ? candidate.slowness : 0, candidate.unreserved,
+            fast ? 0 : -static_cast<std::int64_t>(candidate.slowness)};
 }
 
 auto isAllowed(const Candidate &candidate, const PlacementRequest &request) -> bool
@@ -73,7 +76,8 @@
 {
     const auto less = [&](std::size_t a, std::size_t b) {
         const auto key = [&](std::size_t i) {
-            return std::tuple(penalty(candidates[i]), candidates[i].free.accelerators, candidates[i].free.milliCores, i);
+            return std::tuple(preferenceKey(candidates[i], request.speed), candidates[i].free.accelerators, candidates[i].free.milliCores,
+                              i);
         };
         return key(a) < key(b);
     };
@@ -119,9 +123,37 @@
     return std::count_if(assignment.begin(), assignment.end(), [&](std::size_t i) { return candidates[i].unreserved; });
 }
 
-auto countSlow(std::span<const Candidate> candidates, const Assignment &assignment) -> std::ptrdiff_t
+auto greatestSlowness(std::span<const Candidate> candidates, const Assignment &assignment) -> std::uint32_t
 {
-    return std::count_if(assignment.begin(), assignment.end(), [&](std::size_t i) { return candidates[i].slow; });
+    std::uint32_t slowness = 0;
+    for (const auto it : assignment) {
+        slowness = std::max(slowness, candidates[it].slowness);
+    }
+    return slowness;
+}
+
+auto totalSlowness(std::span<const Candidate> candidates, const Assignment &assignment) -> std::int64_t
+{
+    std::int64_t slowness = 0;
+    for (const auto it : assignment) {
+        slowness += candidates[it].slowness;
+    }
+    return slowness;
+}
+
+/// Returns the assignment on workers that are all as slow as the slowest of \a assignment, if there is one, so that the faster ones stay
+/// free.
+auto withoutFasterWorkers(std::span<const Candidate> candidates, const Group &group, const PlacementRequest &request, Assignment assignment)
+    -> Assignment
+{
+    const auto slowness = greatestSlowness(candidates, assignment);
+    const bool mixed = std::any_of(assignment.begin(), assignment.end(), [&](std::size_t i) { return candidates[i].slowness != slowness; });
+    if (!mixed) {
+        return assignment;
+    }
+    auto equals = group;
+    std::erase_if(equals, [&](std::size_t i) { return candidates[i].slowness != slowness; });
+    return fill(candidates, std::move(equals), request).value_or(std::move(assignment));
 }
 
 /// Chooses victims for one request within one group of workers.
@@ -241,21 +273,25 @@
 
 auto place(std::span<const Candidate> candidates, const PlacementRequest &request) -> std::optional<Assignment>
 {
-    std::optional<Assignment> best;
-    auto bestKey = std::tuple(std::numeric_limits<std::ptrdiff_t>::max(), std::ptrdiff_t{0}, std::ptrdiff_t{0}, std::int64_t{0});
+    const bool fast = request.speed == SpeedPreference::Fast;
+    using Key = std::tuple<std::ptrdiff_t, std::uint32_t, std::ptrdiff_t, std::int64_t, std::int64_t>;
+    std::optional<std::pair<Key, Assignment>> best;
     for (const auto &group : groupsFor(candidates, request)) {
         auto assignment = fill(candidates, group, request);
         if (!assignment) {
             continue;
         }
-        const auto key = std::tuple(countAvoided(candidates, *assignment), countSlow(candidates, *assignment),
-                                    countUnreserved(candidates, *assignment), freeAccelerators(candidates, group));
-        if (!best || key < bestKey) {
-            best = std::move(assignment);
-            bestKey = key;
+        if (fast) {
+            assignment = withoutFasterWorkers(candidates, group, request, std::move(*assignment));
+        }
+        const Key key{countAvoided(candidates, *assignment), fast ? greatestSlowness(candidates, *assignment) : 0,
+                      countUnreserved(candidates, *assignment), fast ? 0 : -totalSlowness(candidates, *assignment),
+                      freeAccelerators(candidates, group)};
+        if (!best || key < best->first) {
+            best.emplace(key, std::move(*assignment));
         }
     }
-    return best;
+    return best ? std::optional(std::move(best->second)) : std::nullopt;
 }
 
 auto chooseReservedWorkers(std::span<const Candidate> candidates, std::span<const Demand> capacities, const PlacementRequest &request)
--- a/tests/workflow/placement_test.cpp
+++ b/tests/workflow/placement_test.cpp
@@ -17,7 +17,7 @@
 
 auto withFree(std::size_t rack, std::int64_t accelerators) -> Candidate
 {
-    return {rack, {4000 * accelerators, 8000 * accelerators, accelerators}, false, false, false};
+    return {rack, {4000 * accelerators, 8000 * accelerators, accelerators}, false, 0, false};
 }
 
 auto avoided(Candidate candidate) -> Candidate
@@ -28,10 +28,22 @@
 
 auto slow(Candidate candidate) -> Candidate
 {
-    candidate.slow = true;
+    candidate.slowness = 1;
     return candidate;
 }
 
+auto unreserved(Candidate candidate) -> Candidate
+{
+    candidate.unreserved = true;
+    return candidate;
+}
+
+auto preferringSlow(PlacementRequest request) -> PlacementRequest
+{
+    request.speed = SpeedPreference::Slow;
+    return request;
+}
+
 auto request(std::uint32_t tasks, std::int64_t accelerators, bool sameRack) -> PlacementRequest
 {
     return {tasks, {1000, 1000, accelerators}, sameRack, 0};
@@ -70,14 +82,30 @@
     {"an avoided worker is the last choice", {avoided(withFree(0, 1)), withFree(0, 8)}, request(1, 1, false), {1}},
     {"a slow worker is chosen before an avoided one", {avoided(withFree(0, 1)), slow(withFree(0, 8))}, request(1, 1, false), {1}},
     {"a rack of fast workers is chosen before a fuller slow one", {slow(withFree(0, 2)), withFree(1, 8)}, request(1, 2, true), {1}},
+    {"the fast workers of a rack are used for a gang before the slow ones",
+     {slow(withFree(0, 8)), withFree(0, 8), slow(withFree(0, 8)), withFree(0, 8)},
+     request(2, 8, true),
+     {1, 3}},
+    {"a gang that is slow anyway leaves the fast workers free",
+     {slow(withFree(0, 8)), withFree(0, 8), slow(withFree(0, 8))},
+     request(2, 8, true),
+     {0, 2}},
+    {"work with time to spare leaves the fast workers free",
+     {withFree(0, 8), slow(withFree(0, 8)), withFree(0, 8)},
+     preferringSlow(request(1, 1, false)),
+     {1}},
+    {"work with time to spare prefers its own reservation to slow workers",
+     {withFree(0, 8), unreserved(slow(withFree(0, 8)))},
+     preferringSlow(request(1, 1, false)),
+     {0}},
     {"no more tasks on a worker than the limit", {withFree(0, 8), withFree(0, 8)}, {2, {1000, 1000, 1}, false, 1}, {0, 1}},
     {"cores limit placement where accelerators do not",
-     {{0, {500, 64'000, 8}, false, false, false}, withFree(0, 8)},
+     {{0, {500, 64'000, 8}, false, 0, false}, withFree(0, 8)},
      request(1, 1, false),
      {1}},
 };
 
-// Guards against placements that fragment workers and racks, or that prefer avoided and slow workers.
+// Guards against placements that fragment workers and racks, or that prefer avoided workers, or those of the wrong speed.
 BOOST_DATA_TEST_CASE(tasksArePlacedWhereTheLeastCapacityIsLeftOver, data::make(placeCases), c)
 {
     const auto assignment = place(c.candidates, c.request);
