Reserve more fast workers for urgent work, and restart a gang only once for the same slow member

Gangs with one task of far more work were restarted up to three times in vain. Ruled out by trials: a larger reservation of all workers (factor 2 and 3), fewer restarts, a lower limit on the loss by preemption.

Change: of the workers that are faster than most, twice the usage of urgent work is reserved. A member that lags again on another worker is taken for a task with more work. Rates of progress are compared as on a worker of usual speed.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -93,6 +93,9 @@
     std::size_t maxReservedGangs = 4;
     /// Workers are reserved for urgent work up to this many times its recent usage, so that most of it needs no preemption.
     double urgentReserveFactor = 1.25;
+    /// Of the workers that are faster than most, this many times that usage is reserved; on the others urgent work that has waited for a
+    /// moment is late.
+    double urgentFastReserveFactor = 2.0;
     /// Time constant of the moving average of the usage of each priority; about the length of a burst.
     Duration usageWindow = 4s;
     /// Interval at which that usage is determined.
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -205,6 +205,9 @@
             const auto amount = urgent ? usage.average * m_state.settings.urgentReserveFactor : std::max(usage.average, usage.present);
             if (urgent) {
                 reserve(order.begin(), order.end(), service, priority, true, amount);
+                const auto isFast = [this](std::size_t i) { return m_workers[i]->slowness < m_state.typicalSlowness; };
+                const auto more = usage.average * (m_state.settings.urgentFastReserveFactor - m_state.settings.urgentReserveFactor);
+                reserve(order.begin(), std::find_if_not(order.begin(), order.end(), isFast), service, priority, true, more);
             } else {
                 reserve(order.rbegin(), order.rend(), service, priority, usage.waiting, amount);
             }
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -90,6 +90,8 @@
     TimePoint nextPreemption;
     /// How often it was restarted because a worker was slow.
     std::uint32_t slowRestarts = 0;
+    /// The member that was the slowest at the last such restart.
+    std::optional<std::uint32_t> slowMember;
     std::vector<std::shared_ptr<Worker>> reservedWorkers;
     /// The placement round in which its remaining time was last computed.
     std::uint64_t drainRound = 0;
@@ -353,6 +355,8 @@
     std::map<std::pair<ServiceName, std::uint32_t>, PriorityUsage> usage;
     TimePoint usageUpdatedAt;
     WorkerSpeeds speeds;
+    /// Median of the slowness of all workers.
+    std::uint32_t typicalSlowness = 0;
     TimePoint nextSpeedUpdate;
     std::uint64_t placementRounds = 0;
     /// What is left of DecisionScope::startBytes in this round.
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -587,9 +587,10 @@
 
 auto Dispatcher::State::restartSlowRuns(TimePoint now) -> void
 {
-    const auto rate = [](const Member &m) {
+    // The rate that the member would have on a worker of usual speed.
+    const auto rate = [this](const Member &m) {
         const auto span = std::chrono::duration<double>(m.lastReport - m.firstSeen).count();
-        return span > 0 ? (m.percent - m.firstPercent) / span : 0.0;
+        return span > 0 ? (m.percent - m.firstPercent) / span / speeds.speed(m.worker->info.name).value_or(1.0) : 0.0;
     };
     for (auto &[id, job] : jobs) {
         for (auto &[key, unit] : job->units) {
@@ -614,6 +615,10 @@
             if (medianRate <= 0 || rates[slowest] >= medianRate * settings.slowRatio || unit->members[slowest].percent >= fullPercent) {
                 continue;
             }
+            if (unit->slowMember == slowest) {
+                // It lags on another worker as well, so its task has more work than the others.
+                continue;
+            }
             const auto saved = unit->step->checkpoints ? unit->members[slowest].checkpointPercent : 0U;
             const auto restartTime = (fullPercent - saved) / medianRate + std::chrono::duration<double>(restartCost).count();
             const auto left = (fullPercent - unit->members[slowest].percent) / std::max(rates[slowest], 0.1);
@@ -628,6 +633,7 @@
                               + " percent=" + std::to_string(unit->members[slowest].percent) + " left_s=" + std::to_string(left)
                               + " again_s=" + std::to_string(restartTime));
                 ++unit->slowRestarts;
+                unit->slowMember = static_cast<std::uint32_t>(slowest);
                 stopUnit(*unit, "slow-worker");
             }
         }
@@ -689,10 +695,17 @@
         std::nth_element(values.begin(), middle, values.end());
         scales[service] = {fastestSpeed(values), *middle};
     }
+    std::vector<std::uint32_t> levels;
     for (auto &[name, worker] : workers) {
         const auto scale = scales.find(worker->info.service);
         worker->slowness =
             scale == scales.end() ? 0 : slownessOf(speeds.speed(name).value_or(scale->second.typical), scale->second.fastest);
+        levels.push_back(worker->slowness);
+    }
+    if (!levels.empty()) {
+        const auto middle = levels.begin() + static_cast<std::ptrdiff_t>(levels.size() / 2);
+        std::nth_element(levels.begin(), middle, levels.end());
+        typicalSlowness = *middle;
     }
 }
 
