Do not take an unreadable part of a topic for removed keys

A value of a page that is not base64 was decoded as empty, which means that the key was removed. A page without a usable item ended the scan although more items followed. A 404 for a topic that had been read counted as its end, and confirmed what was known.

While a topic is read in full, its follower reports the offset as of the first page.

--- a/packages/workflow/include/acaciarail/workflow/topic_follower.h
+++ b/packages/workflow/include/acaciarail/workflow/topic_follower.h
@@ -78,7 +78,7 @@
     /// Returns whether all records that were in the topic have been applied. \pre none.
     [[nodiscard]] auto isLoaded() const noexcept -> bool;
 
-    /// Returns the offset from which the next record is read. \pre none.
+    /// Returns the offset from which the next record is read; during apply, all records before it have been read. \pre none.
     [[nodiscard]] auto position() const noexcept -> std::uint64_t;
 
     /// Returns whether the last read reached the end of the topic. \pre none.
--- a/packages/workflow/src/topic_follower.cpp
+++ b/packages/workflow/src/topic_follower.cpp
@@ -159,6 +159,12 @@
 
     auto finishLoading() -> void
     {
+        if (loadEnd->first == 0 && loadedKeys.empty() && !keys.empty()) {
+            // The store does not know the topic at the moment; that does not show that its keys were removed.
+            callLater(settings.retryDelay, [](State &s) { s.loadAll(); });
+            hooks.contact(false, std::nullopt);
+            return;
+        }
         if (settings.reportsRemovals) {
             for (const auto &it : keys) {
                 if (!loadedKeys.contains(it)) {
@@ -382,7 +388,8 @@
 
 auto TopicFollower::position() const noexcept -> std::uint64_t
 {
-    return m_state->nextOffset;
+    const auto &s = *m_state;
+    return s.loadEnd && !s.loaded ? s.loadEnd->first : s.nextOffset;
 }
 
 auto TopicFollower::atEnd() const noexcept -> bool
--- a/tests/adapter/store_client_test.cpp
+++ b/tests/adapter/store_client_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <ostream>
 #include <string>
 
@@ -107,6 +108,37 @@
     BOOST_TEST(!decodeNewest("[]").ok);
 }
 
+struct PageCase
+{
+    const char *name;
+    std::string items;
+    bool hasMore;
+    bool ok;
+    std::size_t keysWithValue;
+};
+
+auto operator<<(std::ostream &out, const PageCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<PageCase> pageCases{
+    {"no items", "", false, true, 0},
+    {"a removed key", R"({"key":"k","value":null})", false, true, 0},
+    {"a value that is not base64", R"({"key":"k","value":"%%%"})", false, true, 1},
+    {"a value of another type", R"({"key":"k","value":7})", false, true, 1},
+    {"more items follow, none can be decoded", R"({"odd":1})", true, false, 0},
+};
+
+// Guards against keys that seem removed because a part of the topic could not be read.
+BOOST_DATA_TEST_CASE(aDamagedPageRemovesNoKeys, data::make(pageCases), c)
+{
+    const auto page = decodeNewest(R"({"items":[)" + c.items + R"(],"hasMore":)" + (c.hasMore ? "true" : "false") + R"(,"end":6})");
+    BOOST_TEST(page.ok == c.ok);
+    BOOST_TEST(std::count_if(page.records.begin(), page.records.end(), [](const auto &r) { return !r.value.empty(); })
+               == static_cast<std::ptrdiff_t>(c.keysWithValue));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(workerClient)
