--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -10,6 +10,7 @@
 #include <limits>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -97,6 +98,11 @@
     Duration usageInterval = 50ms;
     /// Preemption for an urgent unit may lose up to this many times the unit's own core-seconds.
     double maxPreemptionLossFactor = 3.0;
+    /// Longest time from the storing of an evacuation until no task starts in its zone any more; zero when zones are not evacuated.
+    Duration evacuationDelay{};
+    /// Starts stop when the evacuated zones were confirmed evacuationDelay less this margin ago. The margin is for commands in transit: a
+    /// connection that takes longer than the timeout of a command, 300 ms for up to 1,000 workers, is given up together with its command.
+    Duration evacuationMargin = 700ms;
 };
 
 /// A decision.
@@ -193,6 +199,14 @@
     /// Restores a unit from its record. A unit of an unknown job is ignored. \pre before the first decide().
     auto restore(const UnitId &unit, const UnitRecord &state, TimePoint now) -> void;
 
+    /// Sets the availability zones in which nothing may be started; running tasks are not stopped. \pre none.
+    auto setEvacuatedZones(std::set<ZoneName> zones) -> void;
+    /// Reports that every evacuation and revocation stored before \a at is contained in the evacuated zones. \pre none.
+    auto evacuationsConfirmed(TimePoint at) -> void;
+    /// Returns whether a start that was decided earlier may still be sent. The holder asks right before it sends one, since a command may
+    /// wait for a while, and reports StartOutcome::NotSent otherwise. \pre none.
+    [[nodiscard]] auto maySend(const StartCommand &command, TimePoint now) const -> bool;
+
     /// Reports that a worker is listed, or that its entry has changed. \pre none.
     auto workerListed(const WorkerInfo &worker, TimePoint now) -> void;
     /// Reports that a worker is no longer listed; its runs may continue. \pre none.
--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -147,6 +148,7 @@
     std::uint64_t term = 0;
     std::size_t knownJobs = 0;
     std::uint64_t configurationVersion = 0;
+    std::size_t evacuatedZones = 0;
     /// Time since the configuration was last confirmed to be the newest.
     Duration configurationAge{};
     Duration timeSinceStoreContact{};
@@ -170,6 +172,11 @@
     auto setConfiguration(Configuration configuration) -> void;
     /// Records that the configuration was the newest at \a at. \pre none.
     auto configurationConfirmed(TimePoint at) -> void;
+    /// Sets the availability zones in which nothing may be started. \pre none.
+    auto setEvacuatedZones(std::set<ZoneName> zones) -> void;
+    /// Records that the evacuated zones contain every change that was stored before \a at. While DispatcherSettings::evacuationDelay is
+    /// set, an instance becomes the holder only after this was called once. \pre none.
+    auto operatorStateConfirmed(TimePoint at) -> void;
     /// Records whether a call to the store succeeded. \pre none.
     auto recordStoreContact(bool ok) -> void;
 
--- a/packages/workflow/include/acaciarail/workflow/worker.h
+++ b/packages/workflow/include/acaciarail/workflow/worker.h
@@ -21,6 +21,8 @@
     bool draining = false;
     /// Least time until a draining worker shuts down.
     Duration timeUntilShutdown{};
+    /// How long its tasks will take longer because it was unused for a while.
+    Duration coldTime{};
     /// Identifies the worker's process: it grows when the worker restarts under the same name.
     std::int64_t incarnation = 0;
 };
@@ -67,6 +69,8 @@
     std::int64_t incarnation = 0;
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
+    /// See WorkerInfo::coldTime.
+    Duration coldTime{};
 };
 
 /// Outcome of a command to start a run.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -39,6 +39,63 @@
     }
 }
 
+auto Dispatcher::setEvacuatedZones(std::set<ZoneName> zones) -> void
+{
+    auto &s = *m_state;
+    s.evacuatedZones = std::move(zones);
+    for (auto &[name, worker] : s.workers) {
+        worker->evacuated = s.evacuatedZones.contains(worker->info.zone);
+    }
+    s.idleFits.clear();
+    s.capacityChanged = true;
+}
+
+auto Dispatcher::evacuationsConfirmed(TimePoint at) -> void
+{
+    m_state->evacuationsConfirmedAt = std::max(at, m_state->evacuationsConfirmedAt.value_or(at));
+}
+
+auto Dispatcher::maySend(const StartCommand &command, TimePoint now) const -> bool
+{
+    auto &s = *m_state;
+    if (s.settings.evacuationDelay == Duration::zero()) {
+        return true;
+    }
+    const auto worker = s.workers.find(command.worker);
+    if (!s.evacuationsKnown(now) || worker == s.workers.end() || worker->second->evacuated) {
+        return false;
+    }
+    // When one member of a gang may not start, its run is ending, and no other member of it is started any more.
+    auto *unit = s.findUnit(command.task);
+    return s.findCurrentMember(unit, *worker->second, command.task, command.run) != nullptr && !unit->ending;
+}
+
+/// Returns whether the evacuated zones were confirmed recently enough to start work.
+auto Dispatcher::State::evacuationsKnown(TimePoint now) const -> bool
+{
+    return settings.evacuationDelay == Duration::zero()
+        || (evacuationsConfirmedAt && now <= *evacuationsConfirmedAt + settings.evacuationDelay - settings.evacuationMargin);
+}
+
+/// Logs when evacuations begin or cease to prevent all starts.
+auto Dispatcher::State::reportEvacuationState(TimePoint now) -> void
+{
+    const bool outdated = !evacuationsKnown(now);
+    if (std::exchange(evacuationsOutdated, outdated) != outdated) {
+        emitEvent(outdated ? "starts-paused" : "starts-resumed", {}, "reason=evacuations-outdated");
+    }
+    std::size_t usable = 0;
+    std::size_t evacuated = 0;
+    for (const auto &[name, worker] : workers) {
+        usable += worker->listed && !worker->evacuated ? 1 : 0;
+        evacuated += worker->listed && worker->evacuated ? 1 : 0;
+    }
+    const bool all = evacuated > 0 && usable == 0;
+    if (std::exchange(allEvacuated, all) != all) {
+        emitEvent(all ? "all-zones-evacuated" : "zones-usable", {}, detail("zones", evacuatedZones.size()));
+    }
+}
+
 auto Dispatcher::accept(const JobSpec &spec, TimePoint now, std::chrono::milliseconds unixNow) -> void
 {
     if (m_state->endedJobs.contains(spec.id)) {
@@ -444,9 +501,10 @@
             s.nextProgressCheck = now + s.settings.progressCheckInterval;
             s.checkProgress(now);
             s.restartSlowRuns(now);
-            s.evacuate(now);
+            s.stopRunsOnDrainingWorkers(now);
+            s.reportEvacuationState(now);
         }
-        if (now >= s.nextSchedule) {
+        if (now >= s.nextSchedule && s.evacuationsKnown(now)) {
             const auto pause = s.settings.schedulePausePerUnit * static_cast<Duration::rep>(s.waitingUnits.size());
             s.nextSchedule = now + std::max({s.settings.scheduleInterval, pause, scope.minSchedulePause});
             s.placeReserved(now);
@@ -455,7 +513,7 @@
                 s.placementBudget = scope.startBytes - s.unsentStartBytes();
                 s.schedule(now);
             }
-        } else if (s.capacityChanged) {
+        } else if (s.capacityChanged && now < s.nextSchedule) {
             out.deferredFor = s.nextSchedule - now;
         }
         s.logPlacedTasks();
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -283,7 +283,7 @@
                 w.info.service == unit.job->policy.service && hasRequiredLabel(w.info, step) && nearData && !crowded && !blocked;
             const bool elsewhere = forMoreUrgent || (hasReservation && m_reservedFor[i] != priority);
             out[i] = {w.rack, allowed ? w.free() - w.reservedCapacity : noCapacity, m_now < w.avoidUntil,
-                      urgent && m_slowZones.contains(w.info.zone), elsewhere};
+                      m_now < w.coldUntil || (urgent && m_slowZones.contains(w.info.zone)), elsewhere};
         }
         return out;
     }
@@ -443,7 +443,8 @@
     std::vector<Candidate> candidates;
     for (const auto &[name, worker] : workers) {
         const auto &info = worker->info;
-        if (worker->listed && !info.draining && info.service == unit.job->policy.service && hasRequiredLabel(info, *unit.step)) {
+        if (worker->listed && !info.draining && !worker->evacuated && info.service == unit.job->policy.service
+            && hasRequiredLabel(info, *unit.step)) {
             candidates.push_back({worker->rack, info.capacity});
         }
     }
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -182,6 +182,10 @@
     std::uint64_t batchEnds = 0;
     std::uint64_t recordedEnds = 0;
     TimePoint avoidUntil;
+    /// Until then its tasks take longer, because it was unused for a while.
+    TimePoint coldUntil;
+    /// Its availability zone is being evacuated.
+    bool evacuated = false;
     /// Number of its rack; see Candidate::rack.
     std::size_t rack = 0;
     /// Its index among the candidates of the current placement round.
@@ -189,7 +193,7 @@
 
     [[nodiscard]] auto schedulable() const -> bool
     {
-        return listed && !info.draining && lastAnsweredPoll && !unreachableSince;
+        return listed && !info.draining && !evacuated && lastAnsweredPoll && !unreachableSince;
     }
     [[nodiscard]] auto free() const -> Demand
     {
@@ -304,7 +308,9 @@
     auto restartSlowSingle(Unit &unit, TimePoint now) -> void;
     auto renewalInterval(const Worker &worker, TimePoint now) const -> Duration;
     auto intervalFactor() const -> double;
-    auto evacuate(TimePoint now) -> void;
+    auto stopRunsOnDrainingWorkers(TimePoint now) -> void;
+    auto evacuationsKnown(TimePoint now) const -> bool;
+    auto reportEvacuationState(TimePoint now) -> void;
 
     // dispatcher_schedule.cpp: placement, records and commands
     auto schedule(TimePoint now) -> void;
@@ -356,6 +362,11 @@
     TimePoint nextEndsLog;
     /// By job, occurrence and step.
     std::map<std::tuple<JobId, std::uint32_t, std::uint32_t>, PlacedTasks> placedTasks;
+    std::set<ZoneName> evacuatedZones;
+    std::optional<TimePoint> evacuationsConfirmedAt;
+    /// The last states that were logged: all listed workers are in evacuated zones; the evacuated zones may be outdated.
+    bool allEvacuated = false;
+    bool evacuationsOutdated = false;
     bool batchInProgress = false;
     TimePoint nextSchedule;
     /// Something has changed that may allow a waiting unit to be placed.
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -129,6 +129,8 @@
         m_state->idleFits.clear();
     }
     worker.info = info;
+    worker.evacuated = m_state->evacuatedZones.contains(info.zone);
+    worker.coldUntil = info.coldTime > Duration::zero() ? now + info.coldTime : worker.coldUntil;
     worker.rack = m_state->rackNumbers.emplace(info.rack, m_state->rackNumbers.size()).first->second;
     worker.listed = true;
     m_state->capacityChanged = true;
@@ -183,6 +185,7 @@
         return;
     }
     worker.unansweredPolls = 0;
+    worker.coldUntil = report->coldTime > Duration::zero() ? now + report->coldTime : worker.coldUntil;
     if (renews) {
         worker.renewedAt = now;
         worker.nextRenewal = now + s.renewalInterval(worker, now);
@@ -429,8 +432,9 @@
     }
     // A record may name fewer workers than the gang has tasks.
     const auto &first = unit.members.front().worker;
-    const bool oneZone = std::all_of(unit.members.begin(), unit.members.end(),
-                                     [&](const Member &m) { return m.worker && m.worker->info.zone == first->info.zone; });
+    const bool oneZone = std::all_of(unit.members.begin(), unit.members.end(), [&](const Member &m) {
+        return m.worker && m.worker->info.zone == first->info.zone && m.worker->coldUntil <= unit.runStartedAt;
+    });
     if (oneZone) {
         auto &ratio = zoneRunTimeRatios[first->info.zone];
         ratio.sum += std::chrono::duration<double>(now - unit.runStartedAt) / std::chrono::duration<double>(unit.step->estimate);
@@ -523,7 +527,7 @@
 auto Dispatcher::State::checkProgress(TimePoint now) -> void
 {
     for (auto &[name, worker] : workers) {
-        if (!worker->schedulable() && !worker->info.draining) {
+        if (!worker->schedulable() && !worker->info.draining && !worker->evacuated) {
             continue;
         }
         const auto units = worker->units;
@@ -631,7 +635,7 @@
     }
 }
 
-auto Dispatcher::State::evacuate(TimePoint now) -> void
+auto Dispatcher::State::stopRunsOnDrainingWorkers(TimePoint now) -> void
 {
     for (auto &[name, worker] : workers) {
         if (!worker->info.draining) {
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -4,7 +4,9 @@
 #include <acaciarail/workflow/engine.h>
 #include <acaciarail/workflow/topic_follower.h>
 
+#include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace Acaciarail::Workflow {
@@ -189,7 +191,9 @@
     {
         // The announcements come with the tail of the submissions.
         const bool attached = stateFollower->isAttached() && submissionsFollower->isAttached();
-        if (!attached || claiming || holder || draining || !configuration || !stateFollower->atEnd()) {
+        // A zone may have been evacuated before this instance has read all evacuations once.
+        const bool zonesKnown = settings.dispatcher.evacuationDelay == Duration::zero() || evacuationsConfirmedAt;
+        if (!attached || claiming || holder || draining || !configuration || !zonesKnown || !stateFollower->atEnd()) {
             return;
         }
         const auto claim =
@@ -240,6 +244,10 @@
         submissionsFollower->scanAtOnce();
         // The records of this holder are applied when they are stored; the state topic is still read to notice a successor.
         holder->start(claimSequence() + 1, configuration);
+        holder->setEvacuatedZones(evacuatedZones);
+        if (evacuationsConfirmedAt) {
+            holder->evacuationsConfirmed(*evacuationsConfirmedAt);
+        }
         submissionsFollower->refresh([](bool) {});
     }
 
@@ -386,6 +394,8 @@
     std::unique_ptr<TopicFollower> stateFollower;
     std::shared_ptr<const Configuration> configuration;
     TimePoint configurationConfirmedAt;
+    std::set<ZoneName> evacuatedZones;
+    std::optional<TimePoint> evacuationsConfirmedAt;
     std::shared_ptr<Holder> holder;
     double largestProcessorShare = 0;
     bool claiming = false;
@@ -442,6 +452,24 @@
     m_state->configurationConfirmedAt = std::max(m_state->configurationConfirmedAt, at);
 }
 
+auto Engine::setEvacuatedZones(std::set<ZoneName> zones) -> void
+{
+    auto &s = *m_state;
+    s.evacuatedZones = std::move(zones);
+    if (s.holder) {
+        s.holder->setEvacuatedZones(s.evacuatedZones);
+    }
+}
+
+auto Engine::operatorStateConfirmed(TimePoint at) -> void
+{
+    auto &s = *m_state;
+    s.evacuationsConfirmedAt = std::max(at, s.evacuationsConfirmedAt.value_or(at));
+    if (s.holder) {
+        s.holder->evacuationsConfirmed(*s.evacuationsConfirmedAt);
+    }
+}
+
 auto Engine::recordStoreContact(bool ok) -> void
 {
     m_state->recordStoreContact(ok);
@@ -604,7 +632,11 @@
 {
     const auto &s = *m_state;
     const auto now = s.now();
-    return {s.lease.term(), s.directory.size(), s.configuration ? s.configuration->version : 0, now - s.configurationConfirmedAt,
+    return {s.lease.term(),
+            s.directory.size(),
+            s.configuration ? s.configuration->version : 0,
+            s.evacuatedZones.size(),
+            now - s.configurationConfirmedAt,
             now - s.lastStoreContact};
 }
 
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -162,6 +162,18 @@
     scheduleStep(m_settings.eventBatchDelay);
 }
 
+auto Holder::setEvacuatedZones(std::set<ZoneName> zones) -> void
+{
+    m_dispatcher->setEvacuatedZones(std::move(zones));
+    dropForbiddenStarts();
+    scheduleStep(m_settings.eventBatchDelay);
+}
+
+auto Holder::evacuationsConfirmed(TimePoint at) -> void
+{
+    m_dispatcher->evacuationsConfirmed(at);
+}
+
 auto Holder::apply(const JobEntry &entry) -> void
 {
     if (!m_loaded) {
@@ -365,7 +377,8 @@
     for (auto &[priority, queue] : m_queuedStarts) {
         while (!queue.empty()) {
             const auto bytes = startCommandBytes(queue.front().command.payload.size());
-            const bool expired = !permitted || now > queue.front().queuedAt + m_settings.maxStartDelay;
+            const bool expired =
+                !permitted || now > queue.front().queuedAt + m_settings.maxStartDelay || !m_dispatcher->maySend(queue.front().command, now);
             if (!expired && !m_startWindow.hasRoom(bytes)) {
                 return;
             }
@@ -383,6 +396,27 @@
     }
 }
 
+auto Holder::dropForbiddenStarts() -> void
+{
+    const auto now = m_hooks.clock.now();
+    // Dropping the start of one member ends the run of its gang, so the starts before it are checked once more.
+    for (bool repeat = true; std::exchange(repeat, false);) {
+        for (auto &[priority, queue] : m_queuedStarts) {
+            for (auto it = queue.begin(); it != queue.end();) {
+                if (m_dispatcher->maySend(it->command, now)) {
+                    ++it;
+                    continue;
+                }
+                const auto command = std::move(it->command);
+                it = queue.erase(it);
+                m_queuedBytes -= startCommandBytes(command.payload.size());
+                m_dispatcher->startAnswered(command, StartOutcome::NotSent, now);
+                repeat = true;
+            }
+        }
+    }
+}
+
 auto Holder::sendStart(const StartCommand &command) -> void
 {
     const auto bytes = startCommandBytes(command.payload.size());
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -36,6 +36,10 @@
     /// after that of the claim.
     auto start(std::uint64_t sequence, std::shared_ptr<const Configuration> configuration) -> void;
     auto setConfiguration(std::shared_ptr<const Configuration> configuration) -> void;
+    /// See Dispatcher::setEvacuatedZones(). \pre start() was called.
+    auto setEvacuatedZones(std::set<ZoneName> zones) -> void;
+    /// See Dispatcher::evacuationsConfirmed(). \pre start() was called.
+    auto evacuationsConfirmed(TimePoint at) -> void;
     auto apply(const JobEntry &entry) -> void;
     auto workerListed(const WorkerInfo &worker) -> void;
     auto workerUnlisted(const WorkerName &worker) -> void;
@@ -62,6 +66,8 @@
     /// Sends queued starts as far as the window allows, the most urgent first, and drops those that have waited too long.
     auto sendStarts() -> void;
     auto sendStart(const StartCommand &command) -> void;
+    /// Drops the queued starts that may no longer be sent.
+    auto dropForbiddenStarts() -> void;
     /// Bytes of starts that may be added to the queue.
     [[nodiscard]] auto startBudget() const -> std::int64_t;
     auto removeExpiredJobs() -> void;
--- a/tests/adapter/node_settings_test.cpp
+++ b/tests/adapter/node_settings_test.cpp
@@ -49,6 +49,13 @@
     return text.replace(text.find(line), line.size(), replacement);
 }
 
+/// Returns the settings with a list of contracts and another bound.
+auto withPlaces(const std::string &contracts, const std::string &bound) -> std::string
+{
+    auto text = with("[listen]", "contracts = [" + contracts + "]\n[listen]");
+    return text.replace(text.find("graceS = 6"), 0, bound + '\n');
+}
+
 /// A file that is removed at the end of its scope.
 class TemporaryFile
 {
@@ -98,6 +105,9 @@
     {"no store", without("address"), "platform.address"},
     {"a name for an address", with("10.200.1.7:8524", "store:8524"), "platform.address"},
     {"a bound of another type", with("holdMaxMs = 10000", "holdMaxMs = \"long\""), "bounds.holdMaxMs"},
+    {"contracts of another type", with("region = \"region\"", "region = \"region\"\ncontracts = 1"), "contracts"},
+    {"a bound that allows no start", withPlaces(R"("places")", "evacuateMs = 900"), "bounds.evacuateMs"},
+    {"the same without the contract", withPlaces("", "evacuateMs = 900"), ""},
     {"ports of another type", with("[7000, 7015]", "7000"), "internalPorts"},
 };
 
@@ -123,6 +133,32 @@
     BOOST_TEST(settings.callers.str() == "10.1.0.19:8521");
 }
 
+struct ContractCase
+{
+    const char *name;
+    std::string text;
+    Duration evacuationDelay;
+};
+
+auto operator<<(std::ostream &out, const ContractCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<ContractCase> contractCases{
+    {"no list", complete, 0s},
+    {"other contracts only", withPlaces(R"("other")", "evacuateMs = 4000"), 0s},
+    {"among others", withPlaces(R"("other", "places")", "evacuateMs = 4000"), 4s},
+    {"without its bound", withPlaces(R"("places")", ""), 5s},
+};
+
+// Guards against zones that are evacuated in deployments without the contract, and the reverse.
+BOOST_DATA_TEST_CASE(zonesAreEvacuatedUnderTheContractOnly, data::make(contractCases), c)
+{
+    const TemporaryFile file(c.text);
+    BOOST_TEST((loadNodeSettings(file.path()).settings.evacuationDelay == c.evacuationDelay));
+}
+
 // Guards against an exception, or a start with default settings, when the file cannot be read.
 BOOST_AUTO_TEST_CASE(anUnreadableFileIsAFault)
 {
--- a/tests/adapter/wire_codec_test.cpp
+++ b/tests/adapter/wire_codec_test.cpp
@@ -1,3 +1,4 @@
+#include "evacuated_zones.h"
 #include "wire_codec.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -5,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <ostream>
+#include <set>
 #include <string>
 
 namespace Acaciarail::Adapter::Tests {
@@ -211,6 +213,53 @@
     BOOST_TEST(!!decodeConfiguration(R"({"routes":[]})", configuration));
 }
 
+struct OperatorCase
+{
+    const char *name;
+    std::vector<Workflow::KeyedRecord> records;
+    std::set<ZoneName> zones;
+};
+
+auto operator<<(std::ostream &out, const OperatorCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<OperatorCase> operatorCases{
+    {"two zones", {{"evacuate/a", "{}"}, {"evacuate/b", "1"}}, {ZoneName("a"), ZoneName("b")}},
+    {"written twice", {{"evacuate/a", "{}"}, {"evacuate/a", "{}"}}, {ZoneName("a")}},
+    {"revoked", {{"evacuate/a", "{}"}, {"evacuate/a", ""}}, {}},
+    {"evacuated again", {{"evacuate/a", "{}"}, {"evacuate/a", ""}, {"evacuate/a", "{}"}}, {ZoneName("a")}},
+    {"a name with a slash", {{"evacuate/a/b", "{}"}}, {ZoneName("a/b")}},
+    {"other keys", {{"config", "{}"}, {"evacuate/", "{}"}, {"evacuate", "{}"}, {"", "{}"}}, {}},
+};
+
+// Guards against keys of the operator's topic that are taken for zones, and against removals that go unnoticed.
+BOOST_DATA_TEST_CASE(keysOfTheOperatorsTopicNameEvacuatedZones, data::make(operatorCases), c)
+{
+    EvacuatedZones zones;
+    for (const auto &it : c.records) {
+        const auto before = zones.zones();
+        const auto changed = zones.apply(it);
+        BOOST_TEST(changed.empty() == (zones.zones() == before));
+    }
+    BOOST_TEST((zones.zones() == c.zones));
+}
+
+// Guards against a worker that is taken for a warm one, and against a report that is unusable because of this field.
+BOOST_AUTO_TEST_CASE(theTimeForWhichAWorkerIsColdIsDecoded)
+{
+    Workflow::WorkerReport report;
+    CommandResponse response;
+    BOOST_TEST(!decodeReport(R"({"running":[],"ended":[],"coldLeftMs":1500})", report, response));
+    BOOST_TEST((report.coldTime == 1500ms));
+    BOOST_TEST(!decodeReport(R"({"running":[],"ended":[],"coldLeftMs":"long"})", report, response));
+    BOOST_TEST((report.coldTime == 0ms));
+    WorkerEntry entry;
+    BOOST_TEST(!decodeWorkerEntry("w1", R"({"service":"s","address":"10.0.0.9:80","state":"ready","capacity":{},"coldLeftMs":70})", entry));
+    BOOST_TEST((entry.info.coldTime == 70ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Adapter::Tests
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -1024,6 +1024,261 @@
     BOOST_TEST(runsOf(fleet, "j2", 0).size() == 2U);
 }
 
+/// Two racks of two workers, each rack in a zone of its own, that the operator can evacuate.
+auto makeZonedFleet() -> FakeFleet
+{
+    auto fleet = makeFleet();
+    fleet.settings.evacuationDelay = 5s;
+    for (auto &[name, worker] : fleet.workers) {
+        worker.info.zone = ZoneName(worker.info.rack.str());
+    }
+    fleet.takeOver();
+    fleet.run(200ms);
+    return fleet;
+}
+
+auto startsIn(const FakeFleet &fleet, const std::string &zone, std::size_t from) -> std::ptrdiff_t
+{
+    return std::count_if(fleet.starts.begin() + static_cast<std::ptrdiff_t>(from), fleet.starts.end(),
+                         [&](const StartCommand &s) { return fleet.workers.at(s.worker).info.zone.str() == zone; });
+}
+
+enum class WorkState {
+    Waiting,
+    /// Placed in the zone, and the assignment is not stored.
+    Recording,
+    /// The starts were sent to the zone and got no response.
+    Unanswered,
+    Running,
+    /// Units of the zone are being stopped for it.
+    Reserved,
+};
+
+struct EvacuationCase
+{
+    const char *name;
+    WorkState state;
+    bool takeOver;
+    /// Number of the run that ends as done, outside the zone unless it was running there.
+    std::uint32_t lastRun;
+};
+
+auto operator<<(std::ostream &out, const EvacuationCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<EvacuationCase> evacuationCases{
+    {"waiting", WorkState::Waiting, false, 1},
+    {"waiting, new holder", WorkState::Waiting, true, 1},
+    {"placed, not recorded", WorkState::Recording, false, 2},
+    {"placed, not recorded, new holder", WorkState::Recording, true, 1},
+    {"started without an answer", WorkState::Unanswered, false, 2},
+    {"started without an answer, new holder", WorkState::Unanswered, true, 2},
+    {"running", WorkState::Running, false, 1},
+    {"running, new holder", WorkState::Running, true, 1},
+    {"reserved", WorkState::Reserved, false, 1},
+    {"reserved, new holder", WorkState::Reserved, true, 1},
+};
+
+// Guards against starts in an evacuated zone, against running work that is stopped there, and against work that is not placed elsewhere.
+BOOST_DATA_TEST_CASE(workForAnEvacuatedZoneIsPlacedElsewhere, data::make(evacuationCases), c)
+{
+    auto fleet = makeZonedFleet();
+    auto step = gangStep(2, 8);
+    step.sameRack = true;
+    if (c.state == WorkState::Reserved) {
+        // The second zone is full of urgent work, so capacity is freed in the first one.
+        auto blocking = simpleJob("blocking", "urgent", step);
+        blocking.steps[0].requiredLabel = "rack1";
+        fleet.submit(blocking);
+        auto background = gangStep(2, 8);
+        background.gang = false;
+        fleet.submit(simpleJob("background", "background", background));
+        fleet.run(500ms);
+        BOOST_REQUIRE(fleet.starts.size() == 4U);
+    }
+    fleet.storeUp = c.state != WorkState::Recording;
+    if (c.state == WorkState::Unanswered) {
+        fleet.commandDelay = [](bool grants) { return grants ? std::optional(Duration(8s)) : std::nullopt; };
+    }
+    if (c.state == WorkState::Waiting) {
+        fleet.evacuate("rack0");
+    }
+    const auto first = fleet.starts.size();
+    fleet.submit(simpleJob("j1", "urgent", step));
+    if (c.state == WorkState::Unanswered || c.state == WorkState::Running) {
+        BOOST_REQUIRE(fleet.runUntil([&] { return fleet.starts.size() == first + 2; }, 1s));
+        BOOST_REQUIRE(startsIn(fleet, "rack0", first) == 2);
+    } else if (c.state == WorkState::Reserved) {
+        BOOST_REQUIRE(fleet.runUntil([&] { return fleet.events.back().starts_with("room-reserved"); }, 1s));
+    } else if (c.state == WorkState::Recording) {
+        fleet.run(100ms);
+    }
+    const auto before = fleet.starts.size();
+    fleet.evacuate("rack0");
+    fleet.commandDelay = nullptr;
+    if (c.takeOver) {
+        fleet.takeOver();
+    }
+    fleet.storeUp = true;
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 40s));
+    BOOST_TEST(startsIn(fleet, "rack0", before) == 0);
+    BOOST_TEST(runsOf(fleet, "j1", 0).back() == c.lastRun);
+    BOOST_TEST(fleet.violations.empty());
+}
+
+// Guards against a gang of which some members run and others may no longer be started.
+BOOST_AUTO_TEST_CASE(aGangThatMayNotStartCompletelyIsStoppedAndPlacedAgain)
+{
+    auto fleet = makeZonedFleet();
+    // The start on the first worker is carried out, but not answered, and may not be repeated.
+    fleet.workers.at(WorkerName("w0-0")).scriptedResponses = {StartOutcome::Unknown};
+    fleet.submit(simpleJob("j1", "normal", gangStep(4, 8)));
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.starts.size() == 4; }, 1s));
+    fleet.evacuate("rack0");
+    fleet.run(1s);
+    for (const auto &[name, worker] : fleet.workers) {
+        BOOST_TEST(std::all_of(worker.runs.begin(), worker.runs.end(), [](const auto &run) { return run.end.has_value(); }), name.str());
+    }
+    fleet.evacuate("rack0", false);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 10s));
+    BOOST_TEST(runsOf(fleet, "j1", 0).back() == 2U);
+}
+
+// Guards against work that is refused or lost while all zones are evacuated, or that does not start after the revocation.
+BOOST_AUTO_TEST_CASE(workWaitsWhileAllZonesAreEvacuated)
+{
+    auto fleet = makeZonedFleet();
+    fleet.evacuate("rack0");
+    fleet.evacuate("rack1");
+    fleet.submit(simpleJob("j1", "urgent", gangStep(2, 8)));
+    fleet.run(10s);
+    BOOST_TEST(fleet.starts.empty());
+    BOOST_TEST(!fleet.outcome("j1").has_value());
+    BOOST_TEST(std::count_if(fleet.events.begin(), fleet.events.end(), [](const auto &e) { return e.starts_with("all-zones-evacuated"); })
+               == 1);
+    fleet.evacuate("rack0", false);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 3s));
+    BOOST_TEST(startsIn(fleet, "rack0", 0) == 2);
+}
+
+// Guards against a guarantee that is not met because its workers are all in the evacuated zone.
+BOOST_AUTO_TEST_CASE(aGuaranteeIsMetOutsideTheEvacuatedZone)
+{
+    auto fleet = makeZonedFleet();
+    fleet.duration = [](const TaskId &) { return Duration(20s); };
+    fleet.configuration->organisations = {{OrganisationName("guaranteed"), 16}};
+    auto step = gangStep(2, 8);
+    step.sameRack = true;
+    for (const auto *id : {"a", "b"}) {
+        auto job = simpleJob(id, "urgent", step);
+        job.organisation = OrganisationName("other");
+        fleet.submit(job);
+    }
+    fleet.run(500ms);
+    BOOST_REQUIRE(fleet.starts.size() == 4U);
+    fleet.evacuate("rack0");
+    auto job = simpleJob("j1", "urgent", step);
+    job.organisation = OrganisationName("guaranteed");
+    fleet.submit(job);
+    BOOST_TEST(fleet.runUntil([&] { return runsOf(fleet, "j1", 1).size() == 1; }, 2700ms));
+    BOOST_TEST(startsIn(fleet, "rack1", 4) == 2);
+}
+
+// Guards against a gang that waits for a rack of the evacuated zone because no other rack is large enough.
+BOOST_AUTO_TEST_CASE(aGangIsSpreadWhenOnlyAnEvacuatedRackIsLargeEnough)
+{
+    auto fleet = makeZonedFleet();
+    fleet.workers.at(WorkerName("w1-0")).info.rack = RackName("rack2");
+    fleet.list("w1-0");
+    fleet.evacuate("rack0");
+    auto step = gangStep(2, 8);
+    step.sameRack = true;
+    fleet.submit(simpleJob("j1", "normal", step));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.starts.size() == 2; }, 500ms));
+}
+
+struct OutdatedCase
+{
+    const char *name;
+    /// How long the operator's topic cannot be read.
+    Duration unreadable;
+    bool evacuatedMeanwhile;
+    bool pauses;
+};
+
+auto operator<<(std::ostream &out, const OutdatedCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<OutdatedCase> outdatedCases{
+    {"a short time", 4s, false, false},
+    {"longer than the bound", 8s, false, true},
+    {"longer than the bound, with an evacuation", 8s, true, true},
+};
+
+// Guards against starts by a holder that cannot know whether a zone was evacuated, and against running work that is stopped then.
+BOOST_DATA_TEST_CASE(nothingStartsWhileTheEvacuationsMayBeOutdated, data::make(outdatedCases), c)
+{
+    auto fleet = makeZonedFleet();
+    fleet.duration = [](const TaskId &t) { return t.job.str() == "long" ? Duration(15s) : Duration(100ms); };
+    auto step = gangStep(1, 1);
+    step.gang = false;
+    step.estimate = 15s;
+    fleet.submit(simpleJob("long", "normal", step));
+    fleet.run(1s);
+    fleet.operatorTopicReadable = false;
+    const auto since = fleet.now();
+    if (c.evacuatedMeanwhile) {
+        fleet.evacuate("rack0");
+    }
+    int jobs = 0;
+    auto lastStart = since;
+    std::size_t known = 0;
+    const auto submitFor = [&](Duration length) {
+        for (const auto end = fleet.now() + length; fleet.now() < end;) {
+            fleet.submit(simpleJob("j" + std::to_string(jobs++), "normal", step));
+            fleet.run(200ms);
+            lastStart = fleet.starts.size() > known ? fleet.now() : lastStart;
+            known = fleet.starts.size();
+        }
+    };
+    submitFor(c.unreadable);
+    BOOST_TEST((lastStart <= since + 4300ms + 200ms));
+    BOOST_TEST((lastStart >= since + 3800ms));
+    const bool paused = std::any_of(fleet.events.begin(), fleet.events.end(), [](const auto &e) { return e.starts_with("starts-paused"); });
+    BOOST_TEST(paused == c.pauses);
+    fleet.operatorTopicReadable = true;
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j" + std::to_string(jobs - 1)).has_value(); }, 5s));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("long").has_value(); }, 15s));
+    BOOST_TEST(runsOf(fleet, "long", 0).size() == 1U);
+    BOOST_TEST(fleet.violations.empty());
+}
+
+// Guards against workers of a restored zone that are avoided, or preferred, while they are still slow.
+BOOST_AUTO_TEST_CASE(coldWorkersAreUsedAfterOthers)
+{
+    auto fleet = makeZonedFleet();
+    fleet.evacuate("rack0");
+    fleet.run(1s);
+    for (const auto *name : {"w0-0", "w0-1"}) {
+        fleet.workers.at(WorkerName(name)).info.coldTime = 10s;
+        fleet.list(name);
+    }
+    fleet.evacuate("rack0", false);
+    auto step = gangStep(1, 8);
+    step.gang = false;
+    for (const auto *id : {"a", "b", "c", "d"}) {
+        fleet.submit(simpleJob(id, "normal", step));
+        fleet.run(100ms);
+    }
+    BOOST_REQUIRE(fleet.starts.size() == 4U);
+    BOOST_TEST(startsIn(fleet, "rack0", 0) == 2);
+    BOOST_TEST(startsIn(fleet, "rack0", 2) == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/engine_test.cpp
+++ b/tests/workflow/engine_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <optional>
 
 namespace Acaciarail::Workflow::Tests {
@@ -379,6 +380,137 @@
     BOOST_TEST((second == SubmitOutcome::Unknown));
 }
 
+/// Adds two workers in each of two zones.
+auto addZonedWorkers(SimWorld &world) -> void
+{
+    for (int i = 0; i < 4; ++i) {
+        const auto name = "w" + std::to_string(i);
+        world.workers.add(name, {32'000, 65'536, 8}, "rack" + std::to_string(i / 2));
+        world.workers.machines.at(name).info.zone = ZoneName("zone" + std::to_string(i / 2));
+    }
+}
+
+struct ZoneCase
+{
+    const char *name;
+    /// What happens before the evacuation is stored, how long before, and what ends it later.
+    std::function<void(SimWorld &)> begin;
+    Duration before;
+    std::function<void(SimWorld &)> end;
+};
+
+auto operator<<(std::ostream &out, const ZoneCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::function<void(SimWorld &)> nothing = [](SimWorld &) {};
+
+const std::function<void(SimWorld &)> restartAll = [](SimWorld &world) {
+    for (std::size_t i = 0; i < world.instances.size(); ++i) {
+        world.restart(i);
+    }
+};
+
+const std::vector<ZoneCase> zoneCases{
+    {"same holder", nothing, 0s, nothing},
+    {"new holder", [](SimWorld &w) { w.kill(w.holders().at(0)); }, 0s, restartAll},
+    {"restart of all instances", restartAll, 0s, nothing},
+    {"store down", [](SimWorld &w) { w.store.down = true; }, 0s, [](SimWorld &w) { w.store.down = false; }},
+    {"store slow", [](SimWorld &w) { w.store.serviceTime = 300ms; }, 0s, [](SimWorld &w) { w.store.serviceTime = 4ms; }},
+    {"store without its history", [](SimWorld &w) { w.store.retainedFrom = 1'000'000; }, 0s, nothing},
+    // The read that is in progress still gets its response.
+    {"operator's topic silent", [](SimWorld &w) { w.store.silentTopics.insert(SimWorld::operatorTopic); }, 1200ms,
+     [](SimWorld &w) { w.store.silentTopics.clear(); }},
+    {"operator's topic silent, new holder",
+     [](SimWorld &w) {
+         w.store.silentTopics.insert(SimWorld::operatorTopic);
+         w.kill(w.holders().at(0));
+     },
+     1200ms,
+     [](SimWorld &w) {
+         w.store.silentTopics.clear();
+         restartAll(w);
+     }},
+    {"starts wait for a slow link", [](SimWorld &w) { w.workers.startBytesPerSecond = 20'000; }, 0s,
+     [](SimWorld &w) { w.workers.startBytesPerSecond = 0; }},
+};
+
+// Guards against starts in a zone that was evacuated for longer than the bound, against work that does not continue elsewhere, and against
+// a revocation that goes unnoticed.
+BOOST_DATA_TEST_CASE(nothingStartsInAnEvacuatedZone, data::xrange(1, 4) * data::make(zoneCases), seed, c)
+{
+    SimWorld world(3, static_cast<std::uint64_t>(seed));
+    world.evacuationDelay = 5s;
+    addZonedWorkers(world);
+    world.workers.taskTime = 300ms;
+    for (std::size_t i = 0; i < world.instances.size(); ++i) {
+        world.restart(i);
+    }
+    world.run(4s);
+    int jobs = 0;
+    const auto submitFor = [&](Duration length) {
+        for (const auto end = world.clock.now() + length; world.clock.now() < end;) {
+            auto job = simpleJob("j" + std::to_string(jobs), "queue", gang(6));
+            job.payload.resize(1000);
+            const auto i = static_cast<std::size_t>(jobs++) % world.instances.size();
+            if (world.instances[i].engine) {
+                world.submit(i, job);
+            }
+            world.run(100ms);
+        }
+    };
+    submitFor(2s);
+    BOOST_REQUIRE(world.workers.lastStarts.size() == 2U);
+    c.begin(world);
+    submitFor(c.before);
+    world.evacuate("zone0");
+    submitFor(9s);
+    c.end(world);
+    submitFor(4s);
+    BOOST_TEST((world.workers.lastStarts[ZoneName("zone1")] > world.clock.now() - 1s));
+    world.evacuate("zone0", false);
+    submitFor(4s);
+    BOOST_TEST((world.workers.lastStarts[ZoneName("zone0")] > world.clock.now() - 1s));
+    BOOST_TEST(world.workers.violations.empty());
+}
+
+// Guards against starts of a gang's members that are sent although another member may no longer start.
+BOOST_AUTO_TEST_CASE(queuedStartsOfAGangAreDroppedTogether)
+{
+    SimWorld world(1, 1);
+    world.evacuationDelay = 5s;
+    addZonedWorkers(world);
+    world.restart(0);
+    world.run(4s);
+    auto step = gang(4);
+    step.taskDemand.accelerators = 8;
+    auto job = simpleJob("j1", "queue", step);
+    // The window has room for the first start only, and its response is late.
+    job.payload.resize(20'000);
+    world.workers.startBytesPerSecond = 100'000;
+    world.submit(0, job);
+    world.run(150ms);
+    world.evacuate("zone1");
+    world.run(3s);
+    BOOST_TEST(world.workers.startCount == 1U);
+    BOOST_TEST(world.workers.violations.empty());
+}
+
+// Guards against a holder that does not know which zones are evacuated.
+BOOST_AUTO_TEST_CASE(anInstanceBecomesHolderOnlyWhenItKnowsTheEvacuatedZones)
+{
+    SimWorld world(1, 1);
+    world.evacuationDelay = 5s;
+    world.store.silentTopics.insert(SimWorld::operatorTopic);
+    world.restart(0);
+    world.run(10s);
+    BOOST_TEST(world.holders().empty());
+    world.store.silentTopics.clear();
+    world.run(4s);
+    BOOST_TEST(world.holders().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/exclusive_run_test.cpp
+++ b/tests/workflow/exclusive_run_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <map>
 #include <optional>
@@ -39,6 +40,7 @@
     std::int64_t longestCutMs;
     bool commandsAreDelayed;
     bool holdersChange;
+    bool zonesAreEvacuated = false;
 };
 
 auto operator<<(std::ostream &out, const DisruptionMix &c) -> std::ostream &
@@ -51,6 +53,8 @@
     {"cuts, departures and restarts, leases of 6 s", 6s, 14'000, false, false},
     {"the same with delayed commands", 6s, 14'000, true, false},
     {"the same with new holders", 6s, 14'000, false, true},
+    {"the same with evacuations", 6s, 14'000, false, true, true},
+    {"evacuations and delayed commands", 6s, 14'000, true, false, true},
 };
 
 /// Commands of an earlier holder may be carried out by workers that the new one cannot reach.
@@ -71,6 +75,12 @@
         addQueue(*m_fleet.configuration, "urgent", 0, maxAttempts);
         addQueue(*m_fleet.configuration, "normal", 1, maxAttempts);
         m_fleet.settings.taskLease = mix.taskLease;
+        if (mix.zonesAreEvacuated) {
+            m_fleet.settings.evacuationDelay = 3s;
+            for (auto &[name, worker] : m_fleet.workers) {
+                worker.info.zone = ZoneName(worker.info.rack.str());
+            }
+        }
         m_fleet.allowsRunsAfterLapse = true;
         m_fleet.duration = [](const TaskId &t) { return 1500ms + t.index % 8 * Duration(700ms); };
         m_fleet.commandDelay = [this](bool) -> std::optional<Duration> {
@@ -91,6 +101,10 @@
             submitAndDisrupt();
             m_fleet.run(100ms);
         }
+        m_fleet.operatorTopicReadable = true;
+        for (const auto *zone : zones) {
+            m_fleet.evacuate(zone, false);
+        }
         const auto limit = m_fleet.now() + 120s;
         while (m_fleet.now() < limit && !allJobsEnded()) {
             updateWorkers();
@@ -110,6 +124,7 @@
 
 private:
     static constexpr std::uint32_t maxAttempts = 50;
+    static constexpr std::array<const char *, 2> zones{"rack0", "rack1"};
 
     struct WorkerState
     {
@@ -143,6 +158,10 @@
         if (m_mix.commandsAreDelayed && chance(0.02)) {
             m_delaysUntil = m_fleet.now() + randomDuration(500, 4000);
         }
+        if (m_mix.zonesAreEvacuated && chance(0.05)) {
+            m_fleet.evacuate(zones.at(chance(0.5) ? 0 : 1), chance(0.5));
+            m_fleet.operatorTopicReadable = chance(0.7);
+        }
         if (m_mix.holdersChange && chance(0.01)) {
             m_fleet.takeOver();
             // A new holder reads the list, which lacks the workers whose entries were removed.
@@ -236,8 +255,8 @@
 
 BOOST_AUTO_TEST_SUITE(exclusiveRun)
 
-// Guards against a task that runs twice at once, or again after an end as done that was acknowledged, and against one that is never started
-// again, whatever happens to its workers.
+// Guards against a task that runs twice at once, or again after an end as done that was acknowledged, against one that is never started
+// again, whatever happens to its workers, and against starts in a zone that was evacuated for longer than the bound.
 BOOST_DATA_TEST_CASE(noTaskRunsTwiceWhileItsWorkersAreDisrupted, data::xrange(1, 1 + seedCount()) * data::make(disruptionMixes), seed, mix)
 {
     DisruptedFleet fleet(mix, static_cast<std::uint64_t>(seed));
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -1,6 +1,7 @@
 #include "fake_fleet.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Acaciarail::Workflow::Tests {
@@ -52,6 +53,7 @@
     m_dispatcher = std::make_unique<Dispatcher>(
         settings, [this](const DispatchEvent &e) { events.push_back(std::string(e.name) + ' ' + e.job.str() + ' ' + e.details); }, m_now);
     m_dispatcher->setConfiguration(configuration);
+    applyEvacuations();
     for (const auto &[key, value] : stored) {
         StateEntry entry;
         if (!decodeState({key, value}, entry) && std::holds_alternative<OutcomeEntry>(entry)) {
@@ -204,6 +206,7 @@
         m_batch.clear();
         m_dispatcher->recordsStored(m_now);
     }
+    applyEvacuations();
     auto decisions = m_dispatcher->decide(m_now, unixTime(m_now), {});
     if (!decisions.records.empty()) {
         m_batch = std::move(decisions.records);
@@ -296,8 +299,43 @@
     }
 }
 
+auto FakeFleet::evacuate(const std::string &zone, bool on) -> void
+{
+    if (on) {
+        m_evacuated.emplace(ZoneName(zone), m_now);
+    } else {
+        m_evacuated.erase(ZoneName(zone));
+    }
+    applyEvacuations();
+}
+
+auto FakeFleet::applyEvacuations() -> void
+{
+    if (operatorTopicReadable && settings.evacuationDelay > Duration::zero()) {
+        std::set<ZoneName> zones;
+        for (const auto &[zone, since] : m_evacuated) {
+            zones.insert(zone);
+        }
+        m_dispatcher->setEvacuatedZones(std::move(zones));
+        m_dispatcher->evacuationsConfirmed(m_now);
+    }
+}
+
+auto FakeFleet::checkZone(const StartCommand &command) -> void
+{
+    const auto found = m_evacuated.find(workers.at(command.worker).info.zone);
+    if (found != m_evacuated.end() && m_now > found->second + settings.evacuationDelay) {
+        violations.push_back("a start of " + command.task.job.str() + " in an evacuated zone");
+    }
+}
+
 auto FakeFleet::start(const StartCommand &command) -> void
 {
+    if (!m_dispatcher->maySend(command, m_now)) {
+        m_dispatcher->startAnswered(command, StartOutcome::NotSent, m_now);
+        return;
+    }
+    checkZone(command);
     starts.push_back(command);
     auto &worker = workers.at(command.worker);
     if (isDelayed(worker, true, [this, command](FakeWorker &w) { startRun(w, command); }) || !worker.reachable) {
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -44,6 +44,9 @@
     /// Shuts a worker down: its runs end without a report, and its entry is removed.
     auto shutDown(const std::string &worker) -> void;
 
+    /// Evacuates a zone, or revokes it. The holder learns of it at once, or when operatorTopicReadable is true again.
+    auto evacuate(const std::string &zone, bool on = true) -> void;
+
     [[nodiscard]] auto now() const -> TimePoint;
     [[nodiscard]] auto outcome(const std::string &job) const -> std::optional<JobPhase>;
     /// Time from submission to outcome.
@@ -110,6 +113,7 @@
     std::vector<StartCommand> starts;
     std::vector<std::string> events;
     bool storeUp = true;
+    bool operatorTopicReadable = true;
     /// Violations of invariants that the workers observed.
     std::vector<std::string> violations;
 
@@ -131,6 +135,8 @@
     auto sendStop(const StopCommand &command) -> void;
     auto extendLease(FakeWorker &worker, Duration lease) -> void;
     auto stopRun(FakeWorker &worker, const StopCommand &command) -> void;
+    auto applyEvacuations() -> void;
+    auto checkZone(const StartCommand &command) -> void;
     auto startRun(FakeWorker &worker, const StartCommand &command) -> StartOutcome;
     auto forgetRuns(FakeWorker &worker) -> void;
     auto acknowledgeEnds(FakeWorker &worker, std::uint64_t number) -> void;
@@ -144,6 +150,8 @@
     auto makeReport(const FakeWorker &worker) const -> WorkerReport;
 
     TimePoint m_now{1h};
+    /// Evacuated zones, and since when.
+    std::map<ZoneName, TimePoint> m_evacuated;
     std::uint64_t m_term = 0;
     std::vector<DelayedCommand> m_delayed;
     std::unique_ptr<Dispatcher> m_dispatcher;
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -129,8 +129,10 @@
     };
     out.read = [this, reachable](const ReadRequest &request, const std::function<void(ReadResult)> &done) {
         const auto failed = [done] { done({}); };
+        const bool silent = silentTopics.contains(request.topic);
         roundTrip(
-            reachable, [this, request, reachable, done] { waitForRecords(request, m_clock.now() + request.wait, reachable, done); }, failed,
+            silent ? std::make_shared<bool>(false) : reachable,
+            [this, request, reachable, done] { waitForRecords(request, m_clock.now() + request.wait, reachable, done); }, failed,
             request.wait + callTimeout);
     };
     out.readNewest = [this, reachable](const NewestRequest &request, const std::function<void(NewestResult)> &done) {
@@ -158,8 +160,9 @@
             m_clock.schedule(latency + std::min(transfer, request.timeout),
                              [result, inTime, reachable, done] { done(*reachable && inTime ? result : NewestResult{}); });
         };
+        const bool silent = silentTopics.contains(request.topic);
         roundTrip(
-            reachable, call, [done] { done({}); }, callTimeout);
+            silent ? std::make_shared<bool>(false) : reachable, call, [done] { done({}); }, callTimeout);
     };
     return out;
 }
@@ -292,6 +295,11 @@
                 m_clock.schedule(callTimeout, [done] { done(StartOutcome::Unknown); });
                 return;
             }
+            const auto &zone = machines.at(command.worker.str()).info.zone;
+            if (evacuations.contains(zone) && m_clock.now() > evacuations.at(zone)) {
+                violations.push_back("a start of " + command.task.job.str() + " in an evacuated zone");
+            }
+            lastStarts[zone] = m_clock.now();
             const auto outcome = start(command, term);
             m_clock.schedule(latency, [outcome, reachable, done] { done(*reachable ? outcome : StartOutcome::Unknown); });
         });
@@ -334,22 +342,63 @@
     confirmConfiguration();
 }
 
+auto SimWorld::makeClock(std::size_t i) -> ClockHooks
+{
+    return ClockHooks{[this] { return clock.now(); },
+                      [this] { return std::chrono::duration_cast<std::chrono::milliseconds>(clock.now().time_since_epoch()); },
+                      [this, alive = std::weak_ptr(instances[i].storeReachable)](Duration delay, std::function<void()> task) {
+                          clock.schedule(delay, [alive, task = std::move(task)] {
+                              if (!alive.expired()) {
+                                  task();
+                              }
+                          });
+                      }};
+}
+
+auto SimWorld::followOperatorTopic(std::size_t i) -> void
+{
+    auto &instance = instances[i];
+    instance.evacuatedZones.clear();
+    instance.operatorHooks = std::make_shared<std::pair<StoreHooks, ClockHooks>>(store.hooks(instance.storeReachable), makeClock(i));
+    TopicFollowerHooks hooks;
+    hooks.apply = [&instance](const KeyedRecord &record) {
+        const ZoneName zone(record.key);
+        if (record.value.empty()) {
+            instance.evacuatedZones.erase(zone);
+        } else {
+            instance.evacuatedZones.insert(zone);
+        }
+        instance.engine->setEvacuatedZones(instance.evacuatedZones);
+    };
+    hooks.contact = [&instance](bool, std::optional<TimePoint> at) {
+        if (at) {
+            instance.engine->operatorStateConfirmed(*at);
+        }
+    };
+    instance.operatorFollower =
+        std::make_unique<TopicFollower>(TopicFollowerSettings{.topic = operatorTopic, .readWait = 1s, .reportsRemovals = true},
+                                        instance.operatorHooks->first, instance.operatorHooks->second, std::move(hooks));
+    instance.operatorFollower->start();
+}
+
+auto SimWorld::evacuate(const std::string &zone, bool on) -> void
+{
+    store.topics[operatorTopic].records.push_back({zone, on ? "{}" : ""});
+    if (on) {
+        workers.evacuations[ZoneName(zone)] = clock.now() + evacuationDelay;
+    } else {
+        workers.evacuations.erase(ZoneName(zone));
+    }
+}
+
 auto SimWorld::makeEngine(std::size_t i) -> std::unique_ptr<Engine>
 {
     auto &instance = instances[i];
     EngineSettings settings;
     settings.instance = InstanceName("instance-" + std::to_string(i));
     settings.outcomeRetention = outcomeRetention;
+    settings.dispatcher.evacuationDelay = evacuationDelay;
     settings.incarnation = m_seed * 1000 + ++m_incarnations;
-    const ClockHooks hooks{[this] { return clock.now(); },
-                           [this] { return std::chrono::duration_cast<std::chrono::milliseconds>(clock.now().time_since_epoch()); },
-                           [this, alive = std::weak_ptr(instance.storeReachable)](Duration delay, std::function<void()> task) {
-                               clock.schedule(delay, [alive, task = std::move(task)] {
-                                   if (!alive.expired()) {
-                                       task();
-                                   }
-                               });
-                           }};
     const auto watchWorkers = [this, i](bool on) {
         instances[i].watching = on;
         clock.schedule({}, [this, i, on] {
@@ -361,7 +410,8 @@
         });
     };
     return std::make_unique<Engine>(
-        settings, EngineHooks{store.hooks(instance.storeReachable), workers.hooks(instance.workersReachable, watchWorkers), hooks, {}, {}});
+        settings,
+        EngineHooks{store.hooks(instance.storeReachable), workers.hooks(instance.workersReachable, watchWorkers), makeClock(i), {}, {}});
 }
 
 auto SimWorld::restart(std::size_t i) -> void
@@ -374,6 +424,9 @@
     instance.engine->setConfiguration(configuration);
     instance.engine->configurationConfirmed(clock.now());
     instance.engine->start();
+    if (evacuationDelay > Duration::zero()) {
+        followOperatorTopic(i);
+    }
 }
 
 auto SimWorld::kill(std::size_t i) -> void
@@ -382,6 +435,7 @@
     // Calls in progress are neither carried out nor answered.
     *instance.storeReachable = false;
     *instance.workersReachable = false;
+    instance.operatorFollower.reset();
     instance.engine.reset();
 }
 
--- a/tests/workflow/sim_world.h
+++ b/tests/workflow/sim_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <acaciarail/workflow/engine.h>
+#include <acaciarail/workflow/topic_follower.h>
 
 #include <cstdint>
 #include <functional>
@@ -67,6 +68,8 @@
     double responseLossRate = 0;
     /// The store neither carries out nor answers any call.
     bool down = false;
+    /// Calls that read these topics get no response.
+    std::set<std::string> silentTopics;
     /// Speed at which one response arrives; 0 for no limit. A read whose response takes longer than its timeout fails.
     double bytesPerSecond = 0;
     /// Whether responses share this speed, one after the other, as over the link of a single instance.
@@ -139,6 +142,10 @@
     std::map<std::string, Machine> machines;
     std::vector<std::string> violations;
     std::size_t startCount = 0;
+    /// Evacuated zones, and when starts in them become violations; commands that are carried out late are none.
+    std::map<ZoneName, TimePoint> evacuations;
+    /// Time of the last start in each zone.
+    std::map<ZoneName, TimePoint> lastStarts;
 
 private:
     auto updateRuns(Machine &machine) -> void;
@@ -166,6 +173,10 @@
         std::shared_ptr<bool> workersReachable = std::make_shared<bool>(true);
         std::unique_ptr<Engine> engine;
         bool watching = false;
+        /// Of the follower of the operator's topic.
+        std::shared_ptr<std::pair<StoreHooks, ClockHooks>> operatorHooks;
+        std::set<ZoneName> evacuatedZones;
+        std::unique_ptr<TopicFollower> operatorFollower;
     };
 
     /// Restarts an instance, as after SIGKILL.
@@ -176,6 +187,8 @@
     auto submit(std::size_t i, const JobSpec &spec) -> void;
     /// Looks up the phase of a job through an instance.
     [[nodiscard]] auto phase(std::size_t i, const std::string &job) -> std::optional<JobPhase>;
+    /// Stores the evacuation of a zone, or its revocation.
+    auto evacuate(const std::string &zone, bool on = true) -> void;
     [[nodiscard]] auto holders() const -> std::vector<std::size_t>;
 
     SimClock clock;
@@ -184,10 +197,15 @@
     Configuration configuration;
     /// Setting of the instances that are started from now on.
     Duration outcomeRetention = EngineSettings().outcomeRetention;
+    /// Likewise; the instances follow the operator's topic when it is set.
+    Duration evacuationDelay{};
+    static constexpr const char *operatorTopic = "operator";
     std::vector<Instance> instances;
     std::map<std::string, SubmitOutcome> outcomes;
 
 private:
+    auto followOperatorTopic(std::size_t i) -> void;
+    auto makeClock(std::size_t i) -> ClockHooks;
     auto makeEngine(std::size_t i) -> std::unique_ptr<Engine>;
     auto confirmConfiguration() -> void;
 
