Log the state of evacuations only where zones are evacuated

The holder counted the workers of evacuated zones ten times a second also in deployments without evacuations, where the result is always zero. It returns at once there.

--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -80,6 +80,9 @@
 /// Logs when evacuations begin or cease to prevent all starts.
 auto Dispatcher::State::reportEvacuationState(TimePoint now) -> void
 {
+    if (settings.evacuationDelay == Duration::zero()) {
+        return;
+    }
     const bool outdated = !evacuationsKnown(now);
     if (std::exchange(evacuationsOutdated, outdated) != outdated) {
         emitEvent(outdated ? "starts-paused" : "starts-resumed", {}, "reason=evacuations-outdated");
