Evacuate and restore zones at random in the soak

No fault of the soak evacuated a zone. Its workers are now in two zones, one of which is evacuated or restored every 0.5 to 7 s, and a start that a worker sees later than 5 s after the evacuation is a violation; commands that the worker itself executes late are none. The times come from a generator of their own, so the other faults of a seed stay the same.

--- a/tests/soak/instances.cpp
+++ b/tests/soak/instances.cpp
@@ -82,10 +82,10 @@
 {
     std::ofstream(m_directory / (it.name + ".toml"))
         << "node = \"" << it.name << "\"\nip = \"" << it.metricsAddress.host
-        << "\"\nzone = \"zone-a\"\nregion = \"region\"\ninternalPorts = [" << it.metricsAddress.port << ", " << it.metricsAddress.port
-        << "]\n[listen]\nfront = \"" << it.callerAddress.str() << "\"\nreadiness = \"" << it.readinessAddress.str()
-        << "\"\n[limits]\ncpuShare = 0.25\n[platform]\naddress = \"" << it.storeProxy->address().str()
-        << "\"\n[bounds]\nholdMaxMs = 4000\ngraceS = 6\nrevokeMs = 5000\n";
+        << "\"\nzone = \"zone-a\"\nregion = \"region\"\ncontracts = [\"base\", \"places\"]\ninternalPorts = [" << it.metricsAddress.port
+        << ", " << it.metricsAddress.port << "]\n[listen]\nfront = \"" << it.callerAddress.str() << "\"\nreadiness = \""
+        << it.readinessAddress.str() << "\"\n[limits]\ncpuShare = 0.25\n[platform]\naddress = \"" << it.storeProxy->address().str()
+        << "\"\n[bounds]\nholdMaxMs = 4000\ngraceS = 6\nrevokeMs = 5000\nevacuateMs = 5000\n";
 }
 
 auto Instances::start(Instance &it) -> void
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -41,6 +41,7 @@
 Scenario::Scenario(const ScenarioSettings &settings)
     : m_settings(withSizes(settings))
     , m_random(settings.seed)
+    , m_evacuationRandom(settings.seed)
     , m_plannedOnly(settings.seed % 5 == 0)
     , m_store(m_loop, m_ledger, m_settings.instances, settings.seed)
     , m_workers(m_loop, m_ledger, m_store, m_settings.workers, settings.seed)
@@ -248,6 +249,19 @@
     schedule(randomDuration(100, 1500), [this] { injectNextFault(); });
 }
 
+auto Scenario::toggleNextEvacuation() -> void
+{
+    if (!m_injectingFaults) {
+        return;
+    }
+    const auto *zone = WorkerFleet::zones.at(m_evacuationRandom() % WorkerFleet::zones.size());
+    std::cout << "evacuation or revocation of " << zone << " at_ms=" << unixNow().count() << '\n';
+    m_workers.toggleEvacuation(zone);
+    // Both shorter and longer than the time after which nothing may start in the zone.
+    schedule(std::chrono::milliseconds(std::uniform_int_distribution<int>(500, 7000)(m_evacuationRandom)),
+             [this] { toggleNextEvacuation(); });
+}
+
 auto Scenario::restore() -> void
 {
     m_injectingFaults = false;
@@ -256,6 +270,7 @@
     m_store.lostResponseProbability = 0;
     m_store.lateAppendProbability = 0;
     m_workers.restore();
+    m_workers.revokeEvacuations();
     m_instances.restore();
 }
 
@@ -309,6 +324,7 @@
     m_injectingFaults = true;
     addCallers(4);
     schedule(randomDuration(500, 1500), [this] { injectNextFault(); });
+    schedule(1s, [this] { toggleNextEvacuation(); });
     (void)m_loop.runUntil([] { return false; }, m_settings.traffic);
     restore();
     for (const auto &it : m_callers) {
--- a/tests/soak/scenario.h
+++ b/tests/soak/scenario.h
@@ -25,8 +25,9 @@
     std::filesystem::path directory;
 };
 
-/// Runs the scenario of one seed: a deployment, its callers and randomly selected faults. Every fifth seed injects planned operations only
-/// (graceful restart, reload, configuration change, key withdrawal), during which no request may lose its response. Not thread-safe.
+/// Runs the scenario of one seed: a deployment, its callers, randomly selected faults, and evacuations of zones. Every fifth seed injects
+/// planned operations only (graceful restart, reload, configuration change, key withdrawal), during which no request may lose its response.
+/// Not thread-safe.
 class Scenario
 {
 public:
@@ -52,6 +53,7 @@
     auto addConnectionFaults(std::vector<Fault> &out) -> void;
     auto addWorkerFaults(std::vector<Fault> &out) -> void;
     auto injectNextFault() -> void;
+    auto toggleNextEvacuation() -> void;
     auto restore() -> void;
     auto publishConfiguration() -> void;
     auto addCallers(std::size_t count) -> void;
@@ -64,6 +66,8 @@
 
     ScenarioSettings m_settings;
     std::mt19937_64 m_random;
+    /// Apart from the other faults, so that those of a seed stay the same.
+    std::mt19937_64 m_evacuationRandom;
     bool m_plannedOnly = false;
     Runtime::EventLoop m_loop;
     Ledger m_ledger;
--- a/tests/soak/worker_fleet.cpp
+++ b/tests/soak/worker_fleet.cpp
@@ -15,6 +15,8 @@
 constexpr Duration gangStartTimeout = 3s;
 constexpr Duration workPerCheckpoint = 500ms;
 constexpr std::chrono::milliseconds maxLease = 4s;
+/// Equals `bounds.evacuateMs` in the settings of the instances.
+constexpr Duration evacuationBound = 5s;
 constexpr std::size_t workersPerRack = 4;
 constexpr double fullPercent = 100.0;
 /// Rate of the workers' clocks: 2% slow.
@@ -41,6 +43,7 @@
         auto &it = m_workers[i];
         it.name = "w" + std::to_string(i);
         it.rack = "rack" + std::to_string(i / workersPerRack);
+        it.zone = zones.at(i / workersPerRack % zones.size());
         it.listener =
             std::make_unique<HttpListener>(loop, [this, i](const HttpCall &call, const Respond &respond) { handle(i, call, respond); });
         it.proxy = std::make_unique<TcpProxy>(loop, it.listener->address());
@@ -114,11 +117,29 @@
     }
 }
 
+auto WorkerFleet::toggleEvacuation(const std::string &zone) -> void
+{
+    const bool evacuate = !m_evacuated.contains(zone);
+    m_store.put("keyed.op", "evacuate/" + zone, evacuate ? "{}" : "");
+    if (evacuate) {
+        m_evacuated[zone] = m_loop.now();
+    } else {
+        m_evacuated.erase(zone);
+    }
+}
+
+auto WorkerFleet::revokeEvacuations() -> void
+{
+    while (!m_evacuated.empty()) {
+        toggleEvacuation(std::string(m_evacuated.begin()->first));
+    }
+}
+
 auto WorkerFleet::publishEntry(Worker &worker) -> void
 {
     json entry{{"service", "service"},
                {"address", worker.proxy->address().str()},
-               {"zone", "zone-a"},
+               {"zone", worker.zone},
                {"version", "1"},
                {"slots", 8},
                {"state", worker.draining ? "draining" : "ready"},
@@ -145,7 +166,7 @@
         if (!worker.up || !body.is_object()) {
             respond({400, "{}"});
         } else if (call.path == "/api/run-start") {
-            respond(startRun(worker, body));
+            respond(startRun(worker, body, false));
         } else if (call.path == "/api/run-stop") {
             respond(stopRun(worker, body));
         } else if (auto reply = poll(worker, body)) {
@@ -169,7 +190,7 @@
                              return;
                          }
                          if (call.path == "/api/run-start") {
-                             startRun(worker, body);
+                             startRun(worker, body, true);
                          } else if (call.path == "/api/run-stop") {
                              stopRun(worker, body);
                          } else {
@@ -178,7 +199,7 @@
                      });
 }
 
-auto WorkerFleet::startRun(Worker &worker, const json &body) -> HttpReply
+auto WorkerFleet::startRun(Worker &worker, const json &body, bool late) -> HttpReply
 {
     const auto now = clock(worker);
     const auto refuse = [&](const char *reason) { return HttpReply{409, json{{"clockMs", now.count()}, {"reason", reason}}.dump()}; };
@@ -217,6 +238,11 @@
             return refuse("room");
         }
     }
+    // A command that this worker executes late is no start by the system.
+    const auto evacuated = m_evacuated.find(worker.zone);
+    if (!late && evacuated != m_evacuated.end() && m_loop.now() > evacuated->second + evacuationBound) {
+        m_ledger.addViolation("a start of " + observed.task + " in the evacuated zone " + worker.zone);
+    }
     m_ledger.runStarted(observed);
     worker.leaseExpiry = std::max(worker.leaseExpiry, std::min(until, now + maxLease));
     Run run;
--- a/tests/soak/worker_fleet.h
+++ b/tests/soak/worker_fleet.h
@@ -5,6 +5,7 @@
 #include "store_server.h"
 #include "tcp_proxy.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -53,6 +54,7 @@
     {
         std::string name;
         std::string rack;
+        std::string zone;
         WorkerSize size;
         std::unique_ptr<HttpListener> listener;
         std::unique_ptr<TcpProxy> proxy;
@@ -91,6 +93,12 @@
     {
         return m_workers;
     }
+    /// Evacuates a zone, or revokes its evacuation when it is evacuated. The operator's topic has no other writer, so the time of the call
+    /// is when the store has the key.
+    auto toggleEvacuation(const std::string &zone) -> void;
+    auto revokeEvacuations() -> void;
+    static constexpr std::array<const char *, 2> zones{"zone-a", "zone-b"};
+
     /// Probability that a command is executed seconds later and gets no response.
     double lateCommandProbability = 0;
 
@@ -98,7 +106,7 @@
     auto handle(std::size_t number, const HttpCall &call, const Respond &respond) -> void;
     /// Each executes one command; see /api/run-start, /api/run-stop and /api/hold. poll() returns an empty optional when the caller has to
     /// wait for the end of a run.
-    auto startRun(Worker &worker, const nlohmann::json &body) -> HttpReply;
+    auto startRun(Worker &worker, const nlohmann::json &body, bool late) -> HttpReply;
     auto stopRun(Worker &worker, const nlohmann::json &body) -> HttpReply;
     auto poll(Worker &worker, const nlohmann::json &body) -> std::optional<HttpReply>;
     auto pollReply(const Worker &worker) const -> HttpReply;
@@ -116,6 +124,8 @@
     StoreServer &m_store;
     std::mt19937_64 m_random;
     std::vector<Worker> m_workers;
+    /// Evacuated zones, and since when.
+    std::map<std::string, TimePoint> m_evacuated;
     TimePoint m_lastTick;
     TimePoint m_nextPublication;
 };
