--- a/packages/workflow/include/acaciarail/workflow/placement.h
+++ b/packages/workflow/include/acaciarail/workflow/placement.h
@@ -22,6 +22,8 @@
     std::uint32_t slowness = 0;
     /// Not reserved for work of this kind; used only when no reserved worker that is otherwise equal has capacity.
     bool unreserved = false;
+    /// Its tasks take longer for the moment; used only when no other worker that is not avoided has capacity.
+    bool cold = false;
 };
 
 /// Which workers are preferred by their speed.
--- a/packages/workflow/include/acaciarail/workflow/worker_speeds.h
+++ b/packages/workflow/include/acaciarail/workflow/worker_speeds.h
@@ -56,8 +56,11 @@
     std::map<WorkerName, History> m_histories;
 };
 
-/// Returns how slow a worker is beside the fastest ones: 0 for those, and 1 more for each quarter by which it is slower. \pre both speeds
-/// are positive. Thread-safe.
+/// Slowest level of slownessOf(); such workers may be slower still.
+inline constexpr std::uint32_t maxSlowness = 4;
+
+/// Returns how slow a worker is beside the fastest ones: 0 for those, and 1 more for each quarter by which they are faster, up to
+/// maxSlowness. \pre both speeds are positive. Thread-safe.
 [[nodiscard]] auto slownessOf(double speed, double fastest) -> std::uint32_t;
 
 /// Returns the speed that the fastest tenth of workers reach. \pre \a speeds is not empty. Thread-safe.
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -62,6 +62,24 @@
     return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
 }
 
+/// Returns the time from its acceptance within which a job is in time, by the estimates of its steps.
+auto objectiveOf(const Job &job) -> Duration
+{
+    Duration chain{};
+    for (const auto &it : job.spec.steps) {
+        chain += it.estimate;
+    }
+    return std::chrono::duration_cast<Duration>(chain * job.policy.stretch) + job.policy.targetLatency;
+}
+
+/// Returns whether a unit has little time left beside its run time, so that it would be late on a slow worker. Both are derived from the
+/// same estimate, so an error of the estimate changes their ratio little.
+auto isShortOfTime(const Unit &unit, TimePoint now) -> bool
+{
+    const auto left = unit.job->acceptedAt + objectiveOf(*unit.job) - now;
+    return unit.job->policy.priority == 0 || left < unit.step->estimate * minSpareFactor;
+}
+
 auto withoutAvoided(std::vector<Candidate> candidates) -> std::vector<Candidate>
 {
     for (auto &it : candidates) {
@@ -291,8 +309,12 @@
             const bool allowed =
                 w.info.service == unit.job->policy.service && hasRequiredLabel(w.info, step) && nearData && !crowded && !blocked;
             const bool elsewhere = forMoreUrgent || (hasReservation && m_reservedFor[i] != priority);
-            out[i] = {w.rack, allowed ? w.free() - w.reservedCapacity : noCapacity, m_now < w.avoidUntil,
-                      w.slowness + (urgent && m_slowZones.contains(w.info.zone) ? 1U : 0U), elsewhere};
+            out[i] = {w.rack,
+                      allowed ? w.free() - w.reservedCapacity : noCapacity,
+                      m_now < w.avoidUntil,
+                      w.slowness + (urgent && m_slowZones.contains(w.info.zone) ? 1U : 0U),
+                      elsewhere,
+                      m_now < w.coldUntil};
         }
         return out;
     }
@@ -420,24 +442,6 @@
     return out;
 }
 
-/// Returns the time from its acceptance within which a job is in time, by the estimates of its steps.
-auto objectiveOf(const Job &job) -> Duration
-{
-    Duration chain{};
-    for (const auto &it : job.spec.steps) {
-        chain += it.estimate;
-    }
-    return std::chrono::duration_cast<Duration>(chain * job.policy.stretch) + job.policy.targetLatency;
-}
-
-/// Returns whether a unit has little time left beside its run time, so that it would be late on a slow worker. Both are derived from the
-/// same estimate, so an error of the estimate changes their ratio little.
-auto isShortOfTime(const Unit &unit, TimePoint now) -> bool
-{
-    const auto left = unit.job->acceptedAt + objectiveOf(*unit.job) - now;
-    return unit.job->policy.priority == 0 || left < unit.step->estimate * minSpareFactor;
-}
-
 auto cannotFinishInTime(const Unit &unit, TimePoint now) -> bool
 {
     const auto objective = objectiveOf(*unit.job);
@@ -465,7 +469,8 @@
     std::vector<Candidate> candidates;
     for (const auto &[name, worker] : workers) {
         const auto &info = worker->info;
-        if (worker->listed && !info.draining && info.service == unit.job->policy.service && hasRequiredLabel(info, *unit.step)) {
+        if (worker->listed && !info.draining && !worker->evacuated && info.service == unit.job->policy.service
+            && hasRequiredLabel(info, *unit.step)) {
             candidates.push_back({worker->rack, info.capacity});
         }
     }
--- a/packages/workflow/src/placement.cpp
+++ b/packages/workflow/src/placement.cpp
@@ -59,10 +59,10 @@
 }
 
 /// Sort key of a candidate; the smaller one is used first.
-auto preferenceKey(const Candidate &candidate, SpeedPreference speed) -> std::tuple<bool, std::uint32_t, bool, std::int64_t>
+auto preferenceKey(const Candidate &candidate, SpeedPreference speed) -> std::tuple<bool, bool, std::uint32_t, bool, std::int64_t>
 {
     const bool fast = speed == SpeedPreference::Fast;
-    return {candidate.avoided, fast ? candidate.slowness : 0, candidate.unreserved,
+    return {candidate.avoided, candidate.cold, fast ? candidate.slowness : 0, candidate.unreserved,
             fast ? 0 : -static_cast<std::int64_t>(candidate.slowness)};
 }
 
@@ -118,6 +118,11 @@
     return std::count_if(assignment.begin(), assignment.end(), [&](std::size_t i) { return candidates[i].avoided; });
 }
 
+auto countCold(std::span<const Candidate> candidates, const Assignment &assignment) -> std::ptrdiff_t
+{
+    return std::count_if(assignment.begin(), assignment.end(), [&](std::size_t i) { return candidates[i].cold; });
+}
+
 auto countUnreserved(std::span<const Candidate> candidates, const Assignment &assignment) -> std::ptrdiff_t
 {
     return std::count_if(assignment.begin(), assignment.end(), [&](std::size_t i) { return candidates[i].unreserved; });
@@ -274,7 +279,7 @@
 auto place(std::span<const Candidate> candidates, const PlacementRequest &request) -> std::optional<Assignment>
 {
     const bool fast = request.speed == SpeedPreference::Fast;
-    using Key = std::tuple<std::ptrdiff_t, std::uint32_t, std::ptrdiff_t, std::int64_t, std::int64_t>;
+    using Key = std::tuple<std::ptrdiff_t, std::ptrdiff_t, std::uint32_t, std::ptrdiff_t, std::int64_t, std::int64_t>;
     std::optional<std::pair<Key, Assignment>> best;
     for (const auto &group : groupsFor(candidates, request)) {
         auto assignment = fill(candidates, group, request);
@@ -284,8 +289,11 @@
         if (fast) {
             assignment = withoutFasterWorkers(candidates, group, request, std::move(*assignment));
         }
-        const Key key{countAvoided(candidates, *assignment), fast ? greatestSlowness(candidates, *assignment) : 0,
-                      countUnreserved(candidates, *assignment), fast ? 0 : -totalSlowness(candidates, *assignment),
+        const Key key{countAvoided(candidates, *assignment),
+                      countCold(candidates, *assignment),
+                      fast ? greatestSlowness(candidates, *assignment) : 0,
+                      countUnreserved(candidates, *assignment),
+                      fast ? 0 : -totalSlowness(candidates, *assignment),
                       freeAccelerators(candidates, group)};
         if (!best || key < best->first) {
             best.emplace(key, std::move(*assignment));
--- a/packages/workflow/src/worker_speeds.cpp
+++ b/packages/workflow/src/worker_speeds.cpp
@@ -20,7 +20,6 @@
 constexpr double fastQuantile = 0.9;
 /// Ratio of the speeds of two levels of slowness. Tasks of a step differ by up to a third, so smaller differences are not told apart.
 constexpr double levelRatio = 1.25;
-constexpr double maxSlowness = 4.0;
 
 auto medianOf(std::vector<double> values) -> double
 {
@@ -96,7 +95,7 @@
 auto slownessOf(double speed, double fastest) -> std::uint32_t
 {
     const auto levels = std::log(fastest / speed) / std::log(levelRatio);
-    return static_cast<std::uint32_t>(std::clamp(std::round(levels), 0.0, maxSlowness));
+    return static_cast<std::uint32_t>(std::clamp(std::round(levels), 0.0, double{maxSlowness}));
 }
 
 auto fastestSpeed(std::vector<double> speeds) -> double
