Replay the load patterns of two deployments and compare with baselines

Cause: the replays knew neither workers' speeds, checkpoints, stop times, uneven tasks nor the value of a job, so no decision about who waits could be measured without a network. Change: the replay has these, failures of runs, second steps, guarantees and their bound, and checks that no task runs twice or again after its reported end. DispatcherSettings gets `queueOrder`, `preempt` and `reserveForPriorities`, so that a baseline is a function that changes the settings; the defaults decide as before.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <acaciarail/workflow/configuration.h>
+#include <acaciarail/workflow/placement.h>
 #include <acaciarail/workflow/records.h>
 #include <acaciarail/workflow/worker.h>
 
@@ -97,6 +98,12 @@
     Duration usageInterval = 50ms;
     /// Preemption for an urgent unit may lose up to this many times the unit's own core-seconds.
     double maxPreemptionLossFactor = 3.0;
+    /// Order of the waiting units; replays replace it to compare the default with simpler orders.
+    std::function<bool(const QueuePosition &, const QueuePosition &)> queueOrder = precedes;
+    /// Urgent work may preempt. Off only in replays, for comparison; urgent gangs then reserve workers as the others do.
+    bool preempt = true;
+    /// Workers are reserved for the usage of each priority. Off only in replays, for comparison.
+    bool reserveForPriorities = true;
 };
 
 /// A decision.
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -603,9 +603,12 @@
             queue.push_back({unit, {guaranteed.contains(&job), cannotFinishInTime(*unit, now), job.policy.priority, unit->readySince}});
         }
     }
-    std::stable_sort(queue.begin(), queue.end(), [](const Waiting &a, const Waiting &b) { return precedes(a.position, b.position); });
+    std::stable_sort(queue.begin(), queue.end(),
+                     [&](const Waiting &a, const Waiting &b) { return settings.queueOrder(a.position, b.position); });
 
-    round.reserveForPriorities();
+    if (settings.reserveForPriorities) {
+        round.reserveForPriorities();
+    }
     std::set<Shape> unplaceable;
     std::size_t reservedGangs = 0;
     for (const auto &it : queue) {
@@ -618,10 +621,11 @@
             continue;
         }
         unplaceable.insert(shapeOf(unit));
-        if (!urgent && unit.step->gang && !it.position.cannotFinishInTime && reservedGangs < settings.maxReservedGangs) {
+        const bool preempts = urgent && settings.preempt;
+        if (!preempts && unit.step->gang && !it.position.cannotFinishInTime && reservedGangs < settings.maxReservedGangs) {
             reservedGangs += round.reserveForGang(unit) ? 1 : 0;
         }
-        if (urgent && now >= unit.nextPreemption) {
+        if (preempts && now >= unit.nextPreemption) {
             unit.nextPreemption = now + settings.preemptInterval;
             tryPreempt(round, unit, it.position.guaranteed, now);
         }
@@ -634,7 +638,7 @@
     const bool hasWaitedLong = round.hasWaitedLong(unit);
     // A worker on which runs just failed or made no progress would otherwise get the same unit repeatedly, as its capacity is the first to
     // become free.
-    request.useAvoided = unit.job->policy.priority != 0 && hasWaitedLong;
+    request.useAvoided = (unit.job->policy.priority != 0 || !settings.preempt) && hasWaitedLong;
     std::optional<Assignment> assignment;
     if (round.mayFit(unit, request.sameRack)) {
         assignment = place(round.candidates(unit), request);
--- a/tests/workflow/load_replay.cpp
+++ b/tests/workflow/load_replay.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 #include <ctime>
+#include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace Acaciarail::Workflow::Tests {
@@ -15,6 +17,13 @@
 constexpr Duration storeDelay = 20ms;
 constexpr Duration commandTimeout = 300ms;
 constexpr Duration decisionInterval = 10ms;
+/// A job is worthless when it ends after this many times its objective; stated by the users' accounting.
+constexpr double maxLateness = 3;
+/// A job's weight grows with its core-seconds up to this many times the mean of its class; stated by the users' accounting.
+constexpr double maxRelativeSize = 4;
+constexpr double fixedWeight = 0.3;
+/// The members of a gang's run start within this time of each other; a rule of the platform.
+constexpr Duration gangStartTime = 4s;
 
 auto seconds(Duration d) -> double
 {
@@ -33,7 +42,60 @@
 
 } // namespace
 
-LoadReplay::LoadReplay(LoadPattern pattern)
+auto ClassResult::operator+=(const ClassResult &other) -> ClassResult &
+{
+    submitted += other.submitted;
+    ended += other.ended;
+    inTime += other.inTime;
+    late += other.late;
+    worthless += other.worthless;
+    earned += other.earned;
+    owed += other.owed;
+    wastedCoreSeconds += other.wastedCoreSeconds;
+    longestWait = std::max(longestWait, other.longestWait);
+    return *this;
+}
+
+auto LoadReplay::UnitRun::progressTime(TimePoint now) const -> Duration
+{
+    const auto until = haltedAt ? std::min(now, *haltedAt) : now;
+    return progressFrom ? std::max(until - *progressFrom, Duration::zero()) : Duration::zero();
+}
+
+auto LoadReplay::UnitRun::doneWork(std::size_t member, Duration progressTime) const -> double
+{
+    const auto &it = members[member];
+    return std::min(it.work, it.doneBefore + seconds(progressTime) * it.worker->speed);
+}
+
+auto LoadReplay::ReplayJob::criticalPath() const -> double
+{
+    double sum = 0;
+    for (const auto &it : work) {
+        sum += *std::max_element(it.begin(), it.end());
+    }
+    return sum;
+}
+
+auto LoadReplay::ReplayJob::coreSeconds() const -> double
+{
+    double sum = 0;
+    for (std::size_t i = 0; i < work.size(); ++i) {
+        sum += std::accumulate(work[i].begin(), work[i].end(), 0.0) * weightedCores(spec.steps[i].taskDemand);
+    }
+    return sum;
+}
+
+auto LoadReplay::ReplayJob::accelerators() const -> std::int64_t
+{
+    std::int64_t sum = 0;
+    for (const auto &it : spec.steps) {
+        sum += it.taskDemand.accelerators * it.count;
+    }
+    return sum;
+}
+
+LoadReplay::LoadReplay(LoadPattern pattern, DispatcherSettings settings)
     : m_pattern(std::move(pattern))
     , m_random(m_pattern.seed)
     , m_begin(m_clock.now())
@@ -44,8 +106,12 @@
         configuration->queues.back().policy.stretch = it.stretch;
         configuration->queues.back().policy.targetLatency = it.targetLatency;
     }
+    for (const auto &it : m_pattern.organisations) {
+        configuration->organisations.push_back({OrganisationName(it.name), it.guaranteedAccelerators});
+        m_guarantees.emplace(it.name, it.guaranteedAccelerators);
+    }
     m_dispatcher = std::make_unique<Dispatcher>(
-        DispatcherSettings{}, [this](const DispatchEvent &e) { m_logLines += e.logged ? 1 : 0; }, m_clock.now());
+        std::move(settings), [this](const DispatchEvent &e) { m_logLines += e.logged ? 1 : 0; }, m_clock.now());
     m_dispatcher->setConfiguration(configuration);
     for (std::size_t r = 0; r < m_pattern.racks; ++r) {
         for (std::size_t i = 0; i < m_pattern.workersPerRack; ++i) {
@@ -55,6 +121,7 @@
             worker.info.rack = RackName("rack" + std::to_string(r));
             worker.info.capacity = m_pattern.workerCapacity;
             worker.info.incarnation = 1;
+            worker.speed = m_pattern.speeds[m_workers.size() % m_pattern.speeds.size()];
             m_dispatcher->workerListed(worker.info, m_clock.now());
             m_workers.emplace(worker.info.name, std::move(worker));
         }
@@ -89,20 +156,65 @@
     StepSpec step;
     step.count = std::clamp(static_cast<std::uint32_t>(-std::log(1.0 - random()) * of.meanTasks) + 1, 1U, of.maxTasks);
     step.gang = of.gang;
-    step.checkpoints = false;
     step.taskDemand = {of.milliCores, of.memoryMiB,
                        of.accelerators[static_cast<std::size_t>(random() * static_cast<double>(of.accelerators.size()))]};
     const auto rackAccelerators = m_pattern.workerCapacity.accelerators * static_cast<std::int64_t>(m_pattern.workersPerRack);
     step.sameRack = of.gang && random() < of.sameRackShare && step.taskDemand.accelerators * step.count <= rackAccelerators;
     ReplayJob job;
     job.jobClass = jobClass;
-    job.runTime = vary(of.runTime);
-    step.estimate = vary(job.runTime);
+    const auto runTime = vary(of.runTime);
+    const auto estimateError = of.estimateError.value_or(of.spread);
+    step.estimate = fromSeconds(seconds(runTime) * (1.0 + estimateError * (2.0 * random() - 1.0)));
+    step.checkpoints = m_pattern.checkpointInterval > Duration::zero();
     job.submittedAt = m_clock.now();
     job.spec = simpleJob(std::string(of.queue) + std::to_string(m_jobs.size()), of.queue, step);
+    // Patterns without these features draw the same numbers as before they were added.
+    const auto happens = [&](double probability) { return probability > 0 && random() < probability; };
+    if (happens(of.secondStepShare)) {
+        step.dependsOn = {0};
+        job.spec.steps.push_back(step);
+    }
+    for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
+        auto &work = job.work.emplace_back(step.count, seconds(runTime));
+        for (auto &it : work) {
+            it *= of.unevenness > 0 ? 1.0 + of.unevenness * (2.0 * random() - 1.0) : 1.0;
+            it *= happens(m_pattern.tailShare) ? m_pattern.tailFactor : 1.0;
+        }
+    }
+    job.failsAfter = happens(m_pattern.failureShare) ? random() : 0;
+    addToOrganisation(job);
     job.spec.acceptedAt = unixTime(m_clock.now());
     m_dispatcher->accept(job.spec, m_clock.now(), unixTime(m_clock.now()));
     m_jobs.emplace(job.spec.id, std::move(job));
+    ++m_openJobs;
+}
+
+auto LoadReplay::addToOrganisation(ReplayJob &job) -> void
+{
+    if (m_pattern.organisations.empty()) {
+        return;
+    }
+    auto share = random();
+    auto organisation = m_pattern.organisations.begin();
+    while (share >= organisation->share && std::next(organisation) != m_pattern.organisations.end()) {
+        share -= organisation->share;
+        ++organisation;
+    }
+    job.spec.organisation = OrganisationName(organisation->name);
+    if (m_pattern.classes[job.jobClass].priority != 0) {
+        return;
+    }
+    auto &used = m_urgentAccelerators[job.spec.organisation];
+    used += job.accelerators();
+    job.guaranteed = used <= organisation->guaranteedAccelerators;
+    if (job.guaranteed) {
+        return;
+    }
+    for (auto &[id, other] : m_jobs) {
+        if (other.spec.organisation == job.spec.organisation && m_clock.now() < other.submittedAt + m_pattern.reclaimTime) {
+            other.guaranteed = other.guaranteed && other.allStartedAt;
+        }
+    }
 }
 
 auto LoadReplay::depart(const Departure &departure) -> void
@@ -123,17 +235,17 @@
                 });
             }
             for (const auto &it : std::vector<Run>(worker.runs)) {
+                end(*it.unit, it.member, EndKind::Failed);
                 // The other members of a gang notice that one is gone.
-                endGang(it.command.task.job, it.command.run, EndKind::GangFailed);
+                endMembers(*it.unit, EndKind::GangFailed);
             }
-            worker.runs.clear();
         });
         m_clock.schedule(departure.notice + departure.listedAfterwards,
                          [this, name = name] { m_dispatcher->workerUnlisted(name, m_clock.now()); });
     }
 }
 
-auto LoadReplay::run(Duration after) -> void
+auto LoadReplay::begin() -> void
 {
     for (std::size_t i = 0; i < m_pattern.classes.size(); ++i) {
         scheduleArrivals(i);
@@ -142,9 +254,23 @@
         m_clock.schedule(it.at, [this, &it] { depart(it); });
     }
     decide();
+}
+
+auto LoadReplay::run(Duration after) -> void
+{
+    begin();
     m_clock.run(m_pattern.length + after);
 }
 
+auto LoadReplay::runUntilEnded(Duration limit) -> void
+{
+    begin();
+    m_clock.run(m_pattern.length);
+    while (m_openJobs > 0 && m_clock.now() < m_begin + m_pattern.length + limit) {
+        m_clock.run(1s);
+    }
+}
+
 auto LoadReplay::decide() -> void
 {
     const auto begin = std::clock();
@@ -154,7 +280,13 @@
         m_clock.schedule(storeDelay, [this, outcomes = decisions.outcomes] {
             m_dispatcher->recordsStored(m_clock.now());
             for (const auto &it : outcomes) {
-                m_jobs.at(it.job).endedAt = m_clock.now();
+                auto &job = m_jobs.at(it.job);
+                job.endedAt = m_clock.now();
+                job.phase = it.phase;
+                --m_openJobs;
+                if (m_pattern.classes[job.jobClass].priority == 0) {
+                    m_urgentAccelerators[job.spec.organisation] -= job.accelerators();
+                }
             }
         });
     }
@@ -177,70 +309,188 @@
         m_clock.schedule(commandTimeout, [this, command] { m_dispatcher->startAnswered(command, StartOutcome::Unknown, m_clock.now()); });
         return;
     }
+    checkStart(command, worker);
     auto &job = m_jobs.at(command.task.job);
     const auto &step = job.spec.steps[command.task.step];
+    const auto unit = unitRunFor(command);
+    const std::size_t member = step.gang ? command.task.index : 0;
+    unit->members[member].worker = &worker;
+    worker.runs.push_back({command, m_clock.now(), unit, member});
+    markStarted(job, command);
+    if (++unit->startedMembers == unit->members.size()) {
+        beginProgress(unit);
+    }
+    m_clock.schedule(networkDelay, [this, command] { m_dispatcher->startAnswered(command, StartOutcome::Started, m_clock.now()); });
+}
+
+auto LoadReplay::checkStart(const StartCommand &command, const ReplayWorker &worker) -> void
+{
+    const auto &job = m_jobs.at(command.task.job);
+    const auto &step = job.spec.steps[command.task.step];
+    const auto name = command.task.job.str() + " task " + std::to_string(command.task.index);
     Demand used;
     for (const auto &it : worker.runs) {
         used += m_jobs.at(it.command.task.job).spec.steps[it.command.task.step].taskDemand;
     }
     if (!(worker.info.capacity - used).covers(step.taskDemand)) {
-        violations.push_back("no capacity for " + command.task.job.str());
+        violations.push_back("no capacity for " + name);
+    }
+    for (const auto &[id, other] : m_workers) {
+        const bool runs = std::any_of(other.runs.begin(), other.runs.end(), [&](const Run &r) { return r.command.task == command.task; });
+        if (runs) {
+            violations.push_back("runs twice at the same time: " + name);
+        }
     }
-    worker.runs.push_back({command, m_clock.now()});
+    if (m_doneTasks.contains(command.task)) {
+        violations.push_back("runs again after its end: " + name);
+    }
+}
+
+auto LoadReplay::unitRunFor(const StartCommand &command) -> std::shared_ptr<UnitRun>
+{
+    const auto &job = m_jobs.at(command.task.job);
+    const auto &step = job.spec.steps[command.task.step];
+    auto &unit = m_unitRuns[{command.task.job, command.task.step, step.gang ? 0 : command.task.index, command.run}];
+    if (!unit) {
+        unit = std::make_shared<UnitRun>();
+        unit->job = command.task.job;
+        unit->step = command.task.step;
+        unit->index = step.gang ? 0 : command.task.index;
+        unit->run = command.run;
+        unit->firstStart = m_clock.now();
+        unit->checkpoint = command.checkpoint;
+        const auto &work = job.work[command.task.step];
+        const auto count = step.gang ? work.size() : 1;
+        for (std::size_t i = 0; i < count; ++i) {
+            const auto done = command.checkpoint.empty() ? 0.0 : m_checkpoints.at(command.checkpoint)[i];
+            unit->members.push_back({nullptr, work[step.gang ? i : command.task.index], done});
+        }
+    }
+    if (m_clock.now() > unit->firstStart + gangStartTime) {
+        violations.push_back("a member starts late: " + command.task.job.str());
+    }
+    return unit;
+}
+
+auto LoadReplay::markStarted(ReplayJob &job, const StartCommand &command) -> void
+{
     job.startedAt = job.startedAt.value_or(m_clock.now());
-    if (std::exchange(job.run, command.run) != command.run) {
-        job.startedMembers = 0;
+    if (command.task.step != 0 || job.allStartedAt) {
+        return;
     }
-    if (!step.gang) {
-        m_clock.schedule(job.runTime, [this, &worker, command] { end(worker, command.task, command.run, EndKind::Done); });
-    } else if (++job.startedMembers == step.count) {
-        m_clock.schedule(job.runTime, [this, command] { endGang(command.task.job, command.run, EndKind::Done); });
+    job.startedTasks.insert(command.task.index);
+    if (job.startedTasks.size() == job.spec.steps.front().count) {
+        job.allStartedAt = m_clock.now();
+        if (job.guaranteed && *job.allStartedAt > job.submittedAt + m_pattern.reclaimTime) {
+            violations.push_back("a guaranteed job starts after "
+                                 + std::to_string(toMilliseconds(*job.allStartedAt - job.submittedAt).count())
+                                 + " ms: " + job.spec.id.str());
+        }
     }
-    m_clock.schedule(networkDelay, [this, command] { m_dispatcher->startAnswered(command, StartOutcome::Started, m_clock.now()); });
+}
+
+/// Called when all members of a run have started.
+auto LoadReplay::beginProgress(const std::shared_ptr<UnitRun> &unit) -> void
+{
+    const auto restoring = unit->checkpoint.empty() ? Duration::zero() : m_pattern.restoreTime;
+    unit->progressFrom = m_clock.now() + restoring;
+    double longest = 0;
+    for (const auto &it : unit->members) {
+        longest = std::max(longest, (it.work - it.doneBefore) / it.worker->speed);
+    }
+    auto &job = m_jobs.at(unit->job);
+    const bool fails = unit->step == 0 && job.failsAfter > 0;
+    if (fails) {
+        longest *= std::exchange(job.failsAfter, 0);
+    }
+    m_clock.schedule(restoring + fromSeconds(longest), [this, unit, fails] {
+        if (unit->haltedAt) {
+            return;
+        }
+        if (fails) {
+            end(*unit, 0, EndKind::Failed);
+        }
+        endMembers(*unit, fails ? EndKind::GangFailed : EndKind::Done);
+    });
 }
 
 auto LoadReplay::stop(const StopCommand &command) -> void
 {
     auto &worker = m_workers.at(command.worker);
-    if (!worker.gone) {
-        end(worker, command.task, command.run, EndKind::Stopped);
+    const auto it = std::find_if(worker.runs.begin(), worker.runs.end(), [&](const Run &r) {
+        return r.command.task == command.task && r.command.run == command.run && !r.stopping;
+    });
+    if (it != worker.runs.end()) {
+        it->stopping = true;
+        it->unit->haltedAt = it->unit->haltedAt.value_or(m_clock.now());
+        m_clock.schedule(m_pattern.stopTime, [this, unit = it->unit, member = it->member] {
+            end(*unit, member, EndKind::Stopped);
+            endMembers(*unit, EndKind::GangFailed);
+        });
     }
     m_clock.schedule(networkDelay,
                      [this, command, answered = !worker.gone] { m_dispatcher->stopAnswered(command, answered, m_clock.now()); });
 }
 
-auto LoadReplay::endGang(const JobId &job, std::uint32_t run, EndKind kind) -> void
+auto LoadReplay::endMembers(UnitRun &unit, EndKind kind) -> void
 {
-    const auto &spec = m_jobs.at(job).spec;
-    if (!spec.steps.front().gang) {
-        return;
-    }
-    for (auto &[name, worker] : m_workers) {
-        for (const auto &it : std::vector<Run>(worker.runs)) {
-            if (it.command.task.job == job && it.command.run == run && !worker.gone) {
-                end(worker, it.command.task, run, kind);
-            }
+    for (std::size_t i = 0; i < unit.members.size(); ++i) {
+        const auto *worker = unit.members[i].worker;
+        const bool stopping = worker != nullptr && std::any_of(worker->runs.begin(), worker->runs.end(), [&](const Run &r) {
+                                  return r.unit.get() == &unit && r.member == i && r.stopping;
+                              });
+        if (!stopping) {
+            end(unit, i, kind);
         }
     }
 }
 
-auto LoadReplay::end(ReplayWorker &worker, const TaskId &task, std::uint32_t run, EndKind kind) -> void
+auto LoadReplay::end(UnitRun &unit, std::size_t member, EndKind kind) -> void
 {
+    auto *worker = unit.members[member].worker;
+    if (worker == nullptr) {
+        return;
+    }
     const auto it =
-        std::find_if(worker.runs.begin(), worker.runs.end(), [&](const Run &r) { return r.command.task == task && r.command.run == run; });
-    if (it == worker.runs.end() || worker.gone) {
+        std::find_if(worker->runs.begin(), worker->runs.end(), [&](const Run &r) { return r.unit.get() == &unit && r.member == member; });
+    if (it == worker->runs.end()) {
         return;
     }
-    const auto &step = m_jobs.at(task.job).spec.steps[task.step];
     if (kind != EndKind::Done) {
-        m_wasted += seconds(m_clock.now() - it->startedAt) * static_cast<double>(step.taskDemand.accelerators);
+        unit.haltedAt = unit.haltedAt.value_or(m_clock.now());
+        auto &job = m_jobs.at(unit.job);
+        const auto lost = std::max(*unit.haltedAt - it->startedAt, Duration::zero()) - savedTime(unit);
+        job.wastedCoreSeconds += seconds(lost) * weightedCores(job.spec.steps[unit.step].taskDemand);
     }
-    worker.runs.erase(it);
-    worker.ends.push_back({++worker.endCount, task, run, kind, {}});
-    answerPoll(worker);
-    if (kind == EndKind::Stopped && step.gang) {
-        endGang(task.job, run, EndKind::GangFailed);
+    const auto command = it->command;
+    worker->runs.erase(it);
+    if (!worker->gone) {
+        worker->ends.push_back({++worker->endCount, command.task, command.run, kind, checkpointOf(unit)});
+        answerPoll(*worker);
+    }
+}
+
+auto LoadReplay::savedTime(const UnitRun &unit) const -> Duration
+{
+    const auto interval = m_pattern.checkpointInterval;
+    return interval > Duration::zero() ? interval * (unit.progressTime(m_clock.now()) / interval) : Duration::zero();
+}
+
+auto LoadReplay::checkpointOf(const UnitRun &unit) -> std::string
+{
+    const auto saved = savedTime(unit);
+    if (saved == Duration::zero()) {
+        return unit.checkpoint;
+    }
+    auto name = unit.job.str() + '/' + std::to_string(unit.step) + '/' + std::to_string(unit.index) + '/' + std::to_string(unit.run) + '/'
+        + std::to_string(saved / m_pattern.checkpointInterval);
+    auto &work = m_checkpoints[name];
+    if (work.empty()) {
+        for (std::size_t i = 0; i < unit.members.size(); ++i) {
+            work.push_back(unit.doneWork(i, saved));
+        }
     }
+    return name;
 }
 
 auto LoadReplay::poll(const PollCommand &command) -> void
@@ -282,11 +532,15 @@
     const auto poll = *std::exchange(worker.pendingPoll, std::nullopt);
     WorkerReport report{1, {}, worker.ends};
     for (const auto &it : worker.runs) {
-        const auto &job = m_jobs.at(it.command.task.job);
-        const auto done = seconds(m_clock.now() - it.startedAt) / seconds(job.runTime);
-        report.running.push_back({it.command.task, it.command.run, {}, static_cast<std::uint32_t>(std::min(done * 100.0, 100.0))});
+        const auto done = it.unit->doneWork(it.member, it.unit->progressTime(m_clock.now())) / it.unit->members[it.member].work;
+        report.running.push_back({it.command.task, it.command.run, checkpointOf(*it.unit), static_cast<std::uint32_t>(done * 100.0)});
     }
     m_clock.schedule(networkDelay, [this, poll, report = std::move(report)] {
+        for (const auto &it : report.ended) {
+            if (it.kind == EndKind::Done) {
+                m_doneTasks.insert(it.task);
+            }
+        }
         const auto begin = std::clock();
         m_dispatcher->pollAnswered(poll.first, poll.second, report, m_clock.now());
         m_processorTime += fromSeconds(static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC);
@@ -297,15 +551,31 @@
 {
     const auto &of = m_pattern.classes[jobClass];
     ClassResult out;
+    double coreSeconds = 0;
+    for (const auto &[id, job] : m_jobs) {
+        out.submitted += job.jobClass == jobClass ? 1 : 0;
+        coreSeconds += job.jobClass == jobClass ? job.coreSeconds() : 0;
+    }
+    const auto meanCoreSeconds = coreSeconds / static_cast<double>(std::max<std::size_t>(out.submitted, 1));
     for (const auto &[id, job] : m_jobs) {
         if (job.jobClass != jobClass) {
             continue;
         }
-        ++out.submitted;
+        const auto relativeSize = std::min(job.coreSeconds() / meanCoreSeconds, maxRelativeSize);
+        const auto weight = fixedWeight + (1 - fixedWeight) * relativeSize;
+        const auto objective = job.criticalPath() * of.stretch + seconds(of.targetLatency);
+        const auto latency = seconds(job.endedAt.value_or(m_clock.now()) - job.submittedAt);
+        const bool completed = job.endedAt && job.phase == JobPhase::Completed;
+        const bool inTime = completed && latency <= objective;
+        const bool late = completed && !inTime && latency <= objective * maxLateness;
         out.ended += job.endedAt ? 1 : 0;
+        out.inTime += inTime ? 1 : 0;
+        out.late += late ? 1 : 0;
+        out.worthless += inTime || late ? 0 : 1;
+        out.owed += weight * of.value;
+        out.earned += weight * (inTime ? of.value : late ? of.lateValue : 0);
+        out.wastedCoreSeconds += job.wastedCoreSeconds;
         out.longestWait = std::max(out.longestWait, job.startedAt.value_or(m_clock.now()) - job.submittedAt);
-        const auto limit = fromSeconds(seconds(job.runTime) * of.stretch) + of.targetLatency;
-        out.inTime += job.endedAt && *job.endedAt <= job.submittedAt + limit ? 1 : 0;
     }
     return out;
 }
@@ -324,9 +594,25 @@
     return static_cast<double>(m_logLines) / tasks;
 }
 
-auto LoadReplay::wastedAcceleratorSeconds() const -> double
+auto LoadReplay::preemptions() const -> std::uint64_t
+{
+    return m_dispatcher->stats().preemptions;
+}
+
+auto LoadReplay::guaranteedJobs() const -> std::size_t
 {
-    return m_wasted;
+    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto &it) { return it.second.guaranteed; }));
+}
+
+auto LoadReplay::longestReclaim() const -> Duration
+{
+    Duration longest{};
+    for (const auto &[id, job] : m_jobs) {
+        if (job.guaranteed) {
+            longest = std::max(longest, job.allStartedAt.value_or(m_clock.now()) - job.submittedAt);
+        }
+    }
+    return longest;
 }
 
 auto LoadReplay::processorTime() const -> Duration
--- a/tests/workflow/load_test.cpp
+++ b/tests/workflow/load_test.cpp
@@ -4,7 +4,15 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <functional>
+#include <iomanip>
+#include <map>
+#include <numeric>
 #include <ostream>
+#include <sstream>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace Acaciarail::Workflow::Tests {
@@ -126,6 +134,340 @@
     BOOST_TEST(replay.unansweredPollsPerGoneWorker() < 16);
 }
 
+/// Jobs of Caption Works: the stop takes 900 ms, and estimates are off by up to 90%.
+auto captionWorks(const char *name) -> LoadPattern
+{
+    return {.name = name,
+            .racks = 2,
+            .workersPerRack = 20,
+            .workerCapacity = {32'000, 65'536, 8},
+            .classes = {{.queue = "preview",
+                         .priority = 0,
+                         .rate = 1.77,
+                         .meanTasks = 5,
+                         .maxTasks = 12,
+                         .gang = true,
+                         .sameRackShare = 0.8,
+                         .milliCores = 3000,
+                         .memoryMiB = 6000,
+                         .accelerators = {1, 2, 4, 8},
+                         .runTime = 2100ms,
+                         .stretch = 1.5,
+                         .targetLatency = 300ms,
+                         .unevenness = 0.3,
+                         .estimateError = 0.5,
+                         .value = 4,
+                         .lateValue = 0.8},
+                        {.queue = "burnin",
+                         .priority = 1,
+                         .rate = 0.65,
+                         .meanTasks = 13,
+                         .maxTasks = 20,
+                         .gang = true,
+                         .sameRackShare = 0.6,
+                         .milliCores = 3000,
+                         .memoryMiB = 6000,
+                         .accelerators = {1, 2, 4, 8},
+                         .runTime = 5800ms,
+                         .stretch = 3,
+                         .targetLatency = 1200ms,
+                         .unevenness = 0.3,
+                         .estimateError = 0.9,
+                         .value = 3,
+                         .lateValue = 0.9},
+                        {.queue = "retime",
+                         .priority = 2,
+                         .rate = 0.51,
+                         .meanTasks = 39,
+                         .maxTasks = 120,
+                         .milliCores = 3000,
+                         .memoryMiB = 6000,
+                         .runTime = 6500ms,
+                         .stretch = 3,
+                         .targetLatency = 3s,
+                         .unevenness = 0.15,
+                         .estimateError = 0.2,
+                         .secondStepShare = 0.3,
+                         .value = 1,
+                         .lateValue = 0.3}},
+            .length = 16s,
+            .checkpointInterval = 2s,
+            .restoreTime = 100ms,
+            .stopTime = 900ms,
+            .failureShare = 0.02};
+}
+
+/// Jobs of Vindvagt: the stop takes 200 ms, and a restart from a checkpoint 600 ms.
+auto vindvagt(const char *name) -> LoadPattern
+{
+    return {.name = name,
+            .racks = 3,
+            .workersPerRack = 12,
+            .workerCapacity = {64'000, 262'144, 8},
+            .classes = {{.queue = "gearbox-check",
+                         .priority = 0,
+                         .rate = 2.7,
+                         .meanTasks = 5,
+                         .maxTasks = 12,
+                         .gang = true,
+                         .sameRackShare = 0.8,
+                         .milliCores = 3000,
+                         .memoryMiB = 6000,
+                         .accelerators = {1, 2, 4, 8},
+                         .runTime = 2500ms,
+                         .stretch = 1.5,
+                         .targetLatency = 400ms,
+                         .unevenness = 0.15,
+                         .estimateError = 0.5,
+                         .value = 4,
+                         .lateValue = 0.8},
+                        {.queue = "blade-sweep",
+                         .priority = 1,
+                         .rate = 0.51,
+                         .meanTasks = 13,
+                         .maxTasks = 20,
+                         .gang = true,
+                         .sameRackShare = 0.6,
+                         .milliCores = 3000,
+                         .memoryMiB = 6000,
+                         .accelerators = {1, 2, 4, 8},
+                         .runTime = 8500ms,
+                         .stretch = 3,
+                         .targetLatency = 1200ms,
+                         .unevenness = 0.15,
+                         .estimateError = 0.2,
+                         .value = 3,
+                         .lateValue = 0.9},
+                        {.queue = "fatigue-report",
+                         .priority = 2,
+                         .rate = 0.5,
+                         .meanTasks = 39,
+                         .maxTasks = 120,
+                         .milliCores = 3000,
+                         .memoryMiB = 6000,
+                         .runTime = 7600ms,
+                         .stretch = 3,
+                         .targetLatency = 3s,
+                         .unevenness = 0.15,
+                         .estimateError = 0.2,
+                         .secondStepShare = 0.3,
+                         .value = 1,
+                         .lateValue = 0.3}},
+            .length = 16s,
+            .checkpointInterval = 500ms,
+            .restoreTime = 600ms,
+            .stopTime = 200ms,
+            .failureShare = 0.02};
+}
+
+auto with(LoadPattern pattern, const std::function<void(LoadPattern &)> &change) -> LoadPattern
+{
+    change(pattern);
+    return pattern;
+}
+
+struct ValueCase
+{
+    LoadPattern pattern;
+    /// Least share of the value of the most and of the least urgent class; the goals of docs/hard-load.md.
+    double urgentValue = 0;
+    double leastUrgentValue = 0;
+};
+
+auto operator<<(std::ostream &out, const ValueCase &c) -> std::ostream &
+{
+    return out << c.pattern.name;
+}
+
+constexpr double previewGoal = 0.85;
+constexpr double retimeGoal = 0.80;
+constexpr double gearboxCheckGoal = 0.90;
+
+const std::vector<ValueCase> valueCases{
+    {with(vindvagt("Vindvagt: a burst of urgent gangs on a pool full of long single tasks"),
+          [](LoadPattern &p) {
+              p.classes[background].runTime = 15s;
+              p.classes[background].rate = 0.7;
+              p.bursts = {{background, 0s, 4s, 2.5}, {urgent, 5s, 5s, 3.0}};
+          }),
+     gearboxCheckGoal},
+    {with(captionWorks("Caption Works: a burst of urgent gangs on a pool full of long single tasks"),
+          [](LoadPattern &p) {
+              p.classes[background].runTime = 15s;
+              p.classes[background].rate = 0.7;
+              p.bursts = {{background, 0s, 4s, 2.5}, {urgent, 5s, 5s, 3.0}};
+          }),
+     previewGoal, retimeGoal},
+    {with(vindvagt("Vindvagt: two bursts in a row"),
+          [](LoadPattern &p) {
+              p.bursts = {{background, 0s, 4s, 2.0}, {urgent, 3s, 3s, 3.0}, {urgent, 9s, 3s, 3.0}};
+          }),
+     gearboxCheckGoal},
+    {with(captionWorks("Caption Works: a tenth of the workers is removed during the burst"),
+          [](LoadPattern &p) {
+              p.bursts = {{background, 0s, 4s, 2.0}, {urgent, 4s, 5s, 3.0}};
+              p.departures = {{5s, 0.1, 2200ms, 4s}};
+          }),
+     previewGoal, retimeGoal},
+    {with(captionWorks("Caption Works: slow and fast workers"),
+          [](LoadPattern &p) {
+              p.speeds = {0.55, 1.2, 1.2, 1.2};
+              p.bursts = {{urgent, 4s, 4s, 2.0}};
+          }),
+     previewGoal, retimeGoal},
+    {with(captionWorks("Caption Works: estimates off by 90%"),
+          [](LoadPattern &p) {
+              for (auto &it : p.classes) {
+                  it.estimateError = 0.9;
+              }
+              p.bursts = {{background, 0s, 4s, 2.0}, {urgent, 4s, 4s, 3.0}};
+          }),
+     previewGoal, retimeGoal},
+    {with(captionWorks("Caption Works: 3% of the tasks take seven times as long"),
+          [](LoadPattern &p) {
+              p.tailShare = 0.03;
+              p.bursts = {{urgent, 4s, 4s, 2.0}};
+          }),
+     previewGoal, retimeGoal},
+    {with(vindvagt("Vindvagt: guarantees during a burst"),
+          [](LoadPattern &p) {
+              p.reclaimTime = 2700ms;
+              p.organisations = {{"small", 0.3, 48}, {"medium", 0.2, 96}, {"without", 0.5, 0}};
+              p.bursts = {{background, 0s, 4s, 2.5}, {urgent, 4s, 5s, 3.0}};
+          }),
+     gearboxCheckGoal},
+};
+
+/// A scheduler that a replay is played with.
+struct Scheduler
+{
+    const char *name;
+    void (*configure)(DispatcherSettings &);
+};
+
+const std::vector<Scheduler> schedulers{
+    {"product", [](DispatcherSettings &) {}},
+    {"first come, first served",
+     [](DispatcherSettings &s) {
+         s.queueOrder = [](const QueuePosition &a, const QueuePosition &b) { return a.readySince < b.readySince; };
+         s.preempt = false;
+         s.reserveForPriorities = false;
+     }},
+    {"priority, then age",
+     [](DispatcherSettings &s) {
+         s.queueOrder = [](const QueuePosition &a, const QueuePosition &b) {
+             return std::pair(a.priority, a.readySince) < std::pair(b.priority, b.readySince);
+         };
+         s.preempt = false;
+         s.reserveForPriorities = false;
+     }},
+    // Each decision that is added switches itself off here.
+    {"code before", [](DispatcherSettings &) {}},
+};
+
+/// Results of one scheduler with one pattern, summed over the seeds.
+struct ValueResult
+{
+    std::vector<ClassResult> classes;
+    std::vector<std::string> violations;
+    std::uint64_t preemptions = 0;
+    std::size_t guaranteedJobs = 0;
+    Duration longestReclaim{};
+
+    [[nodiscard]] auto earned() const -> double
+    {
+        return std::accumulate(classes.begin(), classes.end(), 0.0, [](double sum, const ClassResult &r) { return sum + r.earned; });
+    }
+    [[nodiscard]] auto owed() const -> double
+    {
+        return std::accumulate(classes.begin(), classes.end(), 0.0, [](double sum, const ClassResult &r) { return sum + r.owed; });
+    }
+};
+
+auto play(const LoadPattern &pattern, const Scheduler &scheduler) -> ValueResult
+{
+    constexpr std::uint64_t seeds = 3;
+    ValueResult out;
+    out.classes.resize(pattern.classes.size());
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto seeded = pattern;
+        seeded.seed = seed;
+        DispatcherSettings settings;
+        scheduler.configure(settings);
+        LoadReplay replay(seeded, settings);
+        replay.runUntilEnded(200s);
+        for (std::size_t i = 0; i < out.classes.size(); ++i) {
+            out.classes[i] += replay.result(i);
+        }
+        out.violations.insert(out.violations.end(), replay.violations.begin(), replay.violations.end());
+        out.preemptions += replay.preemptions();
+        out.guaranteedJobs += replay.guaranteedJobs();
+        out.longestReclaim = std::max(out.longestReclaim, replay.longestReclaim());
+    }
+    return out;
+}
+
+/// Returns the results of all schedulers, in their order. They are kept, as several tests check them.
+auto resultsOf(const LoadPattern &pattern) -> const std::vector<ValueResult> &
+{
+    static std::map<std::string, std::vector<ValueResult>> results;
+    auto &out = results[pattern.name];
+    if (!out.empty()) {
+        return out;
+    }
+    std::ostringstream table;
+    table << std::fixed << std::left << pattern.name;
+    for (const auto &scheduler : schedulers) {
+        const auto &result = out.emplace_back(play(pattern, scheduler));
+        table << "\n  " << std::setw(25) << scheduler.name << std::setprecision(3) << result.earned() / result.owed() << " of "
+              << std::setprecision(1) << result.owed() << ", preemptions " << result.preemptions;
+        if (result.guaranteedJobs > 0) {
+            table << ", guaranteed jobs " << result.guaranteedJobs << ", longest reclaim " << toMilliseconds(result.longestReclaim).count()
+                  << " ms";
+        }
+        for (std::size_t i = 0; i < result.classes.size(); ++i) {
+            const auto &it = result.classes[i];
+            table << "\n    " << std::setw(15) << pattern.classes[i].queue << std::setprecision(3) << it.valueShare() << " of "
+                  << std::setprecision(1) << it.owed << ", ended " << it.ended << '/' << it.submitted << ", in time " << it.inTime
+                  << ", late " << it.late << ", worthless " << it.worthless << ", wasted core-s " << std::setprecision(0)
+                  << it.wastedCoreSeconds;
+        }
+    }
+    BOOST_TEST_MESSAGE(table.str());
+    return out;
+}
+
+// Replays the load patterns of docs/hard-load.md. Guards against jobs that never end, and against broken rules: capacity that is used twice
+// while a run is being stopped, tasks that run twice, members that start late, guarantees that are not kept.
+BOOST_DATA_TEST_CASE(allJobsEndAndNoRuleIsBroken, data::make(valueCases), c)
+{
+    const auto &product = resultsOf(c.pattern).front();
+    for (const auto &it : product.violations) {
+        BOOST_ERROR(it);
+    }
+    for (const auto &it : product.classes) {
+        BOOST_TEST(it.ended == it.submitted);
+    }
+    BOOST_TEST((product.guaranteedJobs > 0) == !c.pattern.organisations.empty());
+}
+
+// Guards against decisions that cost callers more than simple rules do.
+BOOST_DATA_TEST_CASE(theProductEarnsAtLeastAsMuchAsEachBaseline, data::make(valueCases), c)
+{
+    const auto &results = resultsOf(c.pattern);
+    for (std::size_t i = 1; i < results.size(); ++i) {
+        BOOST_TEST(results.front().earned() >= results[i].earned(), schedulers[i].name);
+    }
+}
+
+// Guards against urgent work that is served worst when capacity is short, and against less urgent work that pays for all of it.
+BOOST_DATA_TEST_CASE(urgentAndLeastUrgentWorkReachTheirGoals, data::make(valueCases), c)
+{
+    const auto &product = resultsOf(c.pattern).front();
+    BOOST_TEST(product.classes.front().valueShare() >= c.urgentValue);
+    BOOST_TEST(product.classes.back().valueShare() >= c.leastUrgentValue);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
