--- a/tests/workflow/load_replay.cpp
+++ b/tests/workflow/load_replay.cpp
@@ -16,7 +16,6 @@
 constexpr Duration networkDelay = 5ms;
 constexpr Duration storeDelay = 20ms;
 constexpr Duration commandTimeout = 300ms;
-constexpr Duration decisionInterval = 10ms;
 /// A job is worthless when it ends after this many times its objective; stated by the users' accounting.
 constexpr double maxLateness = 3;
 /// A job's weight grows with its core-seconds up to this many times the mean of its class; stated by the users' accounting.
@@ -299,7 +298,7 @@
     for (const auto &it : decisions.polls) {
         poll(it);
     }
-    m_clock.schedule(decisionInterval, [this] { decide(); });
+    m_clock.schedule(m_pattern.decisionInterval, [this] { decide(); });
 }
 
 auto LoadReplay::start(const StartCommand &command) -> void
--- a/tests/workflow/load_replay.h
+++ b/tests/workflow/load_replay.h
@@ -87,6 +87,8 @@
     std::vector<Departure> departures = {};
     Duration length = 20s;
     std::uint64_t seed = 1;
+    /// Interval at which the dispatcher decides.
+    Duration decisionInterval = 10ms;
     /// Speeds of the workers, dealt to them in turn. A gang ends when its slowest member has.
     std::vector<double> speeds = {1};
     /// Share of the tasks that take `tailFactor` times as long.
--- a/tests/workflow/load_test.cpp
+++ b/tests/workflow/load_test.cpp
@@ -134,8 +134,10 @@
     BOOST_TEST(replay.unansweredPollsPerGoneWorker() < 16);
 }
 
-/// Jobs of Caption Works: the stop takes 900 ms, and estimates are off by up to 90%.
-auto captionWorks(const char *name) -> LoadPattern
+BOOST_AUTO_TEST_SUITE(value)
+
+/// Jobs of Caption Works at \a load times their usual rates: a stop takes 900 ms, and estimates are off by up to 90%.
+auto captionWorks(const char *name, double load) -> LoadPattern
 {
     return {.name = name,
             .racks = 2,
@@ -143,7 +145,7 @@
             .workerCapacity = {32'000, 65'536, 8},
             .classes = {{.queue = "preview",
                          .priority = 0,
-                         .rate = 1.77,
+                         .rate = 1.77 * load,
                          .meanTasks = 5,
                          .maxTasks = 12,
                          .gang = true,
@@ -160,7 +162,7 @@
                          .lateValue = 0.8},
                         {.queue = "burnin",
                          .priority = 1,
-                         .rate = 0.65,
+                         .rate = 0.65 * load,
                          .meanTasks = 13,
                          .maxTasks = 20,
                          .gang = true,
@@ -177,7 +179,7 @@
                          .lateValue = 0.9},
                         {.queue = "retime",
                          .priority = 2,
-                         .rate = 0.51,
+                         .rate = 0.51 * load,
                          .meanTasks = 39,
                          .maxTasks = 120,
                          .milliCores = 3000,
@@ -190,15 +192,17 @@
                          .secondStepShare = 0.3,
                          .value = 1,
                          .lateValue = 0.3}},
-            .length = 16s,
+            .length = 14s,
+            .decisionInterval = 20ms,
+            .speeds = {0.55, 1.2, 1.2, 1.2},
             .checkpointInterval = 2s,
             .restoreTime = 100ms,
             .stopTime = 900ms,
             .failureShare = 0.02};
 }
 
-/// Jobs of Vindvagt: the stop takes 200 ms, and a restart from a checkpoint 600 ms.
-auto vindvagt(const char *name) -> LoadPattern
+/// Jobs of Vindvagt at \a load times their usual rates: a stop takes 200 ms, and a restart from a checkpoint 600 ms.
+auto vindvagt(const char *name, double load) -> LoadPattern
 {
     return {.name = name,
             .racks = 3,
@@ -206,7 +210,7 @@
             .workerCapacity = {64'000, 262'144, 8},
             .classes = {{.queue = "gearbox-check",
                          .priority = 0,
-                         .rate = 2.7,
+                         .rate = 2.7 * load,
                          .meanTasks = 5,
                          .maxTasks = 12,
                          .gang = true,
@@ -223,7 +227,7 @@
                          .lateValue = 0.8},
                         {.queue = "blade-sweep",
                          .priority = 1,
-                         .rate = 0.51,
+                         .rate = 0.51 * load,
                          .meanTasks = 13,
                          .maxTasks = 20,
                          .gang = true,
@@ -240,7 +244,7 @@
                          .lateValue = 0.9},
                         {.queue = "fatigue-report",
                          .priority = 2,
-                         .rate = 0.5,
+                         .rate = 0.5 * load,
                          .meanTasks = 39,
                          .maxTasks = 120,
                          .milliCores = 3000,
@@ -253,7 +257,9 @@
                          .secondStepShare = 0.3,
                          .value = 1,
                          .lateValue = 0.3}},
-            .length = 16s,
+            .length = 14s,
+            .decisionInterval = 20ms,
+            .speeds = {0.8, 1.0, 1.25},
             .checkpointInterval = 500ms,
             .restoreTime = 600ms,
             .stopTime = 200ms,
@@ -284,38 +290,37 @@
 constexpr double gearboxCheckGoal = 0.90;
 
 const std::vector<ValueCase> valueCases{
-    {with(vindvagt("Vindvagt: a burst of urgent gangs on a pool full of long single tasks"),
+    {with(vindvagt("Vindvagt: a burst of urgent gangs on a pool full of long single tasks", 1.4),
           [](LoadPattern &p) {
               p.classes[background].runTime = 15s;
-              p.classes[background].rate = 0.7;
-              p.bursts = {{background, 0s, 4s, 2.5}, {urgent, 5s, 5s, 3.0}};
+              p.classes[background].rate *= 1.4;
+              p.bursts = {{background, 0s, 4s, 2.5}, {urgent, 5s, 5s, 3.5}};
           }),
      gearboxCheckGoal},
-    {with(captionWorks("Caption Works: a burst of urgent gangs on a pool full of long single tasks"),
+    {with(captionWorks("Caption Works: a burst of urgent gangs on a pool full of long single tasks", 1.5),
           [](LoadPattern &p) {
               p.classes[background].runTime = 15s;
-              p.classes[background].rate = 0.7;
+              p.classes[background].rate *= 1.4;
               p.bursts = {{background, 0s, 4s, 2.5}, {urgent, 5s, 5s, 3.0}};
           }),
      previewGoal, retimeGoal},
-    {with(vindvagt("Vindvagt: two bursts in a row"),
+    {with(vindvagt("Vindvagt: two bursts in a row", 1.4),
           [](LoadPattern &p) {
               p.bursts = {{background, 0s, 4s, 2.0}, {urgent, 3s, 3s, 3.0}, {urgent, 9s, 3s, 3.0}};
           }),
      gearboxCheckGoal},
-    {with(captionWorks("Caption Works: a tenth of the workers is removed during the burst"),
+    {with(captionWorks("Caption Works: a tenth of the workers is removed during the burst", 1.5),
           [](LoadPattern &p) {
               p.bursts = {{background, 0s, 4s, 2.0}, {urgent, 4s, 5s, 3.0}};
               p.departures = {{5s, 0.1, 2200ms, 4s}};
           }),
      previewGoal, retimeGoal},
-    {with(captionWorks("Caption Works: slow and fast workers"),
+    {with(captionWorks("Caption Works: slow and fast workers", 1.0),
           [](LoadPattern &p) {
-              p.speeds = {0.55, 1.2, 1.2, 1.2};
               p.bursts = {{urgent, 4s, 4s, 2.0}};
           }),
      previewGoal, retimeGoal},
-    {with(captionWorks("Caption Works: estimates off by 90%"),
+    {with(captionWorks("Caption Works: estimates off by 90%", 1.5),
           [](LoadPattern &p) {
               for (auto &it : p.classes) {
                   it.estimateError = 0.9;
@@ -323,16 +328,16 @@
               p.bursts = {{background, 0s, 4s, 2.0}, {urgent, 4s, 4s, 3.0}};
           }),
      previewGoal, retimeGoal},
-    {with(captionWorks("Caption Works: 3% of the tasks take seven times as long"),
+    {with(captionWorks("Caption Works: 3% of the tasks take seven times as long", 1.4),
           [](LoadPattern &p) {
               p.tailShare = 0.03;
               p.bursts = {{urgent, 4s, 4s, 2.0}};
           }),
      previewGoal, retimeGoal},
-    {with(vindvagt("Vindvagt: guarantees during a burst"),
+    {with(vindvagt("Vindvagt: guarantees during a burst", 1.4),
           [](LoadPattern &p) {
               p.reclaimTime = 2700ms;
-              p.organisations = {{"small", 0.3, 48}, {"medium", 0.2, 96}, {"without", 0.5, 0}};
+              p.organisations = {{"small", 0.2, 64}, {"large", 0.3, 192}, {"without", 0.5, 0}};
               p.bursts = {{background, 0s, 4s, 2.5}, {urgent, 4s, 5s, 3.0}};
           }),
      gearboxCheckGoal},
@@ -470,4 +475,6 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace Acaciarail::Workflow::Tests
