Compare each start and preemption with a plain check of the contract

Change: the replay checks each start for its worker's service, label and limit of tasks per worker, gangs for being started whole, and preemptions for being for more urgent or guaranteed work.

--- a/tests/workflow/load_replay.cpp
+++ b/tests/workflow/load_replay.cpp
@@ -7,6 +7,7 @@
 #include <ctime>
 #include <iterator>
 #include <numeric>
+#include <string_view>
 #include <utility>
 
 namespace Acaciarail::Workflow::Tests {
@@ -34,6 +35,21 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
 }
 
+/// Returns what a task uses of its worker's capacity.
+auto usedCapacity(const StepSpec &step) -> Demand
+{
+    auto demand = step.taskDemand;
+    demand.milliCores = step.usesSpareCores ? 0 : demand.milliCores;
+    return demand;
+}
+
+auto canRun(const WorkerInfo &worker, const StepSpec &step) -> bool
+{
+    const auto &labels = worker.labels;
+    return worker.service == ServiceName("service") && !worker.draining
+        && (step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end());
+}
+
 auto unixTime(TimePoint t) -> std::chrono::milliseconds
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(t.time_since_epoch());
@@ -97,6 +113,7 @@
 LoadReplay::LoadReplay(LoadPattern pattern, DispatcherSettings settings)
     : m_pattern(std::move(pattern))
     , m_random(m_pattern.seed)
+    , m_lastChange(m_clock.now())
     , m_begin(m_clock.now())
 {
     auto configuration = std::make_shared<Configuration>();
@@ -110,7 +127,12 @@
         m_guarantees.emplace(it.name, it.guaranteedAccelerators);
     }
     m_dispatcher = std::make_unique<Dispatcher>(
-        std::move(settings), [this](const DispatchEvent &e) { m_logLines += e.logged ? 1 : 0; }, m_clock.now());
+        std::move(settings),
+        [this](const DispatchEvent &e) {
+            m_logLines += e.logged ? 1 : 0;
+            checkPreemption(e);
+        },
+        m_clock.now());
     m_dispatcher->setConfiguration(configuration);
     for (std::size_t r = 0; r < m_pattern.racks; ++r) {
         for (std::size_t i = 0; i < m_pattern.workersPerRack; ++i) {
@@ -120,6 +142,9 @@
             worker.info.rack = RackName("rack" + std::to_string(r));
             worker.info.capacity = m_pattern.workerCapacity;
             worker.info.incarnation = 1;
+            if (m_pattern.varyWorker) {
+                m_pattern.varyWorker(worker.info);
+            }
             worker.speed = m_pattern.speeds[m_workers.size() % m_pattern.speeds.size()];
             m_dispatcher->workerListed(worker.info, m_clock.now());
             m_workers.emplace(worker.info.name, std::move(worker));
@@ -181,6 +206,9 @@
         }
     }
     job.failsAfter = happens(m_pattern.failureShare) ? random() : 0;
+    if (m_pattern.varyJob) {
+        m_pattern.varyJob(job.spec);
+    }
     addToOrganisation(job);
     job.spec.acceptedAt = unixTime(m_clock.now());
     m_dispatcher->accept(job.spec, m_clock.now(), unixTime(m_clock.now()));
@@ -265,7 +293,14 @@
 {
     begin();
     m_clock.run(m_pattern.length);
-    while (m_openJobs > 0 && m_clock.now() < m_begin + m_pattern.length + limit) {
+    double longestTask = 0;
+    for (const auto &[id, job] : m_jobs) {
+        longestTask = std::max(longestTask, job.criticalPath());
+    }
+    const auto slowest = *std::min_element(m_pattern.speeds.begin(), m_pattern.speeds.end());
+    const auto longestPause = fromSeconds(longestTask / slowest) + 30s;
+    const auto end = m_begin + m_pattern.length + limit;
+    while (m_openJobs > 0 && m_clock.now() < std::min(end, m_lastChange + longestPause)) {
         m_clock.run(1s);
     }
 }
@@ -289,6 +324,7 @@
             }
         });
     }
+    checkGangs(decisions.starts);
     for (const auto &it : decisions.starts) {
         m_clock.schedule(networkDelay, [this, it] { start(it); });
     }
@@ -315,6 +351,7 @@
     const std::size_t member = step.gang ? command.task.index : 0;
     unit->members[member].worker = &worker;
     worker.runs.push_back({command, m_clock.now(), unit, member});
+    m_lastChange = m_clock.now();
     markStarted(job, command);
     if (++unit->startedMembers == unit->members.size()) {
         beginProgress(unit);
@@ -328,12 +365,24 @@
     const auto &step = job.spec.steps[command.task.step];
     const auto name = command.task.job.str() + " task " + std::to_string(command.task.index);
     Demand used;
+    std::uint32_t ofStep = 0;
     for (const auto &it : worker.runs) {
-        used += m_jobs.at(it.command.task.job).spec.steps[it.command.task.step].taskDemand;
+        const auto &task = it.command.task;
+        used += usedCapacity(m_jobs.at(task.job).spec.steps[task.step]);
+        ofStep += task.job == command.task.job && task.step == command.task.step ? 1 : 0;
     }
-    if (!(worker.info.capacity - used).covers(step.taskDemand)) {
+    if (!(worker.info.capacity - used).covers(usedCapacity(step))) {
         violations.push_back("no capacity for " + name);
     }
+    // A worker that announced its shutdown while the command was in transit starts the run anyway.
+    auto info = worker.info;
+    info.draining = false;
+    if (!canRun(info, step)) {
+        violations.push_back("wrong service or no label '" + step.requiredLabel + "' on " + info.name.str() + " for " + name);
+    }
+    if (step.maxPerWorker > 0 && ofStep >= step.maxPerWorker) {
+        violations.push_back("more than " + std::to_string(step.maxPerWorker) + " tasks of the step on a worker: " + name);
+    }
     for (const auto &[id, other] : m_workers) {
         const bool runs = std::any_of(other.runs.begin(), other.runs.end(), [&](const Run &r) { return r.command.task == command.task; });
         if (runs) {
@@ -345,6 +394,47 @@
     }
 }
 
+auto LoadReplay::checkGangs(const std::vector<StartCommand> &starts) -> void
+{
+    std::map<std::tuple<JobId, std::uint32_t, std::uint32_t>, std::set<std::uint32_t>> members;
+    for (const auto &it : starts) {
+        if (m_jobs.at(it.task.job).spec.steps[it.task.step].gang) {
+            members[{it.task.job, it.task.step, it.run}].insert(it.task.index);
+        }
+    }
+    for (const auto &[key, indices] : members) {
+        const auto &[job, step, run] = key;
+        // A command that was not answered is repeated for its member alone.
+        const bool first = m_sentGangs.insert(key).second;
+        if (first && indices.size() != m_jobs.at(job).spec.steps[step].count) {
+            violations.push_back("only " + std::to_string(indices.size()) + " members are started: " + job.str());
+        }
+    }
+}
+
+auto LoadReplay::checkPreemption(const DispatchEvent &event) -> void
+{
+    constexpr std::string_view reason = "reason=preempted-by-";
+    const auto at = event.details.find(reason);
+    const auto victim = m_jobs.find(event.job);
+    if (event.name != "unit-stopping" || at == std::string::npos || victim == m_jobs.end()) {
+        return;
+    }
+    const auto preemptor = m_jobs.find(JobId(event.details.substr(at + reason.size())));
+    if (preemptor == m_jobs.end()) {
+        return;
+    }
+    const auto priority = [this](const ReplayJob &job) { return m_pattern.classes[job.jobClass].priority; };
+    const auto &organisation = preemptor->second.spec.organisation;
+    const auto guarantee = m_guarantees.find(organisation);
+    // Work without accelerators fits the guarantee of any organisation.
+    const bool mayBeGuaranteed = guarantee != m_guarantees.end() && (guarantee->second > 0 || preemptor->second.accelerators() == 0);
+    const bool reclaims = mayBeGuaranteed && victim->second.spec.organisation != organisation;
+    if (priority(preemptor->second) >= priority(victim->second) && !reclaims) {
+        violations.push_back(event.job.str() + " is preempted for work that is not more urgent: " + preemptor->first.str());
+    }
+}
+
 auto LoadReplay::unitRunFor(const StartCommand &command) -> std::shared_ptr<UnitRun>
 {
     const auto &job = m_jobs.at(command.task.job);
@@ -461,6 +551,7 @@
         const auto lost = std::max(*unit.haltedAt - it->startedAt, Duration::zero()) - savedTime(unit);
         job.wastedCoreSeconds += seconds(lost) * weightedCores(job.spec.steps[unit.step].taskDemand);
     }
+    m_lastChange = m_clock.now();
     const auto command = it->command;
     worker->runs.erase(it);
     if (!worker->gone) {
@@ -579,6 +670,33 @@
     return out;
 }
 
+auto LoadReplay::unfinishedPlaceableJobs() const -> std::vector<JobId>
+{
+    const auto tasksOn = [](const WorkerInfo &worker, const StepSpec &step) {
+        std::uint32_t n = 0;
+        auto left = worker.capacity;
+        const auto limit = step.maxPerWorker > 0 ? std::min(step.maxPerWorker, step.count) : step.count;
+        for (; n < limit && left.covers(usedCapacity(step)); ++n) {
+            left -= usedCapacity(step);
+        }
+        return n;
+    };
+    std::vector<JobId> out;
+    for (const auto &[id, job] : m_jobs) {
+        const bool placeable = std::all_of(job.spec.steps.begin(), job.spec.steps.end(), [&](const StepSpec &step) {
+            std::uint32_t tasks = 0;
+            for (const auto &[name, worker] : m_workers) {
+                tasks += !worker.gone && canRun(worker.info, step) ? tasksOn(worker.info, step) : 0;
+            }
+            return tasks >= (step.gang ? step.count : 1);
+        });
+        if (!job.endedAt && placeable) {
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
 auto LoadReplay::unansweredPollsPerGoneWorker() const -> double
 {
     return m_goneWorkers == 0 ? 0 : static_cast<double>(m_unansweredPolls) / static_cast<double>(m_goneWorkers);
--- a/tests/workflow/load_replay.h
+++ b/tests/workflow/load_replay.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -104,6 +105,9 @@
     double failureShare = 0;
     /// Without any, all jobs belong to one organisation without a guarantee.
     std::vector<OrganisationShare> organisations = {};
+    /// Change a worker before it is listed, and a job before it is submitted; a job keeps its steps and their counts.
+    std::function<void(WorkerInfo &)> varyWorker = {};
+    std::function<void(JobSpec &)> varyJob = {};
     /// Bound on the time in which an urgent job within its organisation's guarantee has started all tasks of its first step.
     Duration reclaimTime = 3400ms;
 };
@@ -142,7 +146,8 @@
 
     /// Submits the jobs of the pattern and runs until some time after its end.
     auto run(Duration after) -> void;
-    /// Submits the jobs of the pattern and runs until all have ended, at most until \a limit after its end.
+    /// Submits the jobs of the pattern and runs until all have ended, at most until \a limit after its end or until no task has started or
+    /// ended for as long as any task may take.
     auto runUntilEnded(Duration limit) -> void;
 
     [[nodiscard]] auto result(std::size_t jobClass) const -> ClassResult;
@@ -156,6 +161,10 @@
     /// Longest time until one of these had started all tasks of its first step.
     [[nodiscard]] auto longestReclaim() const -> Duration;
 
+    /// Returns the jobs that have not ended although the workers that are left could run each of their steps if nothing else ran.
+    [[nodiscard]] auto unfinishedPlaceableJobs() const -> std::vector<JobId>;
+
+    /// Broken rules, as a plain check of each command and each preemption finds them.
     std::vector<std::string> violations;
 
 private:
@@ -239,6 +248,9 @@
     auto decide() -> void;
     auto start(const StartCommand &command) -> void;
     auto checkStart(const StartCommand &command, const ReplayWorker &worker) -> void;
+    /// Checks that all members of a gang's run are started together.
+    auto checkGangs(const std::vector<StartCommand> &starts) -> void;
+    auto checkPreemption(const DispatchEvent &event) -> void;
     auto unitRunFor(const StartCommand &command) -> std::shared_ptr<UnitRun>;
     auto markStarted(ReplayJob &job, const StartCommand &command) -> void;
     auto beginProgress(const std::shared_ptr<UnitRun> &unit) -> void;
@@ -262,11 +274,15 @@
     std::map<WorkerName, ReplayWorker> m_workers;
     std::map<JobId, ReplayJob> m_jobs;
     std::size_t m_openJobs = 0;
+    /// When a run last started or ended.
+    TimePoint m_lastChange;
     /// Runs that a member has started.
     std::map<std::tuple<JobId, std::uint32_t, std::uint32_t, std::uint32_t>, std::shared_ptr<UnitRun>> m_unitRuns;
     /// Seconds of work that each member has done at a checkpoint.
     std::map<std::string, std::vector<double>> m_checkpoints;
     std::set<TaskId> m_doneTasks;
+    /// Gang runs of which start commands were sent.
+    std::set<std::tuple<JobId, std::uint32_t, std::uint32_t>> m_sentGangs;
     std::map<OrganisationName, std::int64_t> m_guarantees;
     /// Accelerators of the urgent jobs of each organisation that have not ended.
     std::map<OrganisationName, std::int64_t> m_urgentAccelerators;
