Measure a decision with 3,000 workers and 400 waiting units

Cause: `./bench placement` measured the zone scheduler only, so the goal of 5 ms for a holder's decision had no figure. Change: rows for a holder whose pool is full of single tasks, at half, the whole and twice the size. Gangs arrive at the rates of the deployment with 350 workers, and single tasks keep the backlog at its size; it is the processor time of decide() in rounds of 20 ms.

--- a/benchmarks/placement_bench.cpp
+++ b/benchmarks/placement_bench.cpp
@@ -1,4 +1,5 @@
 #include "bench.h"
+#include "dispatch_bench.h"
 
 #include "../tests/scheduling/job_driver.h"
 
@@ -219,6 +220,7 @@
     report.figure("attempt end, cost ratio at the larger size", medianWithSpread(endRatios));
     report.figure("baseline: scan of all workers (search only), us", medianWithSpread(scans));
     report.figure("baseline: scan, cost ratio at the larger size", medianWithSpread(scanRatios));
+    measureDispatch(options, report);
     report.note("one zone's slice: 1267 workers, 1400 accelerators, 29000 running tasks, 600 teams; seeds " + std::to_string(options.seed)
                 + " to " + std::to_string(options.seed + seeds - 1));
 }
