Give each value pattern a CTest entry, and save checkpoints once

Cause: a first run of all patterns and of the older replays took 157 s of processor time with sanitizers, too much for one entry of two minutes on a busy machine. The settings are no longer trivially copyable, which lint reports where they are copied. Change: CTest has an entry for each pattern, and a test compares their number with the table. The replay builds the name of a checkpoint when it is saved and not for each report. The settings are moved.

--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -25,7 +25,7 @@
 }
 
 Dispatcher::Dispatcher(DispatcherSettings settings, std::function<void(const DispatchEvent &)> observe, TimePoint latestPreviousGrant)
-    : m_state(std::make_unique<State>(settings, std::move(observe), latestPreviousGrant))
+    : m_state(std::make_unique<State>(std::move(settings), std::move(observe), latestPreviousGrant))
 {
 }
 
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace Acaciarail::Workflow {
@@ -252,7 +253,7 @@
 struct Dispatcher::State
 {
     State(DispatcherSettings s, std::function<void(const DispatchEvent &)> o, TimePoint previousGrant)
-        : settings(s)
+        : settings(std::move(s))
         , observe(std::move(o))
         , latestPreviousGrant(previousGrant)
     {
--- a/tests/workflow/load_replay.cpp
+++ b/tests/workflow/load_replay.cpp
@@ -566,21 +566,20 @@
     return interval > Duration::zero() ? interval * (unit.progressTime(m_clock.now()) / interval) : Duration::zero();
 }
 
-auto LoadReplay::checkpointOf(const UnitRun &unit) -> std::string
+auto LoadReplay::checkpointOf(UnitRun &unit) -> const std::string &
 {
     const auto saved = savedTime(unit);
-    if (saved == Duration::zero()) {
-        return unit.checkpoint;
-    }
-    auto name = unit.job.str() + '/' + std::to_string(unit.step) + '/' + std::to_string(unit.index) + '/' + std::to_string(unit.run) + '/'
-        + std::to_string(saved / m_pattern.checkpointInterval);
-    auto &work = m_checkpoints[name];
-    if (work.empty()) {
+    const auto count = saved > Duration::zero() ? saved / m_pattern.checkpointInterval : 0;
+    if (count > unit.savedCheckpoints) {
+        unit.savedCheckpoints = count;
+        unit.checkpoint = unit.job.str() + '/' + std::to_string(unit.step) + '/' + std::to_string(unit.index) + '/'
+            + std::to_string(unit.run) + '/' + std::to_string(count);
+        auto &work = m_checkpoints[unit.checkpoint];
         for (std::size_t i = 0; i < unit.members.size(); ++i) {
             work.push_back(unit.doneWork(i, saved));
         }
     }
-    return name;
+    return unit.checkpoint;
 }
 
 auto LoadReplay::poll(const PollCommand &command) -> void
--- a/tests/workflow/load_replay.h
+++ b/tests/workflow/load_replay.h
@@ -191,8 +191,10 @@
         std::optional<TimePoint> progressFrom;
         /// When the first member was told to stop, or ended.
         std::optional<TimePoint> haltedAt;
-        /// The checkpoint that it continues from.
+        /// The newest checkpoint; at first the one that it continues from.
         std::string checkpoint;
+        /// Checkpoints that it has saved.
+        std::int64_t savedCheckpoints = 0;
 
         [[nodiscard]] auto progressTime(TimePoint now) const -> Duration;
         [[nodiscard]] auto doneWork(std::size_t member, Duration progressTime) const -> double;
@@ -262,7 +264,7 @@
     /// Ends the runs of all members that are not stopping.
     auto endMembers(UnitRun &unit, EndKind kind) -> void;
     /// Returns the checkpoint that a run has at the moment, empty for none.
-    auto checkpointOf(const UnitRun &unit) -> std::string;
+    auto checkpointOf(UnitRun &unit) -> const std::string &;
     /// Returns for how much of its progress time a run has saved its progress.
     [[nodiscard]] auto savedTime(const UnitRun &unit) const -> Duration;
     [[nodiscard]] auto random() -> double;
--- a/tests/workflow/load_test.cpp
+++ b/tests/workflow/load_test.cpp
@@ -475,6 +475,12 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Each pattern has a CTest entry. Guards against patterns that are added to the table and not played.
+BOOST_AUTO_TEST_CASE(eachValuePatternHasACTestEntry)
+{
+    BOOST_TEST(value::valueCases.size() == LOAD_VALUE_PATTERNS);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
