Check the replays themselves against the times that they model

Cause: a wrong model of speeds, checkpoints, failures or tails would show decisions as better or worse than they are. Change: a table of seven replays on a pool that is nearly idle compares the longest latency and the thrown-away work with what the pattern implies. A job may be changed in any way before it is submitted, as its work is drawn afterwards.

--- a/tests/workflow/load_replay.cpp
+++ b/tests/workflow/load_replay.cpp
@@ -68,6 +68,7 @@
     owed += other.owed;
     wastedCoreSeconds += other.wastedCoreSeconds;
     longestWait = std::max(longestWait, other.longestWait);
+    longestLatency = std::max(longestLatency, other.longestLatency);
     return *this;
 }
 
@@ -198,17 +199,17 @@
         step.dependsOn = {0};
         job.spec.steps.push_back(step);
     }
-    for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
-        auto &work = job.work.emplace_back(step.count, seconds(runTime));
+    if (m_pattern.varyJob) {
+        m_pattern.varyJob(job.spec);
+    }
+    for (const auto &varied : job.spec.steps) {
+        auto &work = job.work.emplace_back(varied.count, seconds(runTime));
         for (auto &it : work) {
             it *= of.unevenness > 0 ? 1.0 + of.unevenness * (2.0 * random() - 1.0) : 1.0;
             it *= happens(m_pattern.tailShare) ? m_pattern.tailFactor : 1.0;
         }
     }
     job.failsAfter = happens(m_pattern.failureShare) ? random() : 0;
-    if (m_pattern.varyJob) {
-        m_pattern.varyJob(job.spec);
-    }
     addToOrganisation(job);
     job.spec.acceptedAt = unixTime(m_clock.now());
     m_dispatcher->accept(job.spec, m_clock.now(), unixTime(m_clock.now()));
@@ -664,6 +665,7 @@
         out.owed += weight * of.value;
         out.earned += weight * (inTime ? of.value : late ? of.lateValue : 0);
         out.wastedCoreSeconds += job.wastedCoreSeconds;
+        out.longestLatency = std::max(out.longestLatency, fromSeconds(latency));
         out.longestWait = std::max(out.longestWait, job.startedAt.value_or(m_clock.now()) - job.submittedAt);
     }
     return out;
--- a/tests/workflow/load_replay.h
+++ b/tests/workflow/load_replay.h
@@ -105,7 +105,7 @@
     double failureShare = 0;
     /// Without any, all jobs belong to one organisation without a guarantee.
     std::vector<OrganisationShare> organisations = {};
-    /// Change a worker before it is listed, and a job before it is submitted; a job keeps its steps and their counts.
+    /// Change a worker before it is listed, and a job before it is submitted.
     std::function<void(WorkerInfo &)> varyWorker = {};
     std::function<void(JobSpec &)> varyJob = {};
     /// Bound on the time in which an urgent job within its organisation's guarantee has started all tasks of its first step.
@@ -125,6 +125,8 @@
     /// Work of runs that did not end as done, without what they had saved.
     double wastedCoreSeconds = 0;
     Duration longestWait{};
+    /// Longest time from submission to the end.
+    Duration longestLatency{};
 
     auto operator+=(const ClassResult &other) -> ClassResult &;
     [[nodiscard]] auto valueShare() const -> double
--- a/tests/workflow/load_test.cpp
+++ b/tests/workflow/load_test.cpp
@@ -134,6 +134,77 @@
     BOOST_TEST(replay.unansweredPollsPerGoneWorker() < 16);
 }
 
+/// Jobs of 2 s each on a pool that is nearly idle.
+struct ReplayCase
+{
+    const char *name;
+    void (*change)(LoadPattern &);
+    Duration leastLatency;
+    Duration mostLatency;
+    /// Per job.
+    double mostWastedCoreSeconds = 0;
+};
+
+auto operator<<(std::ostream &out, const ReplayCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<ReplayCase> replayCases{
+    {"equal workers", [](LoadPattern &) {}, 2000ms, 2150ms},
+    {"slow workers", [](LoadPattern &p) { p.speeds = {0.5}; }, 4000ms, 4150ms},
+    {"a gang is as slow as its slowest member",
+     [](LoadPattern &p) {
+         // Workers of less than half of the usual speed would be replaced.
+         p.speeds = {0.6, 1, 1, 1};
+         p.classes.front().gang = true;
+         // The gang has a member on each worker.
+         p.varyJob = [](JobSpec &job) {
+             job.steps.front().count = 20;
+             job.steps.front().maxPerWorker = 1;
+         };
+     },
+     3333ms, 3500ms},
+    {"every task takes seven times as long", [](LoadPattern &p) { p.tailShare = 1; }, 14s, 14150ms},
+    {"a second step", [](LoadPattern &p) { p.classes.front().secondStepShare = 1; }, 4000ms, 4300ms},
+    {"a run that fails starts again from the beginning", [](LoadPattern &p) { p.failureShare = 1; }, 2200ms, 4300ms, 2.0 * 11},
+    {"a run that fails continues from its last checkpoint",
+     [](LoadPattern &p) {
+         p.failureShare = 1;
+         p.checkpointInterval = 200ms;
+         p.restoreTime = 100ms;
+     },
+     2100ms, 2600ms, 0.2 * 11},
+};
+
+// Checks the replays themselves: a wrong model of speeds, checkpoints or failures would show decisions as better or worse than they are.
+BOOST_DATA_TEST_CASE(replayedWorkTakesTheModelledTime, data::make(replayCases), c)
+{
+    LoadPattern pattern;
+    pattern.name = c.name;
+    pattern.racks = 5;
+    pattern.workersPerRack = 4;
+    pattern.length = 5s;
+    // Urgent tasks that seem slow would be restarted.
+    JobClass jobs{.queue = "jobs", .priority = 2};
+    jobs.rate = 5;
+    jobs.milliCores = 3000;
+    jobs.runTime = 2s;
+    jobs.spread = 0;
+    pattern.classes = {jobs};
+    c.change(pattern);
+    LoadReplay replay(pattern);
+    replay.runUntilEnded(60s);
+    const auto result = replay.result(0);
+    BOOST_TEST(replay.violations.empty());
+    BOOST_TEST(result.submitted > 2);
+    BOOST_TEST(result.ended == result.submitted);
+    BOOST_TEST(toMilliseconds(result.longestLatency).count() >= toMilliseconds(c.leastLatency).count());
+    BOOST_TEST(toMilliseconds(result.longestLatency).count() <= toMilliseconds(c.mostLatency).count());
+    BOOST_TEST(result.wastedCoreSeconds <= c.mostWastedCoreSeconds * static_cast<double>(result.submitted));
+    BOOST_TEST((result.wastedCoreSeconds > 0) == (pattern.failureShare > 0));
+}
+
 BOOST_AUTO_TEST_SUITE(value)
 
 /// Jobs of Caption Works at \a load times their usual rates: a stop takes 900 ms, and estimates are off by up to 90%.
