--- a/tests/workflow/load_test.cpp
+++ b/tests/workflow/load_test.cpp
@@ -412,6 +412,13 @@
               p.bursts = {{background, 0s, 4s, 2.5}, {urgent, 4s, 5s, 3.0}};
           }),
      gearboxCheckGoal},
+    {with(captionWorks("Caption Works: guarantees during a burst", 1.2),
+          [](LoadPattern &p) {
+              p.reclaimTime = 3400ms;
+              p.organisations = {{"small", 0.2, 64}, {"large", 0.3, 160}, {"without", 0.5, 0}};
+              p.bursts = {{background, 0s, 4s, 2.5}, {urgent, 4s, 5s, 3.0}};
+          }),
+     previewGoal, retimeGoal},
 };
 
 /// A scheduler that a replay is played with.
