--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <acaciarail/workflow/configuration.h>
+#include <acaciarail/workflow/placement.h>
 #include <acaciarail/workflow/records.h>
 #include <acaciarail/workflow/worker.h>
 
@@ -108,6 +109,14 @@
     /// Starts stop when the evacuated zones were confirmed evacuationDelay less this margin ago. The margin is for commands in transit: a
     /// connection that takes longer than the timeout of a command, 300 ms for up to 1,000 workers, is given up together with its command.
     Duration evacuationMargin = 700ms;
+    /// Order of the waiting units; replays replace it to compare the default with simpler orders.
+    std::function<bool(const QueuePosition &, const QueuePosition &)> queueOrder = precedes;
+    /// Urgent work may preempt. Off only in replays, for comparison; urgent gangs then reserve workers as the others do.
+    bool preempt = true;
+    /// Workers are chosen by their speed. Off only in replays, for comparison.
+    bool placeBySpeed = true;
+    /// Workers are reserved for the usage of each priority. Off only in replays, for comparison.
+    bool reserveForPriorities = true;
 };
 
 /// A decision.
--- a/packages/workflow/include/acaciarail/workflow/placement.h
+++ b/packages/workflow/include/acaciarail/workflow/placement.h
@@ -22,6 +22,8 @@
     std::uint32_t slowness = 0;
     /// Not reserved for work of this kind; used only when no reserved worker that is otherwise equal has capacity.
     bool unreserved = false;
+    /// Tasks may run there at all. Not a matter of capacity: stopping other work does not make such a worker usable.
+    bool usable = true;
     /// Its tasks take longer for the moment; used only when no other worker that is not avoided has capacity.
     bool cold = false;
 };
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -25,7 +25,7 @@
 }
 
 Dispatcher::Dispatcher(DispatcherSettings settings, std::function<void(const DispatchEvent &)> observe, TimePoint latestPreviousGrant)
-    : m_state(std::make_unique<State>(settings, std::move(observe), latestPreviousGrant))
+    : m_state(std::make_unique<State>(std::move(settings), std::move(observe), latestPreviousGrant))
 {
 }
 
@@ -503,7 +503,9 @@
         if (now >= s.nextProgressCheck) {
             s.nextProgressCheck = now + s.settings.progressCheckInterval;
             s.checkProgress(now);
-            s.learnSpeeds(now);
+            if (s.settings.placeBySpeed) {
+                s.learnSpeeds(now);
+            }
             s.restartSlowRuns(now);
             s.stopRunsOnDrainingWorkers(now);
             s.reportEvacuationState(now);
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -23,7 +23,6 @@
 
 /// Bounds the memory for the shapes of jobs that have ended.
 constexpr std::size_t maxIdleFits = 1000;
-constexpr Demand noCapacity{-1, -1, -1};
 /// Candidate index of a worker that takes no part in a round.
 constexpr auto invalidIndex = std::numeric_limits<std::size_t>::max();
 /// Stands for the priority of a reservation on a worker that has none.
@@ -83,7 +82,7 @@
 auto withoutAvoided(std::vector<Candidate> candidates) -> std::vector<Candidate>
 {
     for (auto &it : candidates) {
-        it.free = it.avoided ? noCapacity : it.free;
+        it.usable = it.usable && !it.avoided;
     }
     return candidates;
 }
@@ -107,7 +106,7 @@
             }
         }
         m_reservedFor.resize(m_workers.size(), unreserved);
-        m_exclusive.resize(m_workers.size(), false);
+        m_exclusions.resize(m_workers.size(), Exclusion::None);
         for (const auto *it : m_workers) {
             auto &bounds = m_capacityBounds[it->info.service];
             const auto free = it->free() - it->reservedCapacity;
@@ -139,8 +138,8 @@
     {
         // The tasks of a step have the same key and are next to each other in the queue, so the candidates are seldom rebuilt.
         const CandidatesKey key{
-            shapeOf(unit),       unit.job->policy.priority, unit.job->policy.service, m_now < unit.readySince + unit.step->estimate,
-            unit.step->estimate, ignoresReservations(unit)};
+            shapeOf(unit),       unit.job->policy.priority, unit.job->policy.service,  m_now < unit.readySince + unit.step->estimate,
+            unit.step->estimate, ignoresReservations(unit), isShortOfTime(unit, m_now)};
         if (unit.step->maxPerWorker > 0 || m_candidatesKey != key) {
             m_candidates = makeCandidates(unit);
             m_candidatesKey = key;
@@ -222,12 +221,13 @@
             const bool urgent = priority == 0;
             const auto amount = urgent ? usage.average * m_state.settings.urgentReserveFactor : std::max(usage.average, usage.present);
             if (urgent) {
-                reserve(order.begin(), order.end(), service, priority, true, amount);
+                reserve(order.begin(), order.end(), service, priority, Exclusion::Always, amount);
                 const auto isFast = [this](std::size_t i) { return m_workers[i]->slowness < m_state.typicalSlowness; };
                 const auto more = usage.average * (m_state.settings.urgentFastReserveFactor - m_state.settings.urgentReserveFactor);
-                reserve(order.begin(), std::find_if_not(order.begin(), order.end(), isFast), service, priority, true, more);
+                reserve(order.begin(), std::find_if_not(order.begin(), order.end(), isFast), service, priority,
+                        Exclusion::UnlessShortOfTime, more);
             } else {
-                reserve(order.rbegin(), order.rend(), service, priority, usage.waiting, amount);
+                reserve(order.rbegin(), order.rend(), service, priority, usage.waiting ? Exclusion::Always : Exclusion::None, amount);
             }
         }
     }
@@ -239,7 +239,7 @@
         std::vector<Demand> capacities;
         capacities.reserve(pool.size());
         for (std::size_t i = 0; i < pool.size(); ++i) {
-            capacities.push_back(pool[i].free == noCapacity ? noCapacity : m_workers[i]->info.capacity);
+            capacities.push_back(m_workers[i]->info.capacity);
         }
         const auto assignment = chooseReservedWorkers(pool, capacities, m_state.requestFor(unit));
         if (!assignment) {
@@ -248,7 +248,7 @@
         const auto priority = unit.job->policy.priority;
         for (const auto i : *assignment) {
             m_reservedFor[i] = std::min(m_reservedFor[i], priority);
-            m_exclusive[i] = true;
+            m_exclusions[i] = Exclusion::Always;
         }
         invalidateCandidates();
         return true;
@@ -264,23 +264,31 @@
     }
 
 private:
+    /// Which less urgent work must not be placed on a reserved worker; for the rest, other workers are preferred.
+    enum class Exclusion : std::uint8_t {
+        None,
+        /// Work that has time to spare.
+        UnlessShortOfTime,
+        Always,
+    };
+
     /// Reserves workers of a service that are not reserved yet, in the order of the iterators, until they have \a accelerators in total.
     template<typename Iterator>
-    auto reserve(Iterator begin, Iterator end, const ServiceName &service, std::uint32_t priority, bool exclusive, double accelerators)
+    auto reserve(Iterator begin, Iterator end, const ServiceName &service, std::uint32_t priority, Exclusion exclusion, double accelerators)
         -> void
     {
         for (auto it = begin; it != end && accelerators > 0; ++it) {
             const auto &worker = *m_workers[*it];
             if (worker.info.service == service && m_reservedFor[*it] == unreserved && m_now >= worker.avoidUntil) {
                 m_reservedFor[*it] = priority;
-                m_exclusive[*it] = exclusive;
+                m_exclusions[*it] = exclusion;
                 accelerators -= static_cast<double>(worker.info.capacity.accelerators);
             }
         }
     }
 
     /// Units with an equal key have the same candidates.
-    using CandidatesKey = std::tuple<Shape, std::uint32_t, ServiceName, bool, Duration, bool>;
+    using CandidatesKey = std::tuple<Shape, std::uint32_t, ServiceName, bool, Duration, bool, bool>;
 
     /// The reservations follow the usage of late, which may be far above the present one.
     [[nodiscard]] auto ignoresReservations(const Unit &unit) const -> bool
@@ -288,6 +296,11 @@
         return hasWaitedLong(unit) && isMostlyIdle(unit.job->policy.service);
     }
 
+    static auto excludes(Exclusion exclusion, bool shortOfTime) -> bool
+    {
+        return exclusion == Exclusion::Always || (exclusion == Exclusion::UnlessShortOfTime && !shortOfTime);
+    }
+
     auto makeCandidates(const Unit &unit) const -> std::vector<Candidate>
     {
         std::vector<Candidate> out(m_workers.size());
@@ -296,6 +309,7 @@
         const auto stepTasks = tasksPerWorker(unit);
         const auto priority = unit.job->policy.priority;
         const bool urgent = priority == 0;
+        const bool shortOfTime = isShortOfTime(unit, m_now);
         const bool hasReservation = m_state.usage.contains({unit.job->policy.service, priority});
         const bool mayBeBlocked = !ignoresReservations(unit);
         for (std::size_t i = 0; i < out.size(); ++i) {
@@ -305,15 +319,17 @@
             const auto count = stepTasks.find(&w);
             const bool crowded = step.maxPerWorker > 0 && count != stepTasks.end() && count->second >= step.maxPerWorker;
             const bool forMoreUrgent = m_reservedFor[i] < priority;
-            const bool blocked = mayBeBlocked && forMoreUrgent && m_exclusive[i] && (m_reservedFor[i] == 0 || !endsBeforeDrained(unit, w));
+            const bool blocked = mayBeBlocked && forMoreUrgent && excludes(m_exclusions[i], shortOfTime)
+                && (m_reservedFor[i] == 0 || !endsBeforeDrained(unit, w));
             const bool allowed =
                 w.info.service == unit.job->policy.service && hasRequiredLabel(w.info, step) && nearData && !crowded && !blocked;
             const bool elsewhere = forMoreUrgent || (hasReservation && m_reservedFor[i] != priority);
             out[i] = {w.rack,
-                      allowed ? w.free() - w.reservedCapacity : noCapacity,
+                      w.free() - w.reservedCapacity,
                       m_now < w.avoidUntil,
                       w.slowness + (urgent && m_slowZones.contains(w.info.zone) ? 1U : 0U),
                       elsewhere,
+                      allowed,
                       m_now < w.coldUntil};
         }
         return out;
@@ -380,6 +396,9 @@
             for (const auto &m : it->second->members) {
                 out[m.worker.get()] += m.phase != MemberPhase::Ended ? 1 : 0;
             }
+            for (const auto &w : it->second->reservedWorkers) {
+                ++out[w.get()];
+            }
         }
         return out;
     }
@@ -410,8 +429,7 @@
     std::vector<Worker *> m_workers;
     /// The priority that each worker is reserved for.
     std::vector<std::uint32_t> m_reservedFor;
-    /// Whether less urgent work must not be placed on a reserved worker; otherwise other workers are preferred for it.
-    std::vector<bool> m_exclusive;
+    std::vector<Exclusion> m_exclusions;
     /// Computed when first needed.
     mutable std::vector<Duration> m_drainTimes;
 };
@@ -630,9 +648,12 @@
             queue.push_back({unit, {guaranteed.contains(&job), cannotFinishInTime(*unit, now), job.policy.priority, unit->readySince}});
         }
     }
-    std::stable_sort(queue.begin(), queue.end(), [](const Waiting &a, const Waiting &b) { return precedes(a.position, b.position); });
+    std::stable_sort(queue.begin(), queue.end(),
+                     [&](const Waiting &a, const Waiting &b) { return settings.queueOrder(a.position, b.position); });
 
-    round.reserveForPriorities();
+    if (settings.reserveForPriorities) {
+        round.reserveForPriorities();
+    }
     std::set<Shape> unplaceable;
     std::size_t reservedGangs = 0;
     for (const auto &it : queue) {
@@ -645,10 +666,11 @@
             continue;
         }
         unplaceable.insert(shapeOf(unit));
-        if (!urgent && unit.step->gang && !it.position.cannotFinishInTime && reservedGangs < settings.maxReservedGangs) {
+        const bool preempts = urgent && settings.preempt;
+        if (!preempts && unit.step->gang && !it.position.cannotFinishInTime && reservedGangs < settings.maxReservedGangs) {
             reservedGangs += round.reserveForGang(unit) ? 1 : 0;
         }
-        if (urgent && now >= unit.nextPreemption) {
+        if (preempts && now >= unit.nextPreemption) {
             unit.nextPreemption = now + settings.preemptInterval;
             tryPreempt(round, unit, it.position.guaranteed, now);
         }
@@ -661,7 +683,7 @@
     const bool hasWaitedLong = round.hasWaitedLong(unit);
     // A worker on which runs just failed or made no progress would otherwise get the same unit repeatedly, as its capacity is the first to
     // become free.
-    request.useAvoided = unit.job->policy.priority != 0 && hasWaitedLong;
+    request.useAvoided = (unit.job->policy.priority != 0 || !settings.preempt) && hasWaitedLong;
     request.speed = isShortOfTime(unit, now) ? SpeedPreference::Fast : SpeedPreference::Slow;
     std::optional<Assignment> assignment;
     if (round.mayFit(unit, request.sameRack)) {
--- a/packages/workflow/src/placement.cpp
+++ b/packages/workflow/src/placement.cpp
@@ -68,7 +68,7 @@
 
 auto isAllowed(const Candidate &candidate, const PlacementRequest &request) -> bool
 {
-    return request.useAvoided || !candidate.avoided;
+    return candidate.usable && (request.useAvoided || !candidate.avoided);
 }
 
 /// Places the tasks on the workers of a group, those with the least free capacity first.
@@ -108,7 +108,7 @@
 {
     std::int64_t sum = 0;
     for (const auto it : group) {
-        sum += std::max<std::int64_t>(candidates[it].free.accelerators, 0);
+        sum += candidates[it].usable ? std::max<std::int64_t>(candidates[it].free.accelerators, 0) : 0;
     }
     return sum;
 }
@@ -221,7 +221,7 @@
     {
         std::optional<Choice> best;
         for (const auto it : group) {
-            if (assignedTasks[it] >= perWorkerLimit(m_request)) {
+            if (!m_candidates[it].usable || assignedTasks[it] >= perWorkerLimit(m_request)) {
                 continue;
             }
             auto choice = chooseVictims(it);
@@ -309,14 +309,14 @@
     std::uint32_t bestFitting = 0;
     for (auto group : groupsFor(candidates, request)) {
         const auto fittingNow = [&](std::size_t i) {
-            return countFitting(candidates[i].free, request.taskDemand, perWorkerLimit(request));
+            return candidates[i].usable ? countFitting(candidates[i].free, request.taskDemand, perWorkerLimit(request)) : 0U;
         };
         std::stable_sort(group.begin(), group.end(), [&](std::size_t a, std::size_t b) { return fittingNow(a) > fittingNow(b); });
         Assignment reserved;
         std::uint32_t taskCapacity = 0;
         std::uint32_t fitting = 0;
         for (const auto i : group) {
-            const bool usable = !candidates[i].avoided;
+            const bool usable = candidates[i].usable && !candidates[i].avoided;
             const auto workerTaskCapacity = usable ? countFitting(capacities[i], request.taskDemand, perWorkerLimit(request)) : 0U;
             if (taskCapacity >= request.tasks || workerTaskCapacity == 0) {
                 continue;
