--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <acaciarail/workflow/configuration.h>
+#include <acaciarail/workflow/load_summary.h>
 #include <acaciarail/workflow/records.h>
 #include <acaciarail/workflow/worker.h>
 
@@ -217,6 +218,9 @@
     /// \pre none.
     [[nodiscard]] auto stats() const -> DispatcherStats;
 
+    /// Returns the backlog and the capacity, as observed since \a since; without a term. \pre none.
+    [[nodiscard]] auto loadSummary(TimePoint now, TimePoint since) const -> LoadSummary;
+
 private:
     std::unique_ptr<State> m_state;
 };
--- a/packages/workflow/include/acaciarail/workflow/records.h
+++ b/packages/workflow/include/acaciarail/workflow/records.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <acaciarail/workflow/job.h>
+#include <acaciarail/workflow/load_summary.h>
 
 #include <cstdint>
 #include <optional>
@@ -98,6 +99,9 @@
 [[nodiscard]] auto announcementRecord(const InstanceAnnouncement &announcement) -> KeyedRecord;
 /// Returns the record of a claim, renewal or release of the lease. \pre none. Thread-safe.
 [[nodiscard]] auto holderRecord(const HolderRecord &holder) -> KeyedRecord;
+/// Returns the record of the load summary. Builds that do not know it read the record of a unit that has not run, of an unknown job, and
+/// ignore it. \pre none. Thread-safe.
+[[nodiscard]] auto loadRecord(const LoadSummary &summary) -> KeyedRecord;
 
 /// A job that was accepted or, when \c spec is empty, cancelled.
 struct JobEntry
@@ -129,7 +133,7 @@
 };
 
 /// A decoded record of the state topic.
-using StateEntry = std::variant<UnitEntry, OutcomeEntry, HolderRecord, OutcomeRemovedEntry>;
+using StateEntry = std::variant<UnitEntry, OutcomeEntry, HolderRecord, OutcomeRemovedEntry, LoadSummary>;
 
 /// Decodes a record of the submissions topic. Returns Error::MalformedInput for a damaged one. \pre none. Thread-safe.
 [[nodiscard]] auto decodeSubmission(const KeyedRecord &record, SubmissionEntry &entry) -> std::error_code;
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -233,6 +233,7 @@
     if (unit.stage == UnitStage::Done) {
         return;
     }
+    observeEnd(unit, now);
     setStage(unit, UnitStage::Done);
     unit.record.phase = UnitPhase::Done;
     unit.record.checkpoint.clear();
@@ -410,6 +411,7 @@
             continue;
         }
         unit->recordingAssignment = false;
+        s.observeStart(*unit, now);
         if (std::any_of(unit->members.begin(), unit->members.end(), [](const Member &m) { return !m.worker->schedulable(); })) {
             s.stopUnit(*unit, "worker-unusable");
         }
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -3,6 +3,7 @@
 #include <acaciarail/workflow/dispatcher.h>
 #include <acaciarail/workflow/placement.h>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -231,6 +232,42 @@
     bool waiting = false;
 };
 
+/// Work that was started in the last ten seconds, by intervals of two.
+class StartedWork
+{
+public:
+    auto add(double work, TimePoint now) -> void;
+    /// Returns the work started a second, over the last four, six, eight or ten seconds, whichever gives most; negative when \a since is
+    /// less than four seconds ago.
+    [[nodiscard]] auto highestRate(TimePoint now, TimePoint since) const -> double;
+
+private:
+    /// Clears the intervals that have passed without a start.
+    auto advance(TimePoint now) -> void;
+
+    static constexpr Duration slotLength = 2s;
+    /// Five whole intervals and the present one.
+    static constexpr std::size_t slotCount = 6;
+    /// Gangs are started in bursts, so that a single interval says little.
+    static constexpr std::int64_t minSlots = 2;
+    std::array<double, slotCount> m_slots{};
+    std::int64_t m_newest = 0;
+};
+
+/// Run times as multiples of the estimates, weighted by work.
+class RunTimeObservations
+{
+public:
+    auto add(double ratio, double weight) -> void;
+    auto describe(ServiceLoad &out) const -> void;
+
+private:
+    double m_weights = 0;
+    double m_squaredWeights = 0;
+    double m_ratios = 0;
+    double m_squaredRatios = 0;
+};
+
 /// Ends of the tasks of a job that are not logged yet.
 struct EndCounts
 {
@@ -318,6 +355,10 @@
     auto collectStops(Decisions &out, TimePoint now) -> void;
     auto collectPolls(Decisions &out, TimePoint now) -> void;
 
+    // dispatcher_load.cpp: what the load summary is made of
+    auto observeStart(const Unit &unit, TimePoint now) -> void;
+    auto observeEnd(const Unit &unit, TimePoint now) -> void;
+
     DispatcherSettings settings;
     std::function<void(const DispatchEvent &)> observe;
     TimePoint latestPreviousGrant;
@@ -347,6 +388,8 @@
     /// By service and priority, but without the least urgent priority of each service.
     std::map<std::pair<ServiceName, std::uint32_t>, PriorityUsage> usage;
     TimePoint usageUpdatedAt;
+    std::map<std::pair<ServiceName, std::uint32_t>, StartedWork> startedWork;
+    std::map<ServiceName, RunTimeObservations> runTimes;
     std::uint64_t placementRounds = 0;
     /// What is left of DecisionScope::startBytes in this round.
     std::int64_t placementBudget = 0;
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -17,6 +17,11 @@
 /// whatever its processor and the size of the fleet.
 constexpr int schedulePauseFactor = 5;
 
+/// Least interval between two load summaries; a quarter of the age up to which one counts.
+constexpr Duration loadSummaryInterval = 500ms;
+/// Interval at which a backlog that has not changed is written again, before the last summary is too old to be used.
+constexpr Duration loadSummaryRefreshInterval = 1s;
+
 auto logDecision(const DispatchEvent &event, std::uint64_t term) -> void
 {
     if (event.job.empty()) {
@@ -130,6 +135,7 @@
     }
     const auto submissions = std::exchange(m_loadedSubmissions, {});
     m_loaded = true;
+    m_loadedAt = now;
     for (const auto &it : submissions) {
         if (it.spec) {
             apply(it);
@@ -304,11 +310,38 @@
                          }));
 }
 
+auto Holder::addLoadSummary(std::vector<KeyedRecord> &records) -> void
+{
+    const auto now = m_hooks.clock.now();
+    if (!m_loaded || m_paused || now < m_nextLoadSummary) {
+        return;
+    }
+    m_nextLoadSummary = now + loadSummaryInterval;
+    auto summary = m_dispatcher->loadSummary(now, m_loadedAt);
+    summary.term = m_term;
+    const bool mustRefresh = !summary.priorities.empty() && summary.timeInOffice >= m_loadSummary.timeInOffice + loadSummaryRefreshInterval;
+    if (mustRefresh || summary.services != m_loadSummary.services || summary.priorities != m_loadSummary.priorities
+        || summary.guarantees != m_loadSummary.guarantees) {
+        records.push_back(loadRecord(summary));
+        m_loadSummary = std::move(summary);
+    }
+}
+
 auto Holder::append(std::vector<KeyedRecord> records, Done done) -> void
+{
+    if (records.empty()) {
+        m_leaseRecordedAt = m_hooks.clock.now();
+        records.push_back(holderRecord(m_lease.record(false)));
+    }
+    addLoadSummary(records);
+    sendAppend(std::move(records), std::move(done));
+}
+
+auto Holder::sendAppend(std::vector<KeyedRecord> records, Done done) -> void
 {
     m_appending = true;
     const auto sentAt = m_hooks.clock.now();
-    if (records.empty() || sentAt >= m_leaseRecordedAt + m_settings.lease.renewInterval) {
+    if (sentAt >= m_leaseRecordedAt + m_settings.lease.renewInterval) {
         m_leaseRecordedAt = sentAt;
         records.push_back(holderRecord(m_lease.record(false)));
     }
@@ -348,7 +381,7 @@
     if (result.status == AppendStatus::OutOfSequence) {
         m_sequence = result.expectedSequence;
     }
-    m_hooks.clock.schedule(m_settings.appendRetryDelay, guarded([records, done](Holder &self) { self.append(records, done); }));
+    m_hooks.clock.schedule(m_settings.appendRetryDelay, guarded([records, done](Holder &self) { self.sendAppend(records, done); }));
 }
 
 auto Holder::startBudget() const -> std::int64_t
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -56,7 +56,11 @@
     auto finishLoading() -> void;
     auto scheduleStep(Duration delay) -> void;
     auto step() -> void;
+    /// Appends records, or renews the lease when there are none.
     auto append(std::vector<KeyedRecord> records, Done done) -> void;
+    auto sendAppend(std::vector<KeyedRecord> records, Done done) -> void;
+    /// Adds the load summary to an append when it is due and has changed.
+    auto addLoadSummary(std::vector<KeyedRecord> &records) -> void;
     auto appendAnswered(const AppendResult &result, const std::vector<KeyedRecord> &records, TimePoint sentAt, const Done &done) -> void;
     auto sendCommands(Decisions &decisions) -> void;
     /// Sends queued starts as far as the window allows, the most urgent first, and drops those that have waited too long.
@@ -93,6 +97,10 @@
     std::uint64_t m_sequence = 0;
     /// When the record of the lease was last appended.
     TimePoint m_leaseRecordedAt;
+    /// When the takeover ended, and the newest summary that was appended since.
+    TimePoint m_loadedAt;
+    LoadSummary m_loadSummary;
+    TimePoint m_nextLoadSummary;
     /// Jobs that have ended, with the time at which this holder learnt of it, the oldest first.
     std::deque<std::pair<TimePoint, JobId>> m_endedJobs;
     TimePoint m_nextRemoval;
--- a/packages/workflow/src/records.cpp
+++ b/packages/workflow/src/records.cpp
@@ -14,6 +14,12 @@
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::UnitRecord, v.phase, v.run, v.failures, v.checkpoint, v.workers, v.failedRun);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::InstanceAnnouncement, v.instance, v.processorShare);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::HolderRecord, v.term, v.instance, v.incarnation, v.released);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::WaitingWork, v.sizeClass, v.units, v.coreSeconds, v.gibSeconds, v.acceleratorSeconds);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::PriorityLoad, v.service, v.priority, v.waiting, v.startedPerSecond);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::ServiceLoad, v.service, v.cores, v.gib, v.accelerators, v.runTimeRatio, v.runTimeDeviation,
+                       v.observedRuns);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::GuaranteeUse, v.organisation, v.accelerators);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::LoadSummary, v.term, v.timeInOffice, v.services, v.priorities, v.guarantees);
 
 namespace Acaciarail::Workflow {
 
@@ -21,6 +27,8 @@
 
 constexpr std::string_view cancelSuffix = "/cancel";
 constexpr std::string_view holderKey = "holder";
+/// The form of a unit's key. The previous build logs a warning for a key `load/...` of another form, and reads `load` as a job's outcome.
+constexpr std::string_view loadKey = "load/0.0";
 constexpr std::string_view announcementPrefix = "member/";
 
 /// JobSpec with its times as integers, which msgpack can encode.
@@ -37,6 +45,13 @@
     JobPhase phase = JobPhase::Completed;
 };
 
+/// The fields of a unit that has not run, followed by the summary.
+struct EncodedLoad
+{
+    UnitRecord unit;
+    LoadSummary summary;
+};
+
 auto parseNumber(std::string_view text, std::uint32_t &value) -> bool
 {
     const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -77,6 +92,8 @@
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::EncodedJob, v.spec.queue, v.spec.organisation, v.spec.payload, v.spec.steps,
                        v.spec.occurrences, v.firstRunMs, v.intervalMs, v.acceptedAtMs, v.spec.policy);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::EncodedOutcome, v.phase);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::EncodedLoad, v.unit.phase, v.unit.run, v.unit.failures, v.unit.checkpoint, v.unit.workers,
+                       v.unit.failedRun, v.summary);
 
 namespace Acaciarail::Workflow {
 
@@ -140,6 +157,11 @@
     return {std::string(holderKey), encode(holder)};
 }
 
+auto loadRecord(const LoadSummary &summary) -> KeyedRecord
+{
+    return {std::string(loadKey), encode(EncodedLoad{{}, summary})};
+}
+
 auto decodeSubmission(const KeyedRecord &record, SubmissionEntry &entry) -> std::error_code
 {
     if (record.key.starts_with(announcementPrefix)) {
@@ -172,6 +194,12 @@
         entry = std::move(holder);
         return ec;
     }
+    if (record.key == loadKey) {
+        EncodedLoad load;
+        const auto ec = record.value.empty() ? std::error_code() : decode(record.value, load);
+        entry = std::move(load.summary);
+        return ec;
+    }
     if (record.key.find('/') == std::string::npos) {
         if (record.value.empty()) {
             entry = OutcomeRemovedEntry{JobId(record.key)};
