--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <acaciarail/workflow/admission_policy.h>
 #include <acaciarail/workflow/configuration.h>
 #include <acaciarail/workflow/dispatcher.h>
 #include <acaciarail/workflow/log_lease.h>
@@ -26,6 +27,7 @@
     Duration smallInstanceClaimDelay = 800ms;
     DispatcherSettings dispatcher;
     LogLeaseSettings lease;
+    AdmissionSettings admission;
     /// Interval at which an instance that is not the holder reads the state topic; a quarter of the holder's time to live.
     Duration statePollInterval = 300ms;
     /// Interval at which an instance that is not the holder reads the submissions topic; the queue lengths that it reports are at most this
@@ -127,12 +129,21 @@
     Accepted,
     /// The request is not stored and never will be.
     Refused,
+    /// Likewise, because under the present load the job would end when it has no value any more.
+    Rejected,
     /// There is no such job.
     NoSuchJob,
     /// The request may be stored.
     Unknown,
 };
 
+struct SubmitResult
+{
+    SubmitOutcome outcome = SubmitOutcome::Unknown;
+    /// When rejected: time after which the caller may try again.
+    std::chrono::seconds retryAfter{};
+};
+
 struct LookupResult
 {
     /// Empty when the job is not known.
@@ -176,8 +187,9 @@
     /// Finds the queue of a request and checks its API key. The queue is valid until the next configuration. \pre none.
     [[nodiscard]] auto admit(std::string_view host, std::string_view path, std::string_view key) const -> AdmissionResult;
 
-    /// Stores a job so that it will run. \a done may be called before this returns. \pre none.
-    auto submit(const JobSpec &spec, std::function<void(SubmitOutcome)> done) -> void;
+    /// Stores a job so that it will run, or rejects it because of the load; a job that is known, is being stored or may be stored is never
+    /// rejected. \a done may be called before this returns. \pre none.
+    auto submit(const JobSpec &spec, std::function<void(const SubmitResult &)> done) -> void;
     /// Cancels a job. \a done may be called before this returns. \pre none.
     auto cancel(const JobId &job, std::function<void(SubmitOutcome)> done) -> void;
     /// Looks up the present phase of a job; when the store cannot be reached, the phase as of the last contact. Waits for a running job to
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -22,6 +22,29 @@
 /// instances together may need seconds of the store's bandwidth for it.
 constexpr Duration maxScanDelay = 2s;
 
+auto outcomeOf(AppendStatus status) -> SubmitOutcome
+{
+    switch (status) {
+    case AppendStatus::Stored:
+        return SubmitOutcome::Accepted;
+    case AppendStatus::Refused:
+        return SubmitOutcome::Refused;
+    default:
+        return SubmitOutcome::Unknown;
+    }
+}
+
+/// The newest load summary that was read.
+struct KnownLoad
+{
+    LoadSummary summary;
+    TimePoint readAt;
+    /// It was stored after this time, when the last read before it was sent that reached the end of the topic.
+    TimePoint storedAfter;
+    /// Latest time at which the takeover of its holder ended.
+    TimePoint beganAt;
+};
+
 } // namespace
 
 struct Engine::State : std::enable_shared_from_this<State>
@@ -30,6 +53,7 @@
         : settings(std::move(s))
         , hooks(std::move(h))
         , lease(settings.lease, settings.instance, settings.incarnation)
+        , admission(settings.admission)
         , random(static_cast<std::minstd_rand::result_type>(settings.incarnation))
     {
     }
@@ -65,7 +89,8 @@
         TopicFollowerHooks stateHooks;
         stateHooks.apply = [this](const KeyedRecord &r) { applyStateRecord(r); };
         stateHooks.applyScanned = [this](const KeyedRecord &r) { applyKnownStateRecord(r); };
-        stateHooks.contact = [this](bool ok, std::optional<TimePoint>) {
+        stateHooks.contact = [this](bool ok, std::optional<TimePoint> confirmedAt) {
+            stateConfirmedAt = confirmedAt.value_or(stateConfirmedAt);
             lease.recordContact(ok, now());
             recordStoreContact(ok);
         };
@@ -167,6 +192,7 @@
         const auto *claim = std::get_if<HolderRecord>(&entry);
         if (claim == nullptr) {
             lease.observeActivity(now());
+            observeLoad(entry);
             applyState(entry);
             return;
         }
@@ -185,6 +211,114 @@
         }
     }
 
+    /// Keeps a load summary that was read.
+    auto observeLoad(const StateEntry &entry) -> void
+    {
+        const auto *summary = std::get_if<LoadSummary>(&entry);
+        if (summary == nullptr) {
+            return;
+        }
+        const bool sameTerm = load && load->summary.term == summary->term;
+        // After the store has dropped its history, the newest record of the key is read again.
+        if (sameTerm && summary->timeInOffice <= load->summary.timeInOffice) {
+            return;
+        }
+        // The end of the holder's takeover by this clock, as the summary that took least time to arrive shows it. A summary that was stored
+        // long after it was made, because its append got no response at first, is recognised by it.
+        auto beganAt = now() - summary->timeInOffice;
+        if (sameTerm) {
+            const auto drift = std::chrono::duration_cast<Duration>((now() - load->readAt) * maxClockDrift);
+            beganAt = std::min(beganAt, load->beganAt + drift);
+        }
+        load = KnownLoad{*summary, now(), stateConfirmedAt, beganAt};
+    }
+
+    auto decideAdmission(const JobSpec &spec) const -> AdmissionDecision
+    {
+        const bool isPresentTerm = load && load->summary.term == lease.term();
+        const auto guaranteed = configuration ? configuration->guaranteed(spec.organisation) : 0;
+        return admission.decide({spec, spec.policy, guaranteed, isPresentTerm ? &load->summary : nullptr, loadAge()});
+    }
+
+    /// Returns an upper bound of the time since the newest load summary was made.
+    auto loadAge() const -> Duration
+    {
+        return load ? now() - std::min(load->storedAfter, load->beganAt + load->summary.timeInOffice) : Duration::max();
+    }
+
+    auto logRejection(const JobSpec &spec, const AdmissionDecision &decision) const -> void
+    {
+        const auto ms = [](Duration d) { return toMilliseconds(d).count(); };
+        logEvent(LogLevel::Info, "job-rejected",
+                 {{"job", spec.id.str()},
+                  {"queue", spec.queue.str()},
+                  {"organisation", spec.organisation.str()},
+                  {"priority", spec.policy.priority},
+                  {"objective_ms", ms(decision.objective)},
+                  {"expected_end_ms", ms(decision.expectedEnd)},
+                  {"earliest_end_ms", ms(decision.earliestEnd)},
+                  {"units_ahead", decision.unitsAhead},
+                  {"core_seconds_ahead", decision.workAhead},
+                  {"core_seconds_started", decision.startedPerSecond},
+                  {"summary_age_ms", ms(loadAge())},
+                  {"term", load->summary.term},
+                  {"retry_after_s", decision.retryAfter.count()}});
+    }
+
+    /// Rejects a job unless the topic shows that another instance has accepted it since the last read.
+    auto rejectIfNotStored(const JobSpec &spec) -> void
+    {
+        submissionsFollower->refresh([weak = weak_from_this(), spec](bool read) {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            if (self->directory.phase(spec.id)) {
+                self->answerSubmission(spec.id, {SubmitOutcome::Accepted});
+                return;
+            }
+            if (read && self->submissionsFollower->isLoaded()) {
+                if (const auto decision = self->decideAdmission(spec); decision.rejected) {
+                    self->logRejection(spec, decision);
+                    self->answerSubmission(spec.id, {SubmitOutcome::Rejected, decision.retryAfter});
+                    return;
+                }
+            }
+            self->storeSubmission(spec);
+        });
+    }
+
+    auto storeSubmission(const JobSpec &spec) -> void
+    {
+        AppendRequest request{std::string(submissionsTopic), {submissionRecord(spec)}, std::nullopt, std::nullopt, 0,
+                              settings.submitTimeout};
+        hooks.store.append(std::move(request), [weak = weak_from_this(), spec](const AppendResult &result) {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            if (result.status == AppendStatus::Stored) {
+                self->directory.apply(JobEntry{spec.id, spec});
+            }
+            auto outcome = outcomeOf(result.status);
+            if (outcome == SubmitOutcome::Unknown) {
+                self->unansweredAppends[spec.id] = self->now();
+            } else if (outcome == SubmitOutcome::Refused && self->mayBeStored(spec.id)) {
+                outcome = SubmitOutcome::Unknown;
+            }
+            self->answerSubmission(spec.id, {outcome});
+        });
+    }
+
+    auto answerSubmission(const JobId &job, const SubmitResult &result) -> void
+    {
+        const auto callbacks = std::exchange(pendingSubmissions[job], {});
+        pendingSubmissions.erase(job);
+        for (const auto &it : callbacks) {
+            it(result);
+        }
+    }
+
     auto claimIfDue() -> void
     {
         // The announcements come with the tail of the submissions.
@@ -377,6 +511,10 @@
     EngineSettings settings;
     EngineHooks hooks;
     LogLease lease;
+    AdmissionPolicy admission;
+    std::optional<KnownLoad> load;
+    /// Every record of the state topic that was appended before this time has been read; long ago when none has.
+    TimePoint stateConfirmedAt;
     std::minstd_rand random;
     JobDirectory directory;
     /// Jobs whose last append got no response, with the time at which it failed.
@@ -392,25 +530,10 @@
     bool draining = false;
     bool storeHealthy = false;
     TimePoint lastStoreContact;
-    std::map<JobId, std::vector<std::function<void(SubmitOutcome)>>> pendingSubmissions;
+    /// Jobs that are being stored, or whose rejection is being confirmed.
+    std::map<JobId, std::vector<std::function<void(const SubmitResult &)>>> pendingSubmissions;
 };
 
-namespace {
-
-auto outcomeOf(AppendStatus status) -> SubmitOutcome
-{
-    switch (status) {
-    case AppendStatus::Stored:
-        return SubmitOutcome::Accepted;
-    case AppendStatus::Refused:
-        return SubmitOutcome::Refused;
-    default:
-        return SubmitOutcome::Unknown;
-    }
-}
-
-} // namespace
-
 Engine::Engine(EngineSettings settings, EngineHooks hooks)
     : m_state(std::make_shared<State>(std::move(settings), std::move(hooks)))
 {
@@ -464,43 +587,28 @@
     return {Admission::Admitted, queue, found == s.configuration->apiKeys.end() ? OrganisationName() : found->second};
 }
 
-auto Engine::submit(const JobSpec &spec, std::function<void(SubmitOutcome)> done) -> void
+auto Engine::submit(const JobSpec &spec, std::function<void(const SubmitResult &)> done) -> void
 {
     auto &s = *m_state;
     if (s.directory.phase(spec.id)) {
-        done(SubmitOutcome::Accepted);
+        done({SubmitOutcome::Accepted});
         return;
     }
     if (const auto pending = s.pendingSubmissions.find(spec.id); pending != s.pendingSubmissions.end()) {
         pending->second.push_back(std::move(done));
         return;
     }
+    const bool mayBeStored = s.mayBeStored(spec.id);
     if (!s.storeHealthy) {
-        done(s.mayBeStored(spec.id) ? SubmitOutcome::Unknown : SubmitOutcome::Refused);
+        done({mayBeStored ? SubmitOutcome::Unknown : SubmitOutcome::Refused});
         return;
     }
     s.pendingSubmissions[spec.id].push_back(std::move(done));
-    AppendRequest request{std::string(submissionsTopic), {submissionRecord(spec)}, std::nullopt, std::nullopt, 0, s.settings.submitTimeout};
-    s.hooks.store.append(std::move(request), [weak = std::weak_ptr(m_state), spec](const AppendResult &result) {
-        const auto self = weak.lock();
-        if (!self) {
-            return;
-        }
-        if (result.status == AppendStatus::Stored) {
-            self->directory.apply(JobEntry{spec.id, spec});
-        }
-        auto outcome = outcomeOf(result.status);
-        if (outcome == SubmitOutcome::Unknown) {
-            self->unansweredAppends[spec.id] = self->now();
-        } else if (outcome == SubmitOutcome::Refused && self->mayBeStored(spec.id)) {
-            outcome = SubmitOutcome::Unknown;
-        }
-        const auto callbacks = std::exchange(self->pendingSubmissions[spec.id], {});
-        self->pendingSubmissions.erase(spec.id);
-        for (const auto &it : callbacks) {
-            it(outcome);
-        }
-    });
+    if (!mayBeStored && s.decideAdmission(spec).rejected) {
+        s.rejectIfNotStored(spec);
+    } else {
+        s.storeSubmission(spec);
+    }
 }
 
 auto Engine::cancel(const JobId &job, std::function<void(SubmitOutcome)> done) -> void
--- a/tests/adapter/instance_metrics_test.cpp
+++ b/tests/adapter/instance_metrics_test.cpp
@@ -61,6 +61,7 @@
     metrics.recordDecision({"unit-placed", JobId("j1"), {}, 5ms, 0});
     metrics.recordTakeover(100ms);
     metrics.recordSkippedWorkerEntry();
+    metrics.recordRejectedJob(Workflow::QueueName("queue"));
     const auto rendered = renderedNames(metrics.render(engine));
     const auto documented = documentedNames();
     BOOST_TEST(!documented.empty());
--- a/tests/workflow/engine_test.cpp
+++ b/tests/workflow/engine_test.cpp
@@ -369,11 +369,11 @@
     std::optional<SubmitOutcome> first;
     std::optional<SubmitOutcome> second;
     auto &engine = *world->instances[0].engine;
-    engine.submit(job, [&](SubmitOutcome outcome) { first = outcome; });
+    engine.submit(job, [&](const SubmitResult &result) { first = result.outcome; });
     world->run(c.lostAfter);
     engine.recordStoreContact(false);
     world->run(c.retriedAfter - c.lostAfter);
-    engine.submit(job, [&](SubmitOutcome outcome) { second = outcome; });
+    engine.submit(job, [&](const SubmitResult &result) { second = result.outcome; });
     world->run(3s);
     BOOST_TEST((first == SubmitOutcome::Unknown));
     BOOST_TEST((second == SubmitOutcome::Unknown));
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -402,7 +402,7 @@
 
 auto SimWorld::submit(std::size_t i, const JobSpec &spec) -> void
 {
-    instances[i].engine->submit(spec, [this, id = spec.id.str()](SubmitOutcome outcome) { outcomes[id] = outcome; });
+    instances[i].engine->submit(spec, [this, id = spec.id.str()](const SubmitResult &result) { outcomes[id] = result.outcome; });
 }
 
 auto SimWorld::phase(std::size_t i, const std::string &job) -> std::optional<JobPhase>
