Test the listeners with clients that do not read, are slow, or are too many

No test starts the program with such clients. Change: test_clients starts acaciaraild in both modes on loopback with lowered limits. Checks: the process lives, the growth of its resident size and its descriptors stay under bounds from the settings (memoryMb / 2 and maxFds - 200; 32 MiB and twice max_caller_connections plus 72 with workers of our own), and ordinary requests are answered while the clients stay connected. Growth is measured from before the clients come, since a sanitizer's own memory makes the size itself meaningless; its quarantine is lowered to 1 MB for the child. One CTest entry for each case, RUN_SERIAL.

--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -37,6 +37,12 @@
     /// Sends a signal unless the process has been reaped. \pre none.
     auto signal(int number) -> void;
 
+    /// Returns the process id, also after the process has ended. \pre none.
+    [[nodiscard]] auto id() const noexcept -> pid_t
+    {
+        return m_id;
+    }
+
     /// Returns the wait status once the process has ended. \pre none.
     [[nodiscard]] auto waitStatus() -> std::optional<int>;
 
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -53,6 +53,8 @@
 
 Deployment::Deployment(DeploymentSettings settings)
     : m_platform(m_loop)
+    , m_entryFlags(settings.entryFlags)
+    , m_entryEnvironment(settings.entryEnvironment)
 {
     BOOST_REQUIRE(!m_platform.listen());
     for (std::uint32_t i = 0; i < settings.midwestWorkers; ++i) {
@@ -98,12 +100,11 @@
 {
     Entry entry;
     entry.zone = zone;
-    entry.process =
-        std::make_unique<ChildProcess>("acaciaraild",
-                                       std::vector<std::string>{"--name=" + name, "--region=" + regionOf(zone), "--zone=" + zone,
-                                                                "--platform_address=" + m_platform.address().str(),
-                                                                "--bootstrap_operator_token_sha256=" + Operator::sha256Hex(operatorToken)},
-                                       name);
+    std::vector<std::string> flags{"--name=" + name, "--region=" + regionOf(zone), "--zone=" + zone,
+                                   "--platform_address=" + m_platform.address().str(),
+                                   "--bootstrap_operator_token_sha256=" + Operator::sha256Hex(operatorToken)};
+    flags.insert(flags.end(), m_entryFlags.begin(), m_entryFlags.end());
+    entry.process = std::make_unique<ChildProcess>("acaciaraild", flags, name, ChildOptions{{}, m_entryEnvironment});
     const auto line = entry.process->readLine(m_loop, waitLimit);
     unsigned callerPort = 0;
     unsigned peerPort = 0;
@@ -135,6 +136,11 @@
     return *m_entries.at(name).process;
 }
 
+auto Deployment::entryAddress(const std::string &name) const -> Runtime::SocketAddress
+{
+    return m_entries.at(name).address;
+}
+
 auto Deployment::entryNames() const -> std::vector<std::string>
 {
     std::vector<std::string> out;
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -54,6 +54,10 @@
     std::uint32_t midwestWorkers = 3;
     std::uint32_t southeastWorkers = 1;
     std::uint32_t endpoints = 0;
+    /// Further flags of each entry instance.
+    std::vector<std::string> entryFlags = {};
+    /// Variables `NAME=VALUE` that are added to the environment of each entry instance.
+    std::vector<std::string> entryEnvironment = {};
 };
 
 /// The platform and workers in this process, and entry instances and endpoints as child processes. The configuration of the
@@ -76,6 +80,8 @@
     /// Returns the process of the entry instance. \pre it was started.
     [[nodiscard]] auto entryProcess(const std::string &name) -> ChildProcess &;
     [[nodiscard]] auto entryNames() const -> std::vector<std::string>;
+    /// Returns the address at which the entry instance listens for callers. \pre it was started.
+    [[nodiscard]] auto entryAddress(const std::string &name) const -> Runtime::SocketAddress;
 
     /// Starts a worker with 8 accelerators and adds it to the platform's list. \pre none.
     auto addWorker(const std::string &zone) -> Standins::WorkerServer &;
@@ -124,6 +130,8 @@
 
     Runtime::EventLoop m_loop;
     Standins::PlatformServer m_platform;
+    std::vector<std::string> m_entryFlags;
+    std::vector<std::string> m_entryEnvironment;
     std::vector<StartRecord> m_starts;
     std::vector<std::unique_ptr<Standins::WorkerServer>> m_workers;
     std::unique_ptr<ChildProcess> m_endpoints;
