Bound the connections of clients at the platform's listeners

Cause: evhttp goes on reading while a response is not written out, so that its input buffer grows with what a client sends, and has no limit on connections or on the memory of incomplete requests. Change: ClientConnections observes each connection of the three listeners. It reads at most 20,480 bytes ahead (more for a large body), limits the number of connections (from maxFds) and the memory of all together (from memoryMb), and closes connections without progress, but never one whose request is being handled. Keys of [clients] override the defaults; a log line and a counter say what was closed and why.

--- a/tests/adapter/instance_metrics_test.cpp
+++ b/tests/adapter/instance_metrics_test.cpp
@@ -58,6 +58,7 @@
     metrics.recordRequest("submit", 200, 3ms);
     metrics.recordStoreCall("append", "200", 3ms);
     metrics.recordWorkerCommand("hold", "200", 3ms);
+    metrics.recordClosedConnection("callers", "unread");
     metrics.recordDecision({"unit-placed", JobId("j1"), {}, 5ms, 0});
     metrics.recordTakeover(100ms);
     metrics.recordSkippedWorkerEntry();
--- a/tests/adapter/node_settings_test.cpp
+++ b/tests/adapter/node_settings_test.cpp
@@ -98,6 +98,9 @@
     {"no store", without("address"), "platform.address"},
     {"a name for an address", with("10.200.1.7:8524", "store:8524"), "platform.address"},
     {"a bound of another type", with("holdMaxMs = 10000", "holdMaxMs = \"long\""), "bounds.holdMaxMs"},
+    {"memory of another type", with("cpuShare = 0.25", "memoryMb = \"much\""), "limits.memoryMb"},
+    {"a limit for clients of zero", complete + "[clients]\nmaxConnections = 0\n", "clients.maxConnections"},
+    {"a fraction of a millisecond", complete + "[clients]\nunreadTimeoutMs = 0.5\n", "clients.unreadTimeoutMs"},
     {"ports of another type", with("[7000, 7015]", "7000"), "internalPorts"},
 };
 
@@ -123,6 +126,25 @@
     BOOST_TEST(settings.callers.str() == "10.1.0.19:8521");
 }
 
+// Guards against limits for clients that do not follow from the machine's memory and descriptors, and against overrides without effect.
+BOOST_AUTO_TEST_CASE(limitsForClientsFollowFromTheMachine)
+{
+    constexpr std::size_t mebibyte = std::size_t{1024} * 1024;
+    const TemporaryFile smallest(with("cpuShare = 0.25", "memoryMb = 120\nmaxFds = 3075"));
+    const auto limits = loadNodeSettings(smallest.path()).settings.clients;
+    BOOST_TEST(limits.maxBytes == 30 * mebibyte);
+    BOOST_TEST(limits.maxConnections == 1437U);
+    BOOST_TEST(limits.maxProbeConnections == 89U);
+    BOOST_TEST((limits.headerTimeout >= 3s && limits.idleTimeout >= 15s));
+    const TemporaryFile overridden(complete + "[clients]\nmaxConnections = 50\nmaxMemoryMb = 7\nheaderTimeoutMs = 1500\n");
+    const auto changed = loadNodeSettings(overridden.path()).settings.clients;
+    BOOST_TEST(changed.maxConnections == 50U);
+    BOOST_TEST(changed.maxBytes == 7 * mebibyte);
+    BOOST_TEST((changed.headerTimeout == 1500ms && changed.bodyTimeout == ClientLimits{}.bodyTimeout));
+    const TemporaryFile tiny(with("cpuShare = 0.25", "maxFds = 100"));
+    BOOST_TEST(loadNodeSettings(tiny.path()).settings.clients.maxConnections == 32U);
+}
+
 // Guards against an exception, or a start with default settings, when the file cannot be read.
 BOOST_AUTO_TEST_CASE(anUnreadableFileIsAFault)
 {
