Bound what the callers' listener of the own mode buffers

Cause: reading was enabled after each response, whatever waited already, so that each response to a pipelined request let 16 KB more in. The limit of all buffers counted bytes and not capacity, which doubles, and a refusal kept the buffer, as a move assignment of a short string does. Change: reading continues when at most 64 KiB wait or no request is complete, and stops for requests in progress while the buffers are full. Buffers grow by 64 KiB, count with their capacity and are freed. The limits of buffers, headers, bodies and unread responses are settings with the previous values as defaults; a log line (once a second for each limit) and gauges show where they act.

--- a/apps/acaciaraild/control_gateway.cpp
+++ b/apps/acaciaraild/control_gateway.cpp
@@ -399,6 +399,17 @@
     set("acaciarail_requests_in_flight", "Requests at endpoints", static_cast<double>(status.router.inFlight));
     set("acaciarail_endpoints_ejected", "Endpoints out of use after failures", static_cast<double>(status.router.endpointsEjected));
     set("acaciarail_extra_attempts", "Attempts after the first, since the start", static_cast<double>(status.router.extraAttempts));
+    const auto listener = m_hooks.listenerStats();
+    set("acaciarail_caller_connections", "Open connections of callers", static_cast<double>(m_hooks.callerConnections()));
+    set("acaciarail_caller_buffer_bytes", "Bytes of requests that are buffered", static_cast<double>(listener.bufferedBytes));
+    set("acaciarail_caller_connections_refused", "Connections above the limit since the start",
+        static_cast<double>(listener.refusedConnections));
+    set("acaciarail_caller_connections_replaced", "Idle connections closed in favour of new ones since the start",
+        static_cast<double>(listener.evictedConnections));
+    set("acaciarail_caller_connections_unread", "Connections closed because a response was not read since the start",
+        static_cast<double>(listener.unreadConnections));
+    set("acaciarail_caller_requests_refused", "Malformed, too large and too slow requests, and surplus connections, since the start",
+        static_cast<double>(listener.refused));
     for (const auto &it : status.shards) {
         const Telemetry::Labels labels{{"zone", it.key.zone.str()}, {"shard", std::to_string(it.key.shard)}};
         metrics.gauge("acaciarail_shard_holder", "1 when this instance holds the shard", labels).set(it.isHolder ? 1 : 0);
--- a/apps/acaciaraild/control_gateway.h
+++ b/apps/acaciaraild/control_gateway.h
@@ -17,6 +17,10 @@
     std::function<void()> drain;
     /// Returns the workers of the platform's list, against which guarantees are checked.
     std::function<std::vector<WorkerInfo>()> workers;
+    /// Returns the counts of the listener.
+    std::function<Caller::CallerServerStats()> listenerStats;
+    /// Returns the number of open connections of callers.
+    std::function<std::size_t()> callerConnections;
 };
 
 /// Handles `/v1/...` for callers and operators, the health probes and the metrics.
--- a/apps/acaciaraild/daemon.cpp
+++ b/apps/acaciaraild/daemon.cpp
@@ -99,7 +99,11 @@
     const ServiceGatewaySettings services{m_incarnation, m_settings.timeouts.defaultDeadline, m_settings.timeouts.maxDeadline,
                                           m_settings.timeouts.progressTimeout};
     m_services = std::make_unique<ServiceGateway>(services, context, *m_endpointClient);
-    m_control = std::make_unique<ControlGateway>(context, ControlHooks{[this] { drain(); }, [this] { return m_workers; }}, *m_auditClient);
+    m_control =
+        std::make_unique<ControlGateway>(context,
+                                         ControlHooks{[this] { drain(); }, [this] { return m_workers; },
+                                                      [this] { return m_server->stats(); }, [this] { return m_server->connections(); }},
+                                         *m_auditClient);
 
     Instance::InstanceSettings settings;
     settings.self = {m_settings.name, m_settings.region, m_settings.zone, false, m_settings.advertisedAddress};
@@ -147,7 +151,11 @@
     settings.maxConnections = m_settings.limits.maxCallerConnections;
     settings.limits.maxBody = m_settings.limits.maxBodyBytes;
     settings.limits.maxHead = m_settings.limits.maxHeaderBytes;
+    settings.maxBufferedBytes = m_settings.limits.maxCallerBufferBytes;
     settings.idleTimeout = m_settings.timeouts.callerIdleTimeout;
+    settings.headTimeout = m_settings.timeouts.callerHeaderTimeout;
+    settings.bodyTimeout = m_settings.timeouts.callerBodyTimeout;
+    settings.writeTimeout = m_settings.timeouts.callerUnreadTimeout;
     Caller::CallerServerHooks hooks;
     hooks.onRequest = [this](Caller::HttpRequest request, Caller::ReplyHandle reply) {
         if (request.path.starts_with("/services/")) {
--- a/apps/acaciaraild/main.cpp
+++ b/apps/acaciaraild/main.cpp
@@ -20,6 +20,7 @@
 DEFINE_string(bootstrap_operator_token_sha256, "", "Overrides the setting bootstrap_operator_token_sha256");
 DEFINE_string(log_level, "", "Overrides the setting log_level");
 DEFINE_string(max_caller_connections, "", "Overrides the setting max_caller_connections");
+DEFINE_string(max_caller_buffer_bytes, "", "Overrides the setting max_caller_buffer_bytes");
 DEFINE_string(max_body_bytes, "", "Overrides the setting max_body_bytes");
 DEFINE_string(max_header_bytes, "", "Overrides the setting max_header_bytes");
 DEFINE_string(max_queued_requests, "", "Overrides the setting max_queued_requests");
@@ -30,6 +31,9 @@
 DEFINE_string(progress_timeout_ms, "", "Overrides the setting progress_timeout_ms");
 DEFINE_string(connect_timeout_ms, "", "Overrides the setting connect_timeout_ms");
 DEFINE_string(caller_idle_timeout_ms, "", "Overrides the setting caller_idle_timeout_ms");
+DEFINE_string(caller_header_timeout_ms, "", "Overrides the setting caller_header_timeout_ms");
+DEFINE_string(caller_body_timeout_ms, "", "Overrides the setting caller_body_timeout_ms");
+DEFINE_string(caller_unread_timeout_ms, "", "Overrides the setting caller_unread_timeout_ms");
 DEFINE_string(log_append_timeout_ms, "", "Overrides the setting log_append_timeout_ms");
 DEFINE_string(log_read_wait_ms, "", "Overrides the setting log_read_wait_ms");
 DEFINE_string(instance_list_interval_ms, "", "Overrides the setting instance_list_interval_ms");
--- a/packages/caller/include/acaciarail/caller/caller_server.h
+++ b/packages/caller/include/acaciarail/caller/caller_server.h
@@ -52,8 +52,8 @@
     /// the new connection gets 503 `overloaded` and is closed.
     std::size_t maxConnections = 1024;
     Duration evictableAfter = std::chrono::seconds(1);
-    /// Limit of the received bytes that all connections together buffer, 16 MiB. Above it, requests of more
-    /// than 16 KiB are refused with 503 `overloaded`.
+    /// Limit of the received bytes that all connections together buffer, 16 MiB. Above it, requests of more than 16 KiB are refused
+    /// with 503 `overloaded`, and connections with a request in progress are not read from.
     std::size_t maxBufferedBytes = std::size_t{16} * 1024 * 1024;
     /// A connection without a request is closed after this time.
     Duration idleTimeout = std::chrono::seconds(60);
@@ -92,6 +92,10 @@
     /// Idle connections closed in favour of new ones.
     std::uint64_t evictedConnections = 0;
     std::uint64_t disconnected = 0;
+    /// Connections closed because a response was not read.
+    std::uint64_t unreadConnections = 0;
+    /// Bytes of requests that are buffered at present.
+    std::size_t bufferedBytes = 0;
 };
 
 /// HTTP/1.1 server on libevhtp. All methods run on the thread of the event loop; not thread-safe.
--- a/packages/caller/src/caller_server.cpp
+++ b/packages/caller/src/caller_server.cpp
@@ -26,6 +26,7 @@
 constexpr int listenBacklog = 512;
 /// Pause after a failed accept: without free file descriptors, for example, the listener would fail again at once.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(100);
+constexpr Duration limitLogInterval = std::chrono::seconds(1);
 
 auto systemError() noexcept -> std::error_code
 {
@@ -194,10 +195,23 @@
         return false;
     }
     ++stats.evictedConnections;
+    reportLimit("replaced");
     (*found)->close();
     return true;
 }
 
+auto ServerState::reportLimit(std::string_view limit) -> void
+{
+    auto &count = m_limitCounts[limit];
+    ++count.unlogged;
+    const auto now = MonotonicClock::now();
+    if (now - count.loggedAt >= limitLogInterval) {
+        logEvent(LogLevel::Info, "client-limited",
+                 {{"limit", limit}, {"count", count.unlogged}, {"connections", connections.size()}, {"bytes", stats.bufferedBytes}});
+        count = {0, now};
+    }
+}
+
 auto ServerState::requestOpened() -> void
 {
     ++inProgress;
@@ -221,6 +235,7 @@
     auto &self = *static_cast<ServerState *>(arg);
     if (self.connections.size() >= 2 * self.settings.maxConnections) {
         ++self.stats.refusedConnections;
+        self.reportLimit("too-many");
         return EVHTP_RES_ERROR;
     }
     return EVHTP_RES_OK;
@@ -236,6 +251,7 @@
     accepted->attach();
     if (full) {
         ++self.stats.refusedConnections;
+        self.reportLimit("too-many");
         accepted->refuse(503,
                          {Error::Overloaded, Execution::NotRun,
                           "connections: expected at most " + std::to_string(self.settings.maxConnections) + ", found more"});
--- a/packages/caller/src/connection.cpp
+++ b/packages/caller/src/connection.cpp
@@ -26,6 +26,9 @@
 /// Requests up to this size are accepted even when the buffers are full, so that large requests cannot block small ones.
 constexpr std::size_t alwaysBufferedBytes = std::size_t{16} * 1024;
 
+/// Buffers of large requests grow by this much instead of doubling, so that at most this much of one is unused.
+constexpr std::size_t bufferStep = std::size_t{64} * 1024;
+
 auto isConnectionHeader(std::string_view name) noexcept -> bool
 {
     const HttpHeaders connectionHeaders{{"Connection", {}}, {"Content-Length", {}}, {"Transfer-Encoding", {}}, {"Keep-Alive", {}}};
@@ -190,6 +193,10 @@
     const auto self = static_cast<Connection *>(arg)->shared_from_this();
     constexpr short endEvents = BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT;
     if ((what & endEvents) != 0) {
+        if (const auto server = self->m_server.lock(); server && (what & BEV_EVENT_TIMEOUT) != 0) {
+            ++server->stats.unreadConnections;
+            server->reportLimit("unread");
+        }
         self->close();
     }
 }
@@ -202,10 +209,18 @@
 
 auto Connection::setPending(std::string bytes) -> void
 {
+    // A move assignment of a short string would keep the previous buffer.
+    m_pending.swap(bytes);
+    updateBufferedBytes();
+}
+
+auto Connection::updateBufferedBytes() -> void
+{
+    const auto now = m_pending.capacity();
     if (const auto server = m_server.lock()) {
-        server->updateBufferedBytes(m_pending.size(), bytes.size());
+        server->updateBufferedBytes(m_bufferedBytes, now);
     }
-    m_pending = std::move(bytes);
+    m_bufferedBytes = now;
 }
 
 auto Connection::discardInput() -> void
@@ -226,15 +241,19 @@
     auto *input = bufferevent_get_input(m_bev);
     const auto before = m_pending.size();
     const auto n = evbuffer_get_length(input);
+    if (before + n > std::max(m_pending.capacity(), bufferStep)) {
+        m_pending.reserve((before + n + bufferStep - 1) / bufferStep * bufferStep);
+    }
     m_pending.resize(before + n);
     evbuffer_remove(input, m_pending.data() + before, n);
     const auto server = m_server.lock();
-    server->updateBufferedBytes(before, m_pending.size());
+    updateBufferedBytes();
     if (server->areBuffersFull() && m_mode == Mode::Receiving && m_pending.size() > alwaysBufferedBytes) {
+        server->reportLimit("memory");
         refuse(503, {Error::Overloaded, Execution::NotRun, "buffers for incoming requests: expected free space, found none"});
         return;
     }
-    if (m_mode != Mode::Receiving && m_pending.size() > maxPipelinedBytes) {
+    if (m_mode != Mode::Receiving && (m_pending.size() > maxPipelinedBytes || server->areBuffersFull())) {
         bufferevent_disable(m_bev, EV_READ);
     }
 }
@@ -263,6 +282,7 @@
 auto Connection::awaitMore(const Framing &framing) -> void
 {
     const auto server = m_server.lock();
+    bufferevent_enable(m_bev, EV_READ);
     if (framing.expectsContinue && framing.state == FramingState::Body && !std::exchange(m_sentContinue, true)) {
         constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
         evbuffer_add(bufferevent_get_output(m_bev), interim.data(), interim.size());
@@ -391,7 +411,10 @@
         return;
     }
     m_mode = Mode::Receiving;
-    bufferevent_enable(m_bev, EV_READ);
+    // With enough pipelined requests, reading continues only once these are answered; awaitMore() enables it.
+    if (m_pending.size() <= maxPipelinedBytes) {
+        bufferevent_enable(m_bev, EV_READ);
+    }
     process();
 }
 
@@ -451,6 +474,7 @@
         return;
     }
     if (!m_pending.empty()) {
+        server->reportLimit(m_timedState == FramingState::Head ? "slow-header" : "slow-body");
         refuse(408,
                {Error::Timeout, Execution::NotRun,
                 std::string(m_timedState == FramingState::Head ? "head" : "body") + ": expected all of it in time, found a part"});
--- a/packages/caller/src/connection.h
+++ b/packages/caller/src/connection.h
@@ -7,9 +7,11 @@
 #include <evhtp/evhtp.h>
 
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -42,13 +44,16 @@
     /// Updates the total of buffered bytes when a connection's share changes.
     auto updateBufferedBytes(std::size_t before, std::size_t after) noexcept -> void
     {
-        m_bufferedBytes = m_bufferedBytes - before + after;
+        stats.bufferedBytes = stats.bufferedBytes - before + after;
     }
     [[nodiscard]] auto areBuffersFull() const noexcept -> bool
     {
-        return m_bufferedBytes > settings.maxBufferedBytes;
+        return stats.bufferedBytes > settings.maxBufferedBytes;
     }
 
+    /// Logs that a limit for clients acted, at most once a second for each \a limit.
+    auto reportLimit(std::string_view limit) -> void;
+
     [[nodiscard]] auto nextRequestId() noexcept -> RequestId
     {
         return ++m_lastRequestId;
@@ -78,6 +83,13 @@
     static auto onPostAccept(evhtp_connection_t *connection, void *arg) -> evhtp_res;
     static auto onAcceptError(evconnlistener *listener, void *arg) -> void;
 
+    /// How often a limit acted since the last log line about it.
+    struct LimitCount
+    {
+        std::uint64_t unlogged = 0;
+        TimePoint loggedAt;
+    };
+
     auto reportIfStopped() -> void;
     /// Closes an idle connection when the limit is reached. Returns false when none can be closed.
     auto evictIfFull() -> bool;
@@ -87,7 +99,7 @@
     Timer m_cleanupTimer;
     std::vector<std::shared_ptr<Connection>> m_removed;
     RequestId m_lastRequestId = 0;
-    std::size_t m_bufferedBytes = 0;
+    std::map<std::string_view, LimitCount> m_limitCounts;
     bool m_stopping = false;
     bool m_stopReported = false;
     bool m_active = true;
@@ -147,6 +159,8 @@
     auto closeWhenIdle() -> void;
     /// Replaces the received bytes that libevhtp has not seen.
     auto setPending(std::string bytes) -> void;
+    /// Reports the size of the buffer of m_pending to the server after a change.
+    auto updateBufferedBytes() -> void;
     auto discardInput() -> void;
     auto onTimer() -> void;
     [[nodiscard]] auto hasUnreadInput() const -> bool;
@@ -161,6 +175,8 @@
     Mode m_mode = Mode::Receiving;
     /// Received bytes that were not passed to libevhtp yet.
     std::string m_pending;
+    /// Its share of the server's total.
+    std::size_t m_bufferedBytes = 0;
     RequestFramer m_framer;
     /// Framing state for which the timer runs.
     FramingState m_timedState = FramingState::Complete;
--- a/packages/operator/include/acaciarail/operator/settings.h
+++ b/packages/operator/include/acaciarail/operator/settings.h
@@ -17,6 +17,8 @@
 struct InstanceLimits
 {
     std::uint32_t maxCallerConnections = 1024;
+    /// Received bytes that all connections of callers together buffer.
+    std::uint32_t maxCallerBufferBytes = 16 * 1024 * 1024;
     std::uint32_t maxBodyBytes = 1024 * 1024;
     std::uint32_t maxHeaderBytes = 16 * 1024;
     /// Requests that wait for an endpoint at once.
@@ -39,6 +41,12 @@
     Duration connectTimeout = std::chrono::milliseconds(500);
     /// Time without a request after which a caller's connection is closed.
     Duration callerIdleTimeout = std::chrono::seconds(60);
+    /// From the first byte of a request to the end of its headers.
+    Duration callerHeaderTimeout = std::chrono::seconds(5);
+    /// From the end of the headers to the end of the body.
+    Duration callerBodyTimeout = std::chrono::seconds(15);
+    /// Without a byte of a response being taken.
+    Duration callerUnreadTimeout = std::chrono::seconds(10);
     Duration logAppendTimeout = std::chrono::seconds(2);
     /// Time that the platform may hold an empty log read open.
     Duration logReadWait = std::chrono::milliseconds(500);
--- a/packages/operator/src/settings.cpp
+++ b/packages/operator/src/settings.cpp
@@ -32,6 +32,7 @@
 constexpr IntegerRange timeoutRange{1, 3'600'000};
 constexpr IntegerRange connectionRange{1, 65'536};
 constexpr IntegerRange bodyRange{1024, std::uint64_t{16} * 1024 * 1024};
+constexpr IntegerRange bufferRange{64 * 1024, std::uint64_t{1024} * 1024 * 1024};
 constexpr IntegerRange headerRange{1024, std::uint64_t{1024} * 1024};
 constexpr IntegerRange queueRange{1, 1'000'000};
 constexpr IntegerRange spanRange{16, 1'000'000};
@@ -174,6 +175,8 @@
             TextSetting{checkLogLevel, setLogLevel}},
 
     limit<&L::maxCallerConnections>("max_caller_connections", "count", connectionRange, "Connections of callers at once."),
+    limit<&L::maxCallerBufferBytes>("max_caller_buffer_bytes", "bytes", bufferRange,
+                                    "Received bytes that all connections of callers together buffer."),
     limit<&L::maxBodyBytes>("max_body_bytes", "bytes", bodyRange, "Largest body of a request or response."),
     limit<&L::maxHeaderBytes>("max_header_bytes", "bytes", headerRange, "Largest header of a request or response."),
     limit<&L::maxQueuedRequests>("max_queued_requests", "count", queueRange, "Requests that wait for an endpoint at once."),
@@ -186,6 +189,9 @@
                                  "Time without a byte after which a connection with requests in progress is closed."),
     timeout<&T::connectTimeout>("connect_timeout_ms", "Time for opening a connection."),
     timeout<&T::callerIdleTimeout>("caller_idle_timeout_ms", "Time without a request after which a caller's connection is closed."),
+    timeout<&T::callerHeaderTimeout>("caller_header_timeout_ms", "Time for the headers of a caller's request."),
+    timeout<&T::callerBodyTimeout>("caller_body_timeout_ms", "Time for the body of a caller's request, after its headers."),
+    timeout<&T::callerUnreadTimeout>("caller_unread_timeout_ms", "Time without a byte of a response being taken by its caller."),
     timeout<&T::logAppendTimeout>("log_append_timeout_ms", "Time for one append to the platform's log."),
     timeout<&T::logReadWait>("log_read_wait_ms", "Time that the platform may hold a log read open that has no records yet."),
     timeout<&T::instanceListInterval>("instance_list_interval_ms", "Time between two reads of the platform's instance list."),
--- a/tests/operator/settings_test.cpp
+++ b/tests/operator/settings_test.cpp
@@ -105,6 +105,10 @@
     const auto &a = parsed.settings;
     const auto &b = defaults.settings;
     BOOST_TEST(a.limits.maxBodyBytes == b.limits.maxBodyBytes);
+    BOOST_TEST(a.limits.maxCallerBufferBytes == b.limits.maxCallerBufferBytes);
+    BOOST_TEST((a.timeouts.callerHeaderTimeout == b.timeouts.callerHeaderTimeout));
+    BOOST_TEST((a.timeouts.callerBodyTimeout == b.timeouts.callerBodyTimeout));
+    BOOST_TEST((a.timeouts.callerUnreadTimeout == b.timeouts.callerUnreadTimeout));
     BOOST_TEST(a.limits.maxTraceSpans == b.limits.maxTraceSpans);
     BOOST_TEST(a.limits.maxQueuedRequests == b.limits.maxQueuedRequests);
     BOOST_TEST((a.timeouts.progressTimeout == b.timeouts.progressTimeout));
