--- a/tests/clients/platform_instance.cpp
+++ b/tests/clients/platform_instance.cpp
@@ -14,6 +14,7 @@
 #include <cerrno>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <system_error>
 
 namespace Acaciarail::Clients {
@@ -133,6 +134,19 @@
         && isAnswered(metrics, request("GET", "metrics", "Connection: close\r\n"));
 }
 
+auto PlatformInstance::readMetrics() -> std::string
+{
+    ProcessTest::HttpExchange exchange(m_loop, metrics, request("GET", "metrics", "Connection: close\r\n"));
+    (void)m_loop.runUntil([&exchange] { return exchange.isDone(); }, attemptLimit);
+    return exchange.body();
+}
+
+auto PlatformInstance::readLog() const -> std::string
+{
+    std::ifstream in(m_directory / "instance.log");
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
 auto PlatformInstance::request(std::string_view method, std::string_view rest, std::string_view headers, std::string_view body)
     -> std::string
 {
--- a/tests/clients/platform_instance.h
+++ b/tests/clients/platform_instance.h
@@ -48,6 +48,11 @@
     /// Returns the body of a valid job, padded to \a size bytes when it is shorter. \pre none.
     [[nodiscard]] static auto job(std::size_t size = 0) -> std::string;
 
+    /// Returns the metrics; empty when they are not answered. \pre none.
+    [[nodiscard]] auto readMetrics() -> std::string;
+    /// Returns what the instance has logged. \pre none.
+    [[nodiscard]] auto readLog() const -> std::string;
+
     [[nodiscard]] auto process() -> ProcessTest::ChildProcess &
     {
         return *m_process;
