Renew task leases by starts, and request reports only when one is missing

Cause: a worker that runs something got a renewal every second beside its waiting poll, every 400 ms for 2 s after each urgent start, and an idle one a poll every 2 s. A confirmed start extends the lease of the worker as well, and the answer to any command reports progress, but neither postponed the next renewal.

Change: a renewal is due 2 s after the last command that extended the lease, 1.5 s after the last report, or when a new urgent run has no report from which its rate can be judged (0.5 s after its assignment in a gang, 0.9 s otherwise). An idle worker is polled every 4 s, and at once when another one of its rack becomes unreachable. Ends of a worker that has become idle are acknowledged 1 s later or with its next poll.

The simulated workers extend the lease of all runs with a start, as the other stand-ins do.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -22,9 +22,13 @@
     Duration taskLease = 6s;
     /// A command without a response may be carried out up to this much later; from the platform's description of late commands.
     Duration maxCommandDelay = 12s;
-    /// Interval at which task leases are renewed, at most a third of the lease. Few commands that may renew a lease are outstanding at any
-    /// time, so that the lease of a worker that stops responding is soon known to have expired.
-    Duration renewInterval = 1s;
+    /// Longest time after which a task lease is renewed, by a start that the worker has confirmed or by a command of its own; at most a
+    /// third of the lease. Few commands that may renew a lease are outstanding at any time, so that the lease of a worker that stops
+    /// responding is soon known to have expired.
+    Duration renewInterval = 2s;
+    /// Longest time between two reports of a worker that runs something, whatever command they answer. Remaining times, stalls and slow
+    /// workers are judged by them.
+    Duration reportInterval = 1500ms;
     /// Renewals and polls a second that the renewal and poll intervals are meant for, one a worker; they take a tenth of a small instance's
     /// processor. A fleet with more workers than this is renewed and polled less often.
     double commandsPerSecond = 400;
@@ -32,13 +36,17 @@
     double workerClockDrift = 0.02;
     /// How long the response to a poll may wait for a run to end; the platform's limit.
     Duration pollWait = 2s;
-    /// Interval at which a worker that runs nothing is polled, to know whether it is reachable.
-    Duration idlePollInterval = 2s;
-    /// Interval at which the task leases of new urgent runs are renewed. The reports that come with it show a slow worker while a restart
-    /// still helps.
-    Duration urgentRenewInterval = 400ms;
-    /// How long an urgent run is renewed at urgentRenewInterval after its start.
-    Duration urgentRenewPeriod = 2s;
+    /// Interval at which a worker that runs nothing is polled, to know whether it is reachable. It is polled at once when another worker of
+    /// its rack becomes unreachable.
+    Duration idlePollInterval = 4s;
+    /// A worker that has answered a poll this recently is not polled because of its rack.
+    Duration rackPollInterval = 500ms;
+    /// A report of a new urgent run is requested this long after the time from which its rate of progress can be judged, unless one has
+    /// arrived until then. It shows a slow worker while a restart still helps.
+    Duration urgentReportDelay = 100ms;
+    /// The recorded ends of a worker that runs nothing are acknowledged after this time, or with the next poll that it needs anyway; far
+    /// below the task lease.
+    Duration idleAcknowledgementDelay = 1s;
     /// A worker that declined a start is avoided for this long.
     Duration declineAvoidTime = 1s;
     /// Delay before an unreachable worker is polled again; it doubles up to maxPollRetryDelay, as each attempt costs a connection.
--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -33,6 +33,9 @@
     Duration submissionsPollInterval = 1s;
     /// How long a read of the submissions topic by the holder waits for a record.
     Duration submissionsReadWait = 1s;
+    /// How long a read of the operator's topic waits for a record; a connection that no longer responds is noticed after this time and the
+    /// timeout of a call.
+    Duration configurationReadWait = 1s;
     /// Timeout of an append that a caller waits for.
     Duration submitTimeout = 800ms;
     /// Timeout of an append of the holder.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -19,6 +19,11 @@
 
 } // namespace
 
+auto Unit::isUrgent() const -> bool
+{
+    return job->policy.priority == 0;
+}
+
 auto Unit::allEnded() const -> bool
 {
     return std::all_of(members.begin(), members.end(), [](const Member &m) { return m.phase == MemberPhase::Ended; });
@@ -375,7 +380,7 @@
 {
     worker.recordedEnds = std::max(worker.recordedEnds, worker.batchEnds);
     if (!worker.unreachableSince && worker.recordedEnds == worker.seenEnds) {
-        worker.nextPoll = now;
+        worker.nextPoll = worker.units.empty() ? now + std::min(settings.idleAcknowledgementDelay, settings.taskLease / 6) : now;
     }
 }
 
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -766,13 +766,35 @@
     }
 }
 
-auto Dispatcher::State::renewalInterval(const Worker &worker, TimePoint now) const -> Duration
+/// A run begins about this much later than it is assigned: the record and the start command take as long.
+constexpr Duration startDelay = 100ms;
+
+/// Returns when the task lease of a worker is to be renewed, because of the lease or because of the report that comes with the response.
+auto Dispatcher::State::renewalTime(const Worker &worker) const -> TimePoint
+{
+    const auto bounded = [&](Duration interval) {
+        return std::min(std::chrono::duration_cast<Duration>(interval * intervalFactor()), settings.taskLease / 3);
+    };
+    auto due = std::min(worker.lastReport + bounded(settings.reportInterval), worker.leaseExtendedAt + bounded(settings.renewInterval));
+    for (const auto *unit : worker.units) {
+        const auto meaningful = unit->runStartedAt + minReportSpan(*unit) + startDelay;
+        if (unit->isUrgent() && worker.lastReport < meaningful) {
+            due = std::min(due, meaningful + bounded(settings.urgentReportDelay));
+        }
+    }
+    return due;
+}
+
+/// Polls the idle workers in the rack of a worker that has become unreachable, since a rack or a zone often fails as a whole, and a start
+/// on a worker that no longer responds delays its task for longer than a lease.
+auto Dispatcher::State::pollRackOf(const Worker &lost, TimePoint now) -> void
 {
-    const bool urgent = std::any_of(worker.units.begin(), worker.units.end(), [&](const Unit *u) {
-        return u->job->policy.priority == 0 && now < u->runStartedAt + settings.urgentRenewPeriod;
-    });
-    const auto interval = urgent ? settings.urgentRenewInterval : settings.renewInterval;
-    return std::min(std::chrono::duration_cast<Duration>(interval * intervalFactor()), settings.taskLease / 3);
+    for (auto &[name, worker] : workers) {
+        const bool recent = worker->lastReport + settings.rackPollInterval > now;
+        if (worker->rack == lost.rack && worker->units.empty() && !worker->unreachableSince && !recent) {
+            worker->nextPoll = std::min(worker->nextPoll, now);
+        }
+    }
 }
 
 /// Returns the factor by which the poll and renewal intervals of the settings are lengthened for the size of the fleet.
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -109,6 +109,7 @@
     {
         return weightedCores(step->taskDemand) * taskCount();
     }
+    [[nodiscard]] auto isUrgent() const -> bool;
     [[nodiscard]] auto allEnded() const -> bool;
     /// Returns the task of a member, by its position.
     [[nodiscard]] auto task(std::uint32_t member) const -> TaskId
@@ -121,6 +122,9 @@
     }
 };
 
+/// Returns how long a run of \a unit must have been observed before its rate of progress can be judged.
+[[nodiscard]] auto minReportSpan(const Unit &unit) -> Duration;
+
 /// Sorts units by their id, so that decisions do not depend on addresses.
 struct UnitOrder
 {
@@ -166,6 +170,9 @@
     bool idlePoll = false;
     /// When a task lease was last granted or renewed by a command that was answered.
     std::optional<TimePoint> renewedAt;
+    /// No earlier than this was the task lease last granted or renewed by an answered command.
+    TimePoint leaseExtendedAt;
+    TimePoint lastReport;
     TimePoint nextPoll;
     TimePoint nextRenewal;
     /// When the last poll that was answered in this term was sent.
@@ -302,7 +309,8 @@
     auto checkProgress(TimePoint now) -> void;
     auto restartSlowRuns(TimePoint now) -> void;
     auto restartSlowSingle(Unit &unit, TimePoint now) -> void;
-    auto renewalInterval(const Worker &worker, TimePoint now) const -> Duration;
+    auto renewalTime(const Worker &worker) const -> TimePoint;
+    auto pollRackOf(const Worker &lost, TimePoint now) -> void;
     auto intervalFactor() const -> double;
     auto evacuate(TimePoint now) -> void;
 
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -56,6 +56,11 @@
     return names.at(static_cast<std::size_t>(outcome));
 }
 
+auto minReportSpan(const Unit &unit) -> Duration
+{
+    return unit.members.size() > 1 ? minRateSpan : minSingleSpan;
+}
+
 auto remainingTime(const Unit &unit, const Member &member, TimePoint now) -> Duration
 {
     const auto span = member.lastProgress - member.firstSeen;
@@ -80,9 +85,11 @@
 auto Dispatcher::State::allocate(Unit &unit, Member &member) -> void
 {
     member.worker->used += unit.demand();
-    member.worker->units.push_back(&unit);
     // An idle worker is polled at a longer interval; now its next poll is due at once.
-    member.worker->nextPoll = std::min(member.worker->nextPoll, TimePoint{});
+    if (member.worker->units.empty()) {
+        member.worker->nextPoll = std::min(member.worker->nextPoll, TimePoint{});
+    }
+    member.worker->units.push_back(&unit);
 }
 
 auto Dispatcher::State::releaseMember(Unit &unit, Member &member) -> void
@@ -174,6 +181,7 @@
             worker.pollRetryDelay = s.settings.pollRetryDelay;
             s.unverifiedWorkers.insert(command.worker);
             s.emitEvent("worker-unreachable", {}, workerDetail(worker));
+            s.pollRackOf(worker, now);
         }
         worker.nextPoll = now;
         if (worker.unreachableSince) {
@@ -183,10 +191,12 @@
         return;
     }
     worker.unansweredPolls = 0;
+    worker.lastReport = now;
     if (renews) {
         worker.renewedAt = now;
-        worker.nextRenewal = now + s.renewalInterval(worker, now);
+        worker.leaseExtendedAt = std::max(worker.leaseExtendedAt, sentAt);
     }
+    worker.nextRenewal = s.renewalTime(worker);
     if (worker.unreachableSince) {
         s.emitEvent("worker-reachable", {}, workerDetail(worker));
         s.capacityChanged = true;
@@ -368,7 +378,15 @@
     }
     if (outcome == StartOutcome::Started) {
         worker.renewedAt = now;
-        worker.nextRenewal = std::min(worker.nextRenewal, now + s.renewalInterval(worker, now));
+        // A repeated start that finds its run started already extends nothing.
+        if (member != nullptr && member->phase == MemberPhase::Starting && member->unansweredStarts == 0) {
+            worker.leaseExtendedAt = std::max(worker.leaseExtendedAt, member->startedAt);
+        }
+        // A worker that was idle has nothing else to report yet.
+        if (worker.units.size() <= 1) {
+            worker.lastReport = now;
+        }
+        worker.nextRenewal = s.renewalTime(worker);
     }
     if (member == nullptr || member->phase != MemberPhase::Starting) {
         return;
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -117,6 +117,7 @@
 {
     StoreHooks out;
     out.append = [this, reachable](const AppendRequest &request, const std::function<void(AppendResult)> &done) {
+        ++calls["append " + request.topic];
         const auto failed = [done] { done({AppendStatus::Unknown, 0}); };
         const auto call = [this, request, reachable, done, failed] {
             const auto result = append(request);
@@ -128,12 +129,14 @@
         roundTrip(reachable, call, failed, request.timeout);
     };
     out.read = [this, reachable](const ReadRequest &request, const std::function<void(ReadResult)> &done) {
+        ++calls["read " + request.topic];
         const auto failed = [done] { done({}); };
         roundTrip(
             reachable, [this, request, reachable, done] { waitForRecords(request, m_clock.now() + request.wait, reachable, done); }, failed,
             request.wait + callTimeout);
     };
     out.readNewest = [this, reachable](const NewestRequest &request, const std::function<void(NewestResult)> &done) {
+        ++calls["newest " + request.topic];
         const auto call = [this, request, reachable, done] {
             const auto &records = topics[request.topic].records;
             std::map<std::string, std::string> newest;
@@ -174,13 +177,29 @@
     machine.info.incarnation = 1;
 }
 
+auto FakeWorkers::taskTimeOf(const Run &run) const -> Duration
+{
+    const auto it = taskTimes.find(run.command.payload);
+    const auto time = it == taskTimes.end() ? taskTime : it->second;
+    if (taskTimeSpread <= 0) {
+        return time;
+    }
+    // The same task takes the same time whenever it is asked for.
+    const auto &task = run.command.task;
+    std::minstd_rand random(
+        static_cast<std::minstd_rand::result_type>(std::hash<std::string>()(task.job.str()) + task.step * 31 + task.index * 977));
+    random.discard(2);
+    const auto factor = 1 + std::uniform_real_distribution<double>(-taskTimeSpread, taskTimeSpread)(random);
+    return std::chrono::duration_cast<Duration>(time * factor);
+}
+
 auto FakeWorkers::updateRuns(Machine &machine) -> void
 {
     for (auto &run : machine.runs) {
         if (run.ended) {
             continue;
         }
-        const bool done = m_clock.now() >= run.startedAt + taskTime;
+        const bool done = m_clock.now() >= run.startedAt + taskTimeOf(run);
         const bool expired = m_clock.now() >= run.leaseEnd;
         if (done || expired) {
             run.ended = true;
@@ -213,6 +232,10 @@
         }
     }
     machine.runs.push_back({command, m_clock.now(), m_clock.now() + command.lease, false});
+    // The lease belongs to the worker and not to each run, as on the platform.
+    for (auto &run : machine.runs) {
+        run.leaseEnd = std::max(run.leaseEnd, m_clock.now() + command.lease);
+    }
     return StartOutcome::Started;
 }
 
@@ -261,7 +284,7 @@
             report.running.push_back({run.command.task,
                                       run.command.run,
                                       {},
-                                      static_cast<std::uint32_t>((m_clock.now() - run.startedAt) * fullPercent / taskTime)});
+                                      static_cast<std::uint32_t>((m_clock.now() - run.startedAt) * fullPercent / taskTimeOf(run))});
         }
     }
     m_clock.schedule(latency, [report = std::move(report), done = std::move(done)] { done({false, false, report}); });
@@ -271,6 +294,7 @@
 {
     WorkerHooks out;
     out.start = [this, reachable](const StartCommand &command, std::uint64_t term, const std::function<void(StartOutcome)> &done) {
+        ++calls["start"];
         Duration transfer{};
         if (startBytesPerSecond > 0) {
             m_linkFreeAt = std::max(m_linkFreeAt, m_clock.now())
@@ -298,6 +322,7 @@
     };
     out.stop = [this, reachable](const StopCommand &command, std::uint64_t term,
                                  const std::function<void(WorkerHooks::StopResponse)> &done) {
+        ++calls["stop"];
         m_clock.schedule(latency, [this, reachable, command, term, done] {
             const auto response = isReachable(reachable, command.worker) ? stop(command, term) : WorkerHooks::StopResponse{};
             m_clock.schedule(*reachable ? latency : callTimeout, [response, done] { done(response); });
@@ -305,6 +330,7 @@
     };
     out.poll = [this, reachable](const PollCommand &command, std::uint64_t term,
                                  const std::function<void(WorkerHooks::PollResponse)> &done) {
+        ++calls[command.lease > Duration::zero() ? "renewal" : command.wait > Duration::zero() ? "poll" : "poll without wait"];
         m_clock.schedule(latency, [this, reachable, command, term, done] {
             if (!isReachable(reachable, command.worker)) {
                 m_clock.schedule(callTimeout, [done] { done({}); });
@@ -334,6 +360,31 @@
     confirmConfiguration();
 }
 
+auto SimWorld::makeClock(std::size_t i) -> ClockHooks
+{
+    auto &instance = instances[i];
+    return {[this] { return clock.now(); },
+            [this] { return std::chrono::duration_cast<std::chrono::milliseconds>(clock.now().time_since_epoch()); },
+            [this, alive = std::weak_ptr(instance.storeReachable)](Duration delay, std::function<void()> task) {
+                clock.schedule(delay, [alive, task = std::move(task)] {
+                    if (!alive.expired()) {
+                        task();
+                    }
+                });
+            }};
+}
+
+auto SimWorld::followOperatorTopic(std::size_t i) -> void
+{
+    auto &instance = instances[i];
+    instance.operatorStore = std::make_unique<StoreHooks>(store.hooks(instance.storeReachable));
+    instance.operatorClock = std::make_unique<ClockHooks>(makeClock(i));
+    instance.operatorFollower = std::make_unique<TopicFollower>(
+        TopicFollowerSettings{.topic = "keyed.op", .readWait = EngineSettings().configurationReadWait}, *instance.operatorStore,
+        *instance.operatorClock, TopicFollowerHooks{[](const KeyedRecord &) {}, [](bool, std::optional<TimePoint>) {}, {}});
+    instance.operatorFollower->start();
+}
+
 auto SimWorld::makeEngine(std::size_t i) -> std::unique_ptr<Engine>
 {
     auto &instance = instances[i];
@@ -341,15 +392,7 @@
     settings.instance = InstanceName("instance-" + std::to_string(i));
     settings.outcomeRetention = outcomeRetention;
     settings.incarnation = m_seed * 1000 + ++m_incarnations;
-    const ClockHooks hooks{[this] { return clock.now(); },
-                           [this] { return std::chrono::duration_cast<std::chrono::milliseconds>(clock.now().time_since_epoch()); },
-                           [this, alive = std::weak_ptr(instance.storeReachable)](Duration delay, std::function<void()> task) {
-                               clock.schedule(delay, [alive, task = std::move(task)] {
-                                   if (!alive.expired()) {
-                                       task();
-                                   }
-                               });
-                           }};
+    settings.processorShare = instance.processorShare;
     const auto watchWorkers = [this, i](bool on) {
         instances[i].watching = on;
         clock.schedule({}, [this, i, on] {
@@ -361,7 +404,8 @@
         });
     };
     return std::make_unique<Engine>(
-        settings, EngineHooks{store.hooks(instance.storeReachable), workers.hooks(instance.workersReachable, watchWorkers), hooks, {}, {}});
+        settings,
+        EngineHooks{store.hooks(instance.storeReachable), workers.hooks(instance.workersReachable, watchWorkers), makeClock(i), {}, {}});
 }
 
 auto SimWorld::restart(std::size_t i) -> void
@@ -374,6 +418,9 @@
     instance.engine->setConfiguration(configuration);
     instance.engine->configurationConfirmed(clock.now());
     instance.engine->start();
+    if (followsOperatorTopic) {
+        followOperatorTopic(i);
+    }
 }
 
 auto SimWorld::kill(std::size_t i) -> void
@@ -383,6 +430,7 @@
     *instance.storeReachable = false;
     *instance.workersReachable = false;
     instance.engine.reset();
+    instance.operatorFollower.reset();
 }
 
 auto SimWorld::confirmConfiguration() -> void
--- a/tests/workflow/sim_world.h
+++ b/tests/workflow/sim_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <acaciarail/workflow/engine.h>
+#include <acaciarail/workflow/topic_follower.h>
 
 #include <cstdint>
 #include <functional>
@@ -83,6 +84,8 @@
         std::uint64_t nextSequence = 0;
     };
     std::map<std::string, Topic> topics;
+    /// Calls since the start of the test, by kind and topic, as in "read keyed.state".
+    std::map<std::string, std::size_t> calls;
 
 private:
     auto append(const AppendRequest &request) -> AppendResult;
@@ -130,6 +133,10 @@
 
     Duration latency = 3ms;
     Duration taskTime = 2s;
+    /// Run times of the tasks with these payloads, instead of taskTime.
+    std::map<std::string, Duration> taskTimes;
+    /// Run times differ between tasks by up to this fraction in either direction.
+    double taskTimeSpread = 0;
     /// Speed at which start commands leave the instance, one after the other; 0 for no limit. One that arrives after its timeout is carried
     /// out, but its response is not awaited.
     double startBytesPerSecond = 0;
@@ -139,8 +146,11 @@
     std::map<std::string, Machine> machines;
     std::vector<std::string> violations;
     std::size_t startCount = 0;
+    /// Calls since the start of the test: "poll", "poll without wait", "renewal", "start" and "stop".
+    std::map<std::string, std::size_t> calls;
 
 private:
+    [[nodiscard]] auto taskTimeOf(const Run &run) const -> Duration;
     auto updateRuns(Machine &machine) -> void;
     auto start(const StartCommand &command, std::uint64_t term) -> StartOutcome;
     auto stop(const StopCommand &command, std::uint64_t term) -> WorkerHooks::StopResponse;
@@ -166,6 +176,12 @@
         std::shared_ptr<bool> workersReachable = std::make_shared<bool>(true);
         std::unique_ptr<Engine> engine;
         bool watching = false;
+        double processorShare = 1.0;
+        ZoneName zone;
+        /// Follows the operator's topic; used only with followsOperatorTopic.
+        std::unique_ptr<TopicFollower> operatorFollower;
+        std::unique_ptr<StoreHooks> operatorStore;
+        std::unique_ptr<ClockHooks> operatorClock;
     };
 
     /// Restarts an instance, as after SIGKILL.
@@ -184,11 +200,16 @@
     Configuration configuration;
     /// Setting of the instances that are started from now on.
     Duration outcomeRetention = EngineSettings().outcomeRetention;
+    /// The instances that are started from now on follow the operator's topic, as those on the platform do. The configuration is not read
+    /// from it.
+    bool followsOperatorTopic = false;
     std::vector<Instance> instances;
     std::map<std::string, SubmitOutcome> outcomes;
 
 private:
+    auto makeClock(std::size_t i) -> ClockHooks;
     auto makeEngine(std::size_t i) -> std::unique_ptr<Engine>;
+    auto followOperatorTopic(std::size_t i) -> void;
     auto confirmConfiguration() -> void;
 
     std::uint64_t m_seed;
