Let only a few instances read the state topic every 300 ms

Cause: each of the 45 instances read the state topic every 300 ms to be able to replace the holder, the submissions topic every second and the operator's topic with waits of 1 s, and every 20 ms while a caller waited for a job: 237 calls a second at rest, 571 under load.

Change: the four largest instances in three zones are the main candidates and keep 300 ms. The others, and the holder, read the state topic every 1.8 s, and every 300 ms once the holder has been silent for 0.6 s. Announcements carry the zone; main candidates repeat theirs every 10 s, and one that was not heard of for 40 s is replaced by the next. Submissions are read every 1.8 s, the operator's topic with waits of 2 s; the read after a failed one does not wait, so that keys are confirmed in time. A read for a caller replaces the next poll, and a waiting caller causes a read every 40 ms. After an append without a response the store is read at once, since the next poll may be late to notice an outage. The holder that is to be replaced no longer delays the claims of smaller instances, and larger ones in its zone delay them by 0.3 s, not 0.8 s.

A cut of 2 s may leave the keys unconfirmed for 4.6 s, 0.2 s longer than before, for which the instance refuses requests.

--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -3,6 +3,7 @@
 #include <acaciarail/workflow/configuration.h>
 #include <acaciarail/workflow/dispatcher.h>
 #include <acaciarail/workflow/log_lease.h>
+#include <acaciarail/workflow/main_candidates.h>
 #include <acaciarail/workflow/store.h>
 
 #include <functional>
@@ -21,21 +22,33 @@
     std::uint64_t incarnation = 0;
     /// Fraction of a core that is available to the instance.
     double processorShare = 1.0;
-    /// Additional claim delay of an instance that has less processor time than another one; longer than the random part of the claim delay
-    /// and the poll interval of the state topic together.
+    /// The instance's zone; empty when it is not known.
+    ZoneName zone;
+    MainCandidatesSettings candidates;
+    /// Additional claim delay of an instance that has less processor time than another one, or is no main candidate; longer than the random
+    /// part of the claim delay and the poll interval of the state topic together. The holder that is to be replaced does not count.
     Duration smallInstanceClaimDelay = 800ms;
+    /// Additional claim delay when all instances with more processor time are in the zone of the holder that is to be replaced, which may
+    /// be lost as a whole; the poll interval of the state topic.
+    Duration lostZoneClaimDelay = 300ms;
     DispatcherSettings dispatcher;
     LogLeaseSettings lease;
-    /// Interval at which an instance that is not the holder reads the state topic; a quarter of the holder's time to live.
+    /// Interval at which a main candidate reads the state topic, and every instance while the holder is silent; a quarter of the holder's
+    /// time to live.
     Duration statePollInterval = 300ms;
-    /// Interval at which an instance that is not the holder reads the submissions topic; the queue lengths that it reports are at most this
+    /// Interval at which the other instances and the holder read the state topic. A takeover is later by at most this much when all main
+    /// candidates are gone. With the calls themselves, what an instance knows is at most 2 s old.
+    Duration relaxedStatePollInterval = 1800ms;
+    /// The holder is silent when this long no record of it has been read; two of its renewals.
+    Duration holderSilence = 600ms;
+    /// Interval at which an instance that is not the holder reads the submissions topic; the queue lengths that it reports are at most 2 s
     /// old.
-    Duration submissionsPollInterval = 1s;
+    Duration submissionsPollInterval = 1800ms;
     /// How long a read of the submissions topic by the holder waits for a record.
     Duration submissionsReadWait = 1s;
-    /// How long a read of the operator's topic waits for a record; a connection that no longer responds is noticed after this time and the
-    /// timeout of a call.
-    Duration configurationReadWait = 1s;
+    /// How long a read of the operator's topic waits for a record. A connection that no longer responds is noticed after this time and the
+    /// timeout of a call; the read that follows does not wait, so that the API keys are confirmed again before they are no longer trusted.
+    Duration configurationReadWait = 2s;
     /// Timeout of an append that a caller waits for.
     Duration submitTimeout = 800ms;
     /// Timeout of an append of the holder.
--- a/packages/workflow/include/acaciarail/workflow/log_lease.h
+++ b/packages/workflow/include/acaciarail/workflow/log_lease.h
@@ -61,6 +61,10 @@
     [[nodiscard]] auto mayRenewTaskLeases(TimePoint now) const noexcept -> bool;
     /// Returns whether the holder's own lease is due for renewal. \pre none.
     [[nodiscard]] auto renewalDue(TimePoint now) const noexcept -> bool;
+    /// Returns for how long no record of the holder has been read although the log was readable; empty when no time is known. \pre none.
+    [[nodiscard]] auto inactiveFor(TimePoint now) const -> std::optional<Duration>;
+    /// Returns the instance of the latest holder that was seen; empty when there was none. \pre none.
+    [[nodiscard]] auto latestHolder() const noexcept -> const InstanceName &;
     /// Returns the highest term that was seen. \pre none.
     [[nodiscard]] auto term() const noexcept -> std::uint64_t;
     /// Returns the record by which this instance, as the holder, renews its lease or, when \a released, releases it. \pre none.
@@ -75,6 +79,7 @@
     std::uint64_t m_incarnation = 0;
     std::minstd_rand m_random;
     std::uint64_t m_term = 0;
+    InstanceName m_latestHolder;
     bool m_isHolder = false;
     bool m_released = true;
     /// No earlier holder has renewed its lease after this time.
--- a/packages/workflow/include/acaciarail/workflow/records.h
+++ b/packages/workflow/include/acaciarail/workflow/records.h
@@ -62,12 +62,14 @@
     bool released = false;
 };
 
-/// Announcement that every instance appends when it starts.
+/// Announcement that every instance appends when it starts, and a main candidate repeats.
 struct InstanceAnnouncement
 {
     InstanceName instance;
     /// Fraction of a core that is available to it.
     double processorShare = 0;
+    /// Empty when the instance does not know it, or is of a build that did not announce it.
+    ZoneName zone;
 };
 
 /// Keys of the state topic after this one include the holder's, and none of a job whose id is a hexadecimal number.
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -16,8 +16,8 @@
 /// Interval at which an instance checks whether to claim the lease.
 constexpr Duration claimCheckInterval = 100ms;
 constexpr Duration announceRetryDelay = 1s;
-/// Interval at which a further read begins while a caller waits for a job to end.
-constexpr Duration waiterReadInterval = 20ms;
+/// Interval at which a further read begins while a caller waits for a job to end. Under load, a read that waits returns at once.
+constexpr Duration waiterReadInterval = 40ms;
 /// Longest delay before an instance reads all records of both topics after its start, or after the store has dropped its history. All
 /// instances together may need seconds of the store's bandwidth for it.
 constexpr Duration maxScanDelay = 2s;
@@ -30,6 +30,7 @@
         : settings(std::move(s))
         , hooks(std::move(h))
         , lease(settings.lease, settings.instance, settings.incarnation)
+        , candidates(settings.candidates, {settings.instance, settings.processorShare, settings.zone})
         , random(static_cast<std::minstd_rand::result_type>(settings.incarnation))
     {
     }
@@ -68,6 +69,7 @@
         stateHooks.contact = [this](bool ok, std::optional<TimePoint>) {
             lease.recordContact(ok, now());
             recordStoreContact(ok);
+            updateStatePollInterval();
         };
         stateFollower = std::make_unique<TopicFollower>(std::move(state), hooks.store, hooks.clock, std::move(stateHooks));
         submissionsFollower->start();
@@ -78,6 +80,7 @@
 
     auto tick() -> void
     {
+        announceIfDue();
         claimIfDue();
         hooks.clock.schedule(claimCheckInterval, [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
@@ -109,7 +112,7 @@
             return;
         }
         if (const auto *announcement = std::get_if<InstanceAnnouncement>(&entry)) {
-            largestProcessorShare = std::max(largestProcessorShare, announcement->processorShare);
+            candidates.observe(*announcement, now());
             return;
         }
         const auto &job = std::get<JobEntry>(entry);
@@ -119,24 +122,60 @@
         }
     }
 
+    /// A main candidate reads the state topic often, and every other instance does while the holder is silent, as it may have to replace
+    /// it.
+    auto updateStatePollInterval() -> void
+    {
+        const bool silent = lease.inactiveFor(now()).value_or(Duration::zero()) >= settings.holderSilence;
+        const bool often = !holder && (mainCandidate || silent);
+        stateFollower->setPollInterval(Duration::zero(), often ? settings.statePollInterval : settings.relaxedStatePollInterval);
+    }
+
+    /// Announces a main candidate again and again; another instance takes its place when it is no longer heard of.
+    auto announceIfDue() -> void
+    {
+        mainCandidate = candidates.includesSelf(now());
+        if (!mainCandidate) {
+            nextAnnouncement.reset();
+            return;
+        }
+        if (!nextAnnouncement) {
+            // Many instances may notice at the same time that a place is free; the announcement of one tells the others.
+            nextAnnouncement =
+                now() + Duration(std::uniform_int_distribution<Duration::rep>(0, settings.candidates.announceInterval.count())(random));
+        } else if (now() >= *nextAnnouncement) {
+            nextAnnouncement = now() + settings.candidates.announceInterval;
+            announce();
+        }
+    }
+
     /// Announces to the other instances how much processor time this one has, so that the instance with the most becomes the holder.
     auto announce() -> void
     {
+        if (std::exchange(announcing, true)) {
+            return;
+        }
         AppendRequest request{std::string(submissionsTopic),
-                              {announcementRecord({settings.instance, settings.processorShare})},
+                              {announcementRecord({settings.instance, settings.processorShare, settings.zone})},
                               std::nullopt,
                               std::nullopt,
                               0,
                               settings.appendTimeout};
         hooks.store.append(std::move(request), [weak = weak_from_this()](const AppendResult &result) {
             const auto self = weak.lock();
-            if (self && result.status != AppendStatus::Stored) {
-                self->hooks.clock.schedule(announceRetryDelay, [weak] {
-                    if (const auto s = weak.lock()) {
-                        s->announce();
-                    }
-                });
+            if (!self) {
+                return;
             }
+            if (result.status == AppendStatus::Stored) {
+                self->announcing = false;
+                return;
+            }
+            self->hooks.clock.schedule(announceRetryDelay, [weak] {
+                if (const auto s = weak.lock()) {
+                    s->announcing = false;
+                    s->announce();
+                }
+            });
         });
     }
 
@@ -192,8 +231,7 @@
         if (!attached || claiming || holder || draining || !configuration || !stateFollower->atEnd()) {
             return;
         }
-        const auto claim =
-            lease.makeClaim(now(), settings.processorShare < largestProcessorShare ? settings.smallInstanceClaimDelay : Duration::zero());
+        const auto claim = lease.makeClaim(now(), claimDelay());
         if (!claim) {
             return;
         }
@@ -219,6 +257,16 @@
         });
     }
 
+    /// Returns how much longer than the best candidate this instance waits before it claims the lease.
+    auto claimDelay() const -> Duration
+    {
+        const auto larger = candidates.findLarger(lease.latestHolder(), now());
+        if (!mainCandidate || larger == MainCandidates::Larger::Elsewhere) {
+            return settings.smallInstanceClaimDelay;
+        }
+        return larger == MainCandidates::Larger::None ? Duration::zero() : settings.lostZoneClaimDelay;
+    }
+
     auto claimSequence() const -> std::uint64_t
     {
         constexpr std::uint64_t maxSequence = 0x3fff'ffff;
@@ -319,7 +367,8 @@
         const auto until = now() + settings.lookupWait;
         const auto waiter = std::make_shared<std::function<void(const LookupResult &)>>(std::move(done));
         lookupWaiters[job].push_back(waiter);
-        readForWaiters(until);
+        // The topic has just been read.
+        scheduleReadForWaiters(until);
         hooks.clock.schedule(settings.lookupWait, [weak = weak_from_this(), job, waiter] {
             if (const auto self = weak.lock()) {
                 self->answerWaiter(job, waiter);
@@ -345,14 +394,19 @@
     {
         if (!holder && !lookupWaiters.empty() && now() < until) {
             stateFollower->awaitRecords(until - now());
-            hooks.clock.schedule(waiterReadInterval, [weak = weak_from_this(), until] {
-                if (const auto self = weak.lock()) {
-                    self->readForWaiters(until);
-                }
-            });
+            scheduleReadForWaiters(until);
         }
     }
 
+    auto scheduleReadForWaiters(TimePoint until) -> void
+    {
+        hooks.clock.schedule(waiterReadInterval, [weak = weak_from_this(), until] {
+            if (const auto self = weak.lock()) {
+                self->readForWaiters(until);
+            }
+        });
+    }
+
     auto applyState(const StateEntry &entry) -> void
     {
         directory.apply(entry);
@@ -377,6 +431,7 @@
     EngineSettings settings;
     EngineHooks hooks;
     LogLease lease;
+    MainCandidates candidates;
     std::minstd_rand random;
     JobDirectory directory;
     /// Jobs whose last append got no response, with the time at which it failed.
@@ -387,7 +442,9 @@
     std::shared_ptr<const Configuration> configuration;
     TimePoint configurationConfirmedAt;
     std::shared_ptr<Holder> holder;
-    double largestProcessorShare = 0;
+    bool mainCandidate = true;
+    std::optional<TimePoint> nextAnnouncement;
+    bool announcing = false;
     bool claiming = false;
     bool draining = false;
     bool storeHealthy = false;
@@ -492,6 +549,8 @@
         auto outcome = outcomeOf(result.status);
         if (outcome == SubmitOutcome::Unknown) {
             self->unansweredAppends[spec.id] = self->now();
+            // The next read may be due only much later; further jobs are refused at once if the store cannot be reached.
+            self->submissionsFollower->refresh([](bool) {});
         } else if (outcome == SubmitOutcome::Refused && self->mayBeStored(spec.id)) {
             outcome = SubmitOutcome::Unknown;
         }
--- a/packages/workflow/src/log_lease.cpp
+++ b/packages/workflow/src/log_lease.cpp
@@ -24,6 +24,7 @@
         lost(now);
     }
     m_term = record.term;
+    m_latestHolder = record.instance;
     // An earlier incarnation of this instance has ended, since this one runs.
     m_released = record.released || (record.instance == m_instance && !isOwn);
     return isOwn && !record.released;
@@ -101,6 +102,16 @@
     return m_isHolder && (!m_renewedAt || now >= *m_renewedAt + m_settings.renewInterval);
 }
 
+auto LogLease::inactiveFor(TimePoint now) const -> std::optional<Duration>
+{
+    return m_logReadable && m_inactiveSince ? std::optional(now - *m_inactiveSince) : std::nullopt;
+}
+
+auto LogLease::latestHolder() const noexcept -> const InstanceName &
+{
+    return m_latestHolder;
+}
+
 auto LogLease::term() const noexcept -> std::uint64_t
 {
     return m_term;
--- a/packages/workflow/src/records.cpp
+++ b/packages/workflow/src/records.cpp
@@ -12,7 +12,7 @@
                        v.speculative, v.longRunning, v.usesSpareCores, v.requiredLabel, v.dataRack, v.maxPerWorker, v.maxUnavailable);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::QueuePolicy, v.service, v.priority, v.maxAttempts, v.stretch, v.targetLatency);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::UnitRecord, v.phase, v.run, v.failures, v.checkpoint, v.workers, v.failedRun);
-ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::InstanceAnnouncement, v.instance, v.processorShare);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::InstanceAnnouncement, v.instance, v.processorShare, v.zone);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::HolderRecord, v.term, v.instance, v.incarnation, v.released);
 
 namespace Acaciarail::Workflow {
--- a/packages/workflow/src/topic_follower.cpp
+++ b/packages/workflow/src/topic_follower.cpp
@@ -180,10 +180,22 @@
         poll();
     }
 
+    /// Polls unless another read has reached the end of the topic since the last poll; then a pause after that read.
+    auto pollIfDue() -> void
+    {
+        const auto due = caughtUp ? lastReadAt + settings.pause : clock.now();
+        if (clock.now() < due) {
+            callLater(due - clock.now(), [](State &s) { s.pollIfDue(); });
+        } else {
+            poll();
+        }
+    }
+
     auto poll() -> void
     {
         const auto sentAt = clock.now();
-        const auto wait = settings.readWait;
+        // After a failure, a response that confirms the topic's end is wanted soon.
+        const auto wait = lastReadFailed ? Duration::zero() : settings.readWait;
         store.read(readRequest(wait), [weak = weak_from_this(), sentAt, wait](const ReadResult &result) {
             const auto self = weak.lock();
             if (!self) {
@@ -199,12 +211,13 @@
             self->callLater(failed       ? self->settings.retryDelay
                                 : behind ? Duration::zero()
                                          : self->settings.pause,
-                            [](State &s) { s.poll(); });
+                            [](State &s) { s.pollIfDue(); });
         });
     }
 
     auto applyRead(const ReadResult &result, TimePoint sentAt, Duration wait) -> void
     {
+        lastReadFailed = result.status == ReadStatus::Failed;
         if (result.status != ReadStatus::Ok) {
             caughtUp = false;
             if (result.status == ReadStatus::Failed) {
@@ -229,6 +242,7 @@
         }
         caughtUp = nextOffset >= result.end;
         if (caughtUp) {
+            lastReadAt = clock.now();
             readBytes = settings.maxReadBytes;
         } else if (result.records.empty()) {
             // The next record is larger than the response may be.
@@ -326,6 +340,9 @@
     bool attached = false;
     bool loaded = false;
     bool caughtUp = false;
+    bool lastReadFailed = false;
+    /// When the last read that reached the end of the topic was answered.
+    TimePoint lastReadAt;
     bool refreshing = false;
     bool awaitingRecords = false;
     std::set<std::string> keys;
--- a/tests/workflow/control_cost_test.cpp
+++ b/tests/workflow/control_cost_test.cpp
@@ -1,6 +1,8 @@
 #include "fake_fleet.h"
 #include "sim_world.h"
 
+#include <acaciarail/core/wire.h>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -10,10 +12,24 @@
 #include <numeric>
 #include <ostream>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace Acaciarail::Workflow::Tests {
 
+/// An announcement as builds before the main candidates write and read it.
+struct PreviousAnnouncement
+{
+    InstanceName instance;
+    double processorShare = 0;
+};
+
+} // namespace Acaciarail::Workflow::Tests
+
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::Tests::PreviousAnnouncement, v.instance, v.processorShare);
+
+namespace Acaciarail::Workflow::Tests {
+
 namespace {
 
 namespace data = boost::unit_test::data;
@@ -159,9 +175,9 @@
 }
 
 const std::vector<CostCase> costCases{
-    {"at rest", 0, 240, 88},
-    {"under load", 1, 580, 275},
-    {"under twice the load", 2, 890, 450},
+    {"at rest", 0, 118.5, 87.5},
+    {"under load", 1, 285.6, 275},
+    {"under twice the load", 2, 438.3, 450},
 };
 
 // Guards against control that costs more calls than half of what it cost when every instance read both topics at the same short intervals.
@@ -187,6 +203,148 @@
     BOOST_TEST(world.workers.violations.empty());
 }
 
+struct TakeoverCase
+{
+    const char *name;
+    /// Instances that are lost, beside the holder.
+    std::vector<std::size_t> lost;
+    /// The zone of the holder is lost as a whole.
+    bool losesZone;
+    Duration limit;
+};
+
+auto operator<<(std::ostream &out, const TakeoverCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+// A main candidate needs the time to live, its poll interval and the random delay; when none is left, another instance needs its longer
+// interval and the delay of a small instance. The last 200 ms are for the check interval and the calls.
+const std::vector<TakeoverCase> takeoverCases{
+    {"the holder", {}, false, 1200ms + 300ms + 200ms + 200ms},
+    {"the zone of the holder", {}, true, 1200ms + 300ms + 200ms + 300ms + 200ms},
+    {"all main candidates", {0, 1, 2, 3}, false, 1200ms + 1800ms + 200ms + 800ms + 200ms},
+};
+
+// Guards against takeovers that wait for the longer interval at which most instances read, or for an instance that is gone.
+BOOST_DATA_TEST_CASE(aLostHolderIsReplacedInTime, data::make(takeoverCases) * data::xrange(1, 11), c, seed)
+{
+    Deployment deployment(static_cast<std::uint64_t>(seed));
+    auto &world = deployment.world;
+    world.run(15s + seed * Duration(137ms));
+    BOOST_REQUIRE(world.holders().size() == 1U);
+    const auto holder = world.holders().front();
+    const auto zone = world.instances[holder].zone;
+    for (std::size_t i = 0; i < instanceCount; ++i) {
+        const bool lost = i == holder || (c.losesZone && world.instances[i].zone == zone);
+        if (lost || std::find(c.lost.begin(), c.lost.end(), i) != c.lost.end()) {
+            world.kill(i);
+        }
+    }
+    const auto lostAt = world.clock.now();
+    while (world.holders().empty() && world.clock.now() < lostAt + Duration(10s)) {
+        world.run(10ms);
+    }
+    const auto took = world.clock.now() - lostAt;
+    BOOST_TEST_MESSAGE(c.name << ", seed " << seed << ": taken over after " << toMilliseconds(took).count() << " ms");
+    BOOST_TEST(toMilliseconds(took).count() <= toMilliseconds(c.limit).count());
+    world.run(2s);
+    BOOST_TEST(world.holders().size() == 1U);
+    // The largest instances that are left are preferred.
+    if (c.lost.empty()) {
+        BOOST_TEST(world.instances[world.holders().front()].processorShare >= 0.25);
+    }
+}
+
+struct ChoiceCase
+{
+    const char *name;
+    /// Instances that take part: shares and zones by number.
+    std::vector<InstanceAnnouncement> instances;
+    std::vector<std::string> expected;
+};
+
+auto operator<<(std::ostream &out, const ChoiceCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<ChoiceCase> choiceCases{
+    {"few instances", {{InstanceName("a"), 0.1, {}}, {InstanceName("b"), 0.2, {}}}, {"b", "a"}},
+    {"the zones are not known",
+     {{InstanceName("a"), 0.1, {}},
+      {InstanceName("b"), 0.2, {}},
+      {InstanceName("c"), 0.1, {}},
+      {InstanceName("d"), 0.1, {}},
+      {InstanceName("e"), 0.1, {}}},
+     {"b", "a", "c", "d"}},
+    {"the largest instances are in one zone",
+     {{InstanceName("a"), 0.5, ZoneName("x")},
+      {InstanceName("b"), 0.5, ZoneName("x")},
+      {InstanceName("c"), 0.5, ZoneName("x")},
+      {InstanceName("d"), 0.5, ZoneName("x")},
+      {InstanceName("e"), 0.1, ZoneName("y")}},
+     {"a", "e", "b", "c"}},
+    {"more zones than are needed",
+     {{InstanceName("a"), 0.1, ZoneName("x")},
+      {InstanceName("b"), 0.2, ZoneName("y")},
+      {InstanceName("c"), 0.3, ZoneName("z")},
+      {InstanceName("d"), 0.4, ZoneName("v")},
+      {InstanceName("e"), 0.5, ZoneName("w")}},
+     {"e", "d", "c", "b"}},
+};
+
+// Guards against main candidates that are all lost with one zone, and against instances that choose differently.
+BOOST_DATA_TEST_CASE(mainCandidatesAreTheLargestInSeveralZones, data::make(choiceCases), c)
+{
+    const auto now = TimePoint(1h);
+    for (const auto &self : c.instances) {
+        MainCandidates candidates({}, self);
+        for (const auto &it : c.instances) {
+            candidates.observe(it, now);
+        }
+        std::vector<std::string> chosen;
+        for (const auto &it : candidates.choose(now)) {
+            chosen.push_back(it.str());
+        }
+        BOOST_TEST(chosen == c.expected, boost::test_tools::per_element());
+    }
+}
+
+// Guards against a rolling restart in which one build cannot read the announcements of the other.
+BOOST_AUTO_TEST_CASE(announcementsAreReadableByThePreviousBuild)
+{
+    auto record = announcementRecord({InstanceName("a"), 0.25, ZoneName("x")});
+    PreviousAnnouncement previous;
+    BOOST_TEST(!decode(record.value, previous));
+    BOOST_TEST(previous.instance.str() == "a");
+    BOOST_TEST(previous.processorShare == 0.25);
+    record.value = encode(previous);
+    SubmissionEntry entry;
+    BOOST_TEST(!decodeSubmission(record, entry));
+    const auto *announcement = std::get_if<InstanceAnnouncement>(&entry);
+    BOOST_REQUIRE(announcement != nullptr);
+    BOOST_TEST(announcement->instance.str() == "a");
+    BOOST_TEST(announcement->processorShare == 0.25);
+    BOOST_TEST(announcement->zone.empty());
+}
+
+// Guards against main candidates that have been gone for long, as after each replacement of an instance under a new name.
+BOOST_AUTO_TEST_CASE(anInstanceThatIsNoLongerHeardOfIsNoCandidate)
+{
+    const MainCandidatesSettings settings;
+    const auto start = TimePoint(1h);
+    MainCandidates candidates(settings, {InstanceName("z"), 0.1, {}});
+    for (const auto *name : {"a", "b", "c", "d"}) {
+        candidates.observe({InstanceName(name), 0.5, {}}, start);
+    }
+    BOOST_TEST(!candidates.includesSelf(start));
+    BOOST_TEST((candidates.findLarger(InstanceName("a"), start) == MainCandidates::Larger::Elsewhere));
+    const auto later = start + settings.announcementLifetime + Duration(1s);
+    BOOST_TEST(candidates.includesSelf(later));
+    BOOST_TEST((candidates.findLarger(InstanceName("a"), later) == MainCandidates::Larger::None));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -393,6 +393,7 @@
     settings.outcomeRetention = outcomeRetention;
     settings.incarnation = m_seed * 1000 + ++m_incarnations;
     settings.processorShare = instance.processorShare;
+    settings.zone = instance.zone;
     const auto watchWorkers = [this, i](bool on) {
         instances[i].watching = on;
         clock.schedule({}, [this, i, on] {
--- a/tests/workflow/topic_follower_test.cpp
+++ b/tests/workflow/topic_follower_test.cpp
@@ -35,6 +35,7 @@
         hooks.contact = [this](bool, std::optional<TimePoint> confirmedAt) {
             if (confirmedAt) {
                 ++confirmations;
+                lastConfirmedAt = std::max(lastConfirmedAt, *confirmedAt);
                 checkConfirmed(*confirmedAt);
             }
         };
@@ -87,6 +88,7 @@
     /// When each version of the key of appendVersion() was appended.
     std::vector<TimePoint> versions;
     std::size_t confirmations = 0;
+    TimePoint lastConfirmedAt;
     /// Most versions that were appended before a time that was confirmed, and had not been applied.
     std::ptrdiff_t mostUnreadConfirmed = 0;
     std::unique_ptr<TopicFollower> follower;
@@ -253,6 +255,45 @@
     BOOST_TEST(*known == 200U);
 }
 
+// Guards against API keys that are no longer trusted because one connection went silent: the read that follows its timeout must confirm the
+// end of the topic at once.
+BOOST_DATA_TEST_CASE(aSilentConnectionDelaysTheConfirmationByLittle, data::xrange(0, 2100, 90), offsetMs)
+{
+    const EngineSettings settings;
+    FollowerFixture f;
+    f.append(1, 400, 'a');
+    f.follow({.topic = topicName, .readWait = settings.configurationReadWait});
+    f.clock.run(5s + std::chrono::milliseconds(offsetMs));
+    // One read is sent during the cut, or its response is, and never arrives.
+    *f.reachable = false;
+    f.clock.run(100ms);
+    *f.reachable = true;
+    Duration oldest{};
+    for (int i = 0; i < 600; ++i) {
+        f.clock.run(10ms);
+        oldest = std::max(oldest, f.clock.now() - f.lastConfirmedAt);
+    }
+    BOOST_TEST(toMilliseconds(oldest).count() <= toMilliseconds(settings.keyRevocationDelay - settings.keyRevocationMargin).count());
+}
+
+// Guards against reads at the poll interval beside others that have just reached the end of the topic.
+BOOST_AUTO_TEST_CASE(aReadForAnotherPurposeReplacesAPoll)
+{
+    FollowerFixture f;
+    f.append(1, 400, 'a');
+    f.follow({.topic = topicName, .pause = 1s});
+    f.clock.run(5s);
+    const auto before = f.store.calls["read keyed.workers"];
+    for (int i = 0; i < 50; ++i) {
+        f.follower->refresh([](bool) {});
+        f.clock.run(200ms);
+    }
+    BOOST_TEST(f.store.calls["read keyed.workers"] - before <= 51U);
+    f.append(1, 400, 'b');
+    f.clock.run(1100ms);
+    BOOST_TEST(f.countWith('b') == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
