--- a/packages/workflow/include/acaciarail/workflow/topic_follower.h
+++ b/packages/workflow/include/acaciarail/workflow/topic_follower.h
@@ -62,7 +62,7 @@
     /// Reads what a pending background scan would read without delay, now and later. \pre started.
     auto scanAtOnce() -> void;
 
-    /// Changes how long further reads wait, and the delay between them. \pre none.
+    /// Changes how long further reads wait, and the delay between them, also a longer one that has begun. \pre none.
     auto setPollInterval(Duration wait, Duration pause) -> void;
 
     /// Reads up to the present end of the topic, in as many reads as that takes, and calls \a done with whether all of them succeeded.
--- a/packages/workflow/src/topic_follower.cpp
+++ b/packages/workflow/src/topic_follower.cpp
@@ -185,12 +185,34 @@
     {
         const auto due = caughtUp ? lastReadAt + settings.pause : clock.now();
         if (clock.now() < due) {
-            callLater(due - clock.now(), [](State &s) { s.pollIfDue(); });
+            pollLater(due - clock.now());
         } else {
             poll();
         }
     }
 
+    auto pollLater(Duration delay) -> void
+    {
+        pollScheduled = true;
+        callLater(delay, [number = ++pollNumber](State &s) {
+            if (number == s.pollNumber) {
+                s.pollScheduled = false;
+                s.pollIfDue();
+            }
+        });
+    }
+
+    auto setPollInterval(Duration wait, Duration pause) -> void
+    {
+        const bool shorter = pause < settings.pause;
+        settings.readWait = wait;
+        settings.pause = pause;
+        // A poll that is due only after the longer pause would leave records unread until then.
+        if (shorter && pollScheduled) {
+            pollLater(Duration::zero());
+        }
+    }
+
     auto poll() -> void
     {
         const auto sentAt = clock.now();
@@ -208,10 +230,7 @@
             }
             const bool failed = result.status == ReadStatus::Failed;
             const bool behind = !failed && self->nextOffset < result.end;
-            self->callLater(failed       ? self->settings.retryDelay
-                                : behind ? Duration::zero()
-                                         : self->settings.pause,
-                            [](State &s) { s.pollIfDue(); });
+            self->pollLater(failed ? self->settings.retryDelay : behind ? Duration::zero() : self->settings.pause);
         });
     }
 
@@ -341,6 +360,8 @@
     bool loaded = false;
     bool caughtUp = false;
     bool lastReadFailed = false;
+    bool pollScheduled = false;
+    std::uint64_t pollNumber = 0;
     /// When the last read that reached the end of the topic was answered.
     TimePoint lastReadAt;
     bool refreshing = false;
@@ -373,8 +394,7 @@
 
 auto TopicFollower::setPollInterval(Duration wait, Duration pause) -> void
 {
-    m_state->settings.readWait = wait;
-    m_state->settings.pause = pause;
+    m_state->setPollInterval(wait, pause);
 }
 
 auto TopicFollower::refresh(std::function<void(bool ok)> done) -> void
