--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -186,8 +186,8 @@
     }
     // The same task takes the same time whenever it is asked for.
     const auto &task = run.command.task;
-    std::minstd_rand random(
-        static_cast<std::minstd_rand::result_type>(std::hash<std::string>()(task.job.str()) + task.step * 31 + task.index * 977));
+    const auto name = task.job.str() + "/" + std::to_string(task.step) + "." + std::to_string(task.index);
+    std::minstd_rand random(static_cast<std::minstd_rand::result_type>(std::hash<std::string>()(name)));
     random.discard(2);
     const auto factor = 1 + std::uniform_real_distribution<double>(-taskTimeSpread, taskTimeSpread)(random);
     return std::chrono::duration_cast<Duration>(time * factor);
