--- a/packages/workflow/src/topic_follower.cpp
+++ b/packages/workflow/src/topic_follower.cpp
@@ -186,10 +186,44 @@
         poll();
     }
 
+    /// Polls unless another read has reached the end of the topic since the last poll; then a pause after that read.
+    auto pollIfDue() -> void
+    {
+        const auto due = caughtUp ? lastReadAt + settings.pause : clock.now();
+        if (clock.now() < due) {
+            pollLater(due - clock.now());
+        } else {
+            poll();
+        }
+    }
+
+    auto pollLater(Duration delay) -> void
+    {
+        pollScheduled = true;
+        callLater(delay, [number = ++pollNumber](State &s) {
+            if (number == s.pollNumber) {
+                s.pollScheduled = false;
+                s.pollIfDue();
+            }
+        });
+    }
+
+    auto setPollInterval(Duration wait, Duration pause) -> void
+    {
+        const bool shorter = pause < settings.pause;
+        settings.readWait = wait;
+        settings.pause = pause;
+        // A poll that is due only after the longer pause would leave records unread until then.
+        if (shorter && pollScheduled) {
+            pollLater(Duration::zero());
+        }
+    }
+
     auto poll() -> void
     {
         const auto sentAt = clock.now();
-        const auto wait = settings.readWait;
+        // After a failure, a response that confirms the topic's end is wanted soon.
+        const auto wait = lastReadFailed ? Duration::zero() : settings.readWait;
         store.read(readRequest(wait), [weak = weak_from_this(), sentAt, wait](const ReadResult &result) {
             const auto self = weak.lock();
             if (!self) {
@@ -202,15 +236,13 @@
             }
             const bool failed = result.status == ReadStatus::Failed;
             const bool behind = !failed && self->nextOffset < result.end;
-            self->callLater(failed       ? self->settings.retryDelay
-                                : behind ? Duration::zero()
-                                         : self->settings.pause,
-                            [](State &s) { s.poll(); });
+            self->pollLater(failed ? self->settings.retryDelay : behind ? Duration::zero() : self->settings.pause);
         });
     }
 
     auto applyRead(const ReadResult &result, TimePoint sentAt, Duration wait) -> void
     {
+        lastReadFailed = result.status == ReadStatus::Failed;
         if (result.status != ReadStatus::Ok) {
             caughtUp = false;
             if (result.status == ReadStatus::Failed) {
@@ -235,6 +267,7 @@
         }
         caughtUp = nextOffset >= result.end;
         if (caughtUp) {
+            lastReadAt = clock.now();
             readBytes = settings.maxReadBytes;
         } else if (result.records.empty()) {
             // The next record is larger than the response may be.
@@ -332,6 +365,11 @@
     bool attached = false;
     bool loaded = false;
     bool caughtUp = false;
+    bool lastReadFailed = false;
+    bool pollScheduled = false;
+    std::uint64_t pollNumber = 0;
+    /// When the last read that reached the end of the topic was answered.
+    TimePoint lastReadAt;
     bool refreshing = false;
     bool awaitingRecords = false;
     std::set<std::string> keys;
@@ -362,8 +400,7 @@
 
 auto TopicFollower::setPollInterval(Duration wait, Duration pause) -> void
 {
-    m_state->settings.readWait = wait;
-    m_state->settings.pause = pause;
+    m_state->setPollInterval(wait, pause);
 }
 
 auto TopicFollower::refresh(std::function<void(bool ok)> done) -> void
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -336,6 +336,8 @@
         return;
     }
     checkZone(command);
+    // Not when it is carried out: a late command may arrive after its job has ended and its records were removed.
+    checkRecord(command);
     starts.push_back(command);
     auto &worker = workers.at(command.worker);
     if (isDelayed(worker, true, [this, command](FakeWorker &w) { startRun(w, command); }) || !worker.reachable) {
@@ -372,7 +374,7 @@
     return StartOutcome::Started;
 }
 
-auto FakeFleet::checkStart(const StartCommand &command) -> void
+auto FakeFleet::checkRecord(const StartCommand &command) -> void
 {
     const bool gang = m_jobs.at(command.task.job.str()).steps[command.task.step].gang;
     const UnitId unit{command.task.job, command.task.occurrence, command.task.step, gang ? 0 : command.task.index};
@@ -383,6 +385,10 @@
     if (!recorded) {
         violations.push_back("a start of " + command.task.job.str() + " that is not recorded");
     }
+}
+
+auto FakeFleet::checkStart(const StartCommand &command) -> void
+{
     for (const auto &[name, other] : workers) {
         for (const auto &run : other.runs) {
             if (!run.end && run.command.task == command.task) {
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -144,6 +144,7 @@
     auto answerPoll(FakeWorker &worker) -> void;
     auto answer(FakeWorker &worker, const PollCommand &command, TimePoint sentAt) -> void;
     auto start(const StartCommand &command) -> void;
+    auto checkRecord(const StartCommand &command) -> void;
     auto checkStart(const StartCommand &command) -> void;
     auto end(FakeWorker &worker, Run &run, EndKind kind) -> void;
     auto workTime(const FakeWorker &worker, const Run &run) const -> Duration;
