Report the number of fast workers, and tell runs apart by numbers

Cause: samples of progress were told apart by addresses, so that decisions could depend on them, and nothing showed an operator what was learned about workers.

Change: a run whose progress is compared gets a number. A metric and a log line give the number of workers that are faster than most.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -98,6 +98,8 @@
     double slowRatio = 0.5;
     /// Interval at which the speeds of workers are determined.
     Duration speedUpdateInterval = 500ms;
+    /// Least interval between two log lines about the number of fast workers.
+    Duration speedLogInterval = 10s;
     /// Cost of stopping a run beside the lost work, as time of its cores: the stop, the wait and the next start.
     Duration preemptionCost = 500ms;
     /// Most waiting gangs that have workers reserved, on which no less urgent work starts.
@@ -186,6 +188,8 @@
     std::size_t workers = 0;
     std::size_t unreachableWorkers = 0;
     std::int64_t freeAccelerators = 0;
+    /// Workers that are known to be faster than most.
+    std::size_t fastWorkers = 0;
     std::uint64_t preemptions = 0;
     /// Work lost by preemption.
     double preemptedCoreSeconds = 0;
--- a/packages/workflow/include/acaciarail/workflow/worker_speeds.h
+++ b/packages/workflow/include/acaciarail/workflow/worker_speeds.h
@@ -3,10 +3,12 @@
 #include <acaciarail/core/names.h>
 #include <acaciarail/core/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace Acaciarail::Workflow {
@@ -15,8 +17,8 @@
 struct ProgressSample
 {
     WorkerName worker;
-    /// Distinguishes runs; samples of one run replace each other.
-    std::uint64_t run = 0;
+    /// Number of the run and of the task in it; samples of the same one replace each other.
+    std::pair<std::uint64_t, std::size_t> run;
     /// Percent of the work a second.
     double rate = 0;
 };
@@ -41,7 +43,7 @@
 private:
     struct Ratio
     {
-        std::uint64_t run = 0;
+        std::pair<std::uint64_t, std::size_t> run;
         double value = 0;
     };
     struct History
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -560,6 +560,7 @@
         out.unreachableWorkers += worker->unreachableSince ? 1 : 0;
         out.freeAccelerators += worker->schedulable() ? worker->free().accelerators : 0;
     }
+    out.fastWorkers = m_state->fastWorkers;
     out.preemptions = m_state->preemptions;
     out.preemptedCoreSeconds = m_state->preemptedCoreSeconds;
     return out;
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -567,6 +567,7 @@
     placementBudget -= static_cast<std::int64_t>(assignedWorkers.size() * startCommandBytes(unit.job->spec.payload.size()));
     unit.record.phase = UnitPhase::Assigned;
     ++unit.record.run;
+    unit.progressId = 0;
     unit.record.workers.clear();
     unit.members.assign(assignedWorkers.size(), Member{});
     unit.ending = false;
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -95,6 +95,8 @@
     /// The member that was the slowest at the last such restart.
     std::optional<std::uint32_t> slowMember;
     std::vector<std::shared_ptr<Worker>> reservedWorkers;
+    /// Identifies its newest run among those whose progress is compared; 0 before the first comparison.
+    std::uint64_t progressId = 0;
     /// The placement round in which its remaining time was last computed.
     std::uint64_t drainRound = 0;
 
@@ -320,7 +322,7 @@
     auto slowZones() const -> std::set<ZoneName>;
     auto updateUsage(TimePoint now) -> void;
     auto learnSpeeds(TimePoint now) -> void;
-    auto updateSlowness() -> void;
+    auto updateSlowness(TimePoint now) -> void;
     auto idleFit(const Unit &unit) -> IdleFit;
     auto computeIdleFit(const Unit &unit) const -> IdleFit;
     auto requestFor(const Unit &unit) -> PlacementRequest;
@@ -411,9 +413,12 @@
     std::map<std::pair<ServiceName, std::uint32_t>, PriorityUsage> usage;
     TimePoint usageUpdatedAt;
     WorkerSpeeds speeds;
+    std::uint64_t lastProgressId = 0;
+    std::size_t fastWorkers = 0;
     /// Median of the slowness of all workers.
     std::uint32_t typicalSlowness = 0;
     TimePoint nextSpeedUpdate;
+    TimePoint nextSpeedLog;
     std::map<std::pair<ServiceName, std::uint32_t>, StartedWork> startedWork;
     std::map<ServiceName, RunTimeObservations> runTimes;
     std::uint64_t placementRounds = 0;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -673,13 +673,13 @@
     }
     nextSpeedUpdate = now + settings.speedUpdateInterval;
     std::vector<ProgressSample> siblings;
-    const auto addSample = [&](const Unit &unit, const Member &m) {
+    const auto addSample = [&](Unit &unit, std::size_t index) {
+        const auto &m = unit.members[index];
         const auto span = std::chrono::duration<double>(m.lastReport - m.firstSeen);
         if (m.phase == MemberPhase::Running && m.percent < fullPercent && m.percent >= m.firstPercent + minSpeedPercent
             && m.lastReport >= m.firstSeen + minRateSpan) {
-            // A run is identified by its place in memory and its number; it is compared only while it exists.
-            const auto id = reinterpret_cast<std::uintptr_t>(&m) + unit.record.run;
-            siblings.push_back({m.worker->info.name, id, (m.percent - m.firstPercent) / span.count()});
+            unit.progressId = unit.progressId == 0 ? ++lastProgressId : unit.progressId;
+            siblings.push_back({m.worker->info.name, {unit.progressId, index}, (m.percent - m.firstPercent) / span.count()});
         }
     };
     for (const auto &[id, job] : jobs) {
@@ -690,18 +690,18 @@
                 step.emplace(key.occurrence, key.step);
             }
             if (unit->stage == UnitStage::Active && !unit->ending && !unit->step->longRunning) {
-                for (const auto &it : unit->members) {
-                    addSample(*unit, it);
+                for (std::size_t i = 0; i < unit->members.size(); ++i) {
+                    addSample(*unit, i);
                 }
             }
         }
         speeds.observe(std::exchange(siblings, {}));
     }
-    updateSlowness();
+    updateSlowness(now);
 }
 
 /// Determines how slow each worker is beside the others of its service. One whose speed is not known is as slow as most.
-auto Dispatcher::State::updateSlowness() -> void
+auto Dispatcher::State::updateSlowness(TimePoint now) -> void
 {
     std::map<ServiceName, std::vector<double>> speedsByService;
     for (const auto &[name, worker] : workers) {
@@ -732,6 +732,13 @@
         std::nth_element(levels.begin(), middle, levels.end());
         typicalSlowness = *middle;
     }
+    const auto fast = static_cast<std::size_t>(
+        std::count_if(levels.begin(), levels.end(), [this](std::uint32_t level) { return level < typicalSlowness; }));
+    if (fastWorkers != fast && now >= nextSpeedLog) {
+        nextSpeedLog = now + settings.speedLogInterval;
+        emitEvent("worker-speeds", {}, "workers=" + std::to_string(levels.size()) + " fast=" + std::to_string(fast));
+    }
+    fastWorkers = fast;
 }
 
 auto Dispatcher::State::stopRunsOnDrainingWorkers(TimePoint now) -> void
--- a/tests/workflow/worker_speeds_test.cpp
+++ b/tests/workflow/worker_speeds_test.cpp
@@ -65,7 +65,7 @@
                 (1.0 + c.unevenness * unevenness(random)) * (c.longTaskInterval > 0 && run % c.longTaskInterval == 0 ? 7.0 : 1.0);
             // Steps have different amounts of work.
             const auto rate = (i % 4 == 0 ? c.fast : 1.0) * 10.0 * static_cast<double>(step + 1) / work;
-            siblings.push_back({workerName(i), run, rate});
+            siblings.push_back({workerName(i), {run, 0}, rate});
         }
         speeds.observe(siblings);
     }
@@ -80,7 +80,7 @@
 BOOST_AUTO_TEST_CASE(fewSiblingsSayNothing)
 {
     WorkerSpeeds speeds;
-    const std::vector<ProgressSample> siblings{{workerName(0), 1, 10.0}, {workerName(1), 2, 20.0}};
+    const std::vector<ProgressSample> siblings{{workerName(0), {1, 0}, 10.0}, {workerName(1), {2, 0}, 20.0}};
     speeds.observe(siblings);
     BOOST_TEST(!speeds.speed(workerName(0)).has_value());
 }
