Multiply a limit in the type that it has

Cause: clang-tidy reports an implicit widening in the range of the callers' buffers; the file had not been linted. Change: the multiplication is done in the wider type. Nothing else was run for it.

--- a/packages/operator/src/settings.cpp
+++ b/packages/operator/src/settings.cpp
@@ -32,7 +32,7 @@
 constexpr IntegerRange timeoutRange{1, 3'600'000};
 constexpr IntegerRange connectionRange{1, 65'536};
 constexpr IntegerRange bodyRange{1024, std::uint64_t{16} * 1024 * 1024};
-constexpr IntegerRange bufferRange{64 * 1024, std::uint64_t{1024} * 1024 * 1024};
+constexpr IntegerRange bufferRange{std::uint64_t{64} * 1024, std::uint64_t{1024} * 1024 * 1024};
 constexpr IntegerRange headerRange{1024, std::uint64_t{1024} * 1024};
 constexpr IntegerRange queueRange{1, 1'000'000};
 constexpr IntegerRange spanRange{16, 1'000'000};
