Compute the objective of a job in one place, along its longest chain of steps

Cause: the placement summed up the estimates of all steps, while admission used the longest chain of dependent steps, as the users' rule says; two functions said when a result is worthless. Change: objective.h has both; a job keeps its objective instead of computing it for each waiting unit of each round.

--- a/packages/workflow/include/acaciarail/workflow/admission_policy.h
+++ b/packages/workflow/include/acaciarail/workflow/admission_policy.h
@@ -2,6 +2,7 @@
 
 #include <acaciarail/workflow/job.h>
 #include <acaciarail/workflow/load_summary.h>
+#include <acaciarail/workflow/objective.h>
 
 #include <chrono>
 #include <cstdint>
@@ -9,14 +10,6 @@
 
 namespace Acaciarail::Workflow {
 
-/// A job has no value once this many times its objective has passed; stated by the users' accounting.
-inline constexpr int valuelessAfterObjectives = 3;
-
-/// Returns the sum of the estimates along the longest chain of dependent steps. \pre none. Thread-safe.
-[[nodiscard]] auto longestChain(const JobSpec &job) -> Duration;
-/// Returns the time after acceptance within which the job is on time, by its estimates. \pre none. Thread-safe.
-[[nodiscard]] auto objectiveOf(const JobSpec &job, const QueuePolicy &policy) -> Duration;
-
 struct AdmissionSettings
 {
     /// An older summary rejects nothing: the backlog may have been served since. Four times the interval at which the holder writes it.
--- a/packages/workflow/src/admission_policy.cpp
+++ b/packages/workflow/src/admission_policy.cpp
@@ -73,27 +73,6 @@
     return static_cast<std::int32_t>(std::floor(std::log2(std::max(weightedCores, smallest))));
 }
 
-auto longestChain(const JobSpec &job) -> Duration
-{
-    // A step depends only on steps with lower numbers; a chain that does not keep to this is counted as far as it does.
-    std::vector<Duration> ends(job.steps.size());
-    Duration longest{};
-    for (std::size_t i = 0; i < job.steps.size(); ++i) {
-        Duration begin{};
-        for (const auto it : job.steps[i].dependsOn) {
-            begin = it < i ? std::max(begin, ends[it]) : begin;
-        }
-        ends[i] = begin + job.steps[i].estimate;
-        longest = std::max(longest, ends[i]);
-    }
-    return longest;
-}
-
-auto objectiveOf(const JobSpec &job, const QueuePolicy &policy) -> Duration
-{
-    return fromSeconds(policy.stretch * seconds(longestChain(job))) + policy.targetLatency;
-}
-
 AdmissionPolicy::AdmissionPolicy(AdmissionSettings settings)
     : m_settings(settings)
 {
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "dispatcher_state.h"
 
+#include <acaciarail/workflow/objective.h>
+
 #include <algorithm>
 #include <array>
 
@@ -40,7 +42,7 @@
 {
     m_state->configuration = std::move(configuration);
     for (auto &[id, job] : m_state->jobs) {
-        job->policy = m_state->policyFor(job->spec);
+        m_state->updatePolicy(*job);
     }
 }
 
@@ -116,7 +118,7 @@
     slot = std::make_unique<Job>();
     m_state->changedJobs.insert(spec.id);
     slot->spec = spec;
-    slot->policy = m_state->policyFor(spec);
+    m_state->updatePolicy(*slot);
     // The accepting instance's clock may be ahead of this one's.
     slot->acceptedAt = now - std::max(unixNow - spec.acceptedAt, std::chrono::milliseconds::zero());
     if (spec.occurrences == 0) {
@@ -276,6 +278,12 @@
     }
 }
 
+auto Dispatcher::State::updatePolicy(Job &job) const -> void
+{
+    job.policy = policyFor(job.spec);
+    job.objective = objectiveOf(job.spec, job.policy);
+}
+
 auto Dispatcher::State::policyFor(const JobSpec &spec) const -> QueuePolicy
 {
     const auto *queue = configuration ? configuration->queue(spec.queue) : nullptr;
--- a/packages/workflow/src/dispatcher_load.cpp
+++ b/packages/workflow/src/dispatcher_load.cpp
@@ -1,7 +1,5 @@
 #include "dispatcher_state.h"
 
-#include <acaciarail/workflow/admission_policy.h>
-
 #include <algorithm>
 #include <cmath>
 
@@ -17,13 +15,6 @@
     return std::chrono::duration<double>(d).count();
 }
 
-/// Returns whether a unit can no longer end while its job has a value. Such units come last in the queue.
-auto hasNoValueLeft(const Unit &unit, TimePoint now) -> bool
-{
-    const auto &job = *unit.job;
-    return now + unit.step->estimate > job.acceptedAt + valuelessAfterObjectives * objectiveOf(job.spec, job.policy);
-}
-
 auto addUnit(std::vector<WaitingWork> &waiting, const Unit &unit) -> void
 {
     const auto sizeClass = unitSizeClass(unit.cores());
@@ -141,7 +132,7 @@
         const bool waitsForCapacity = unit->step->requiredLabel.empty() && unit->step->dataRack.empty() && unit->step->maxPerWorker == 0
             && !unit->step->longRunning && largestWorkers[policy.service].covers(unit->demand());
         if (policy.targetLatency > Duration::zero() && job.spec.occurrences == 0 && !job.cancelled && !job.failed && waitsForCapacity
-            && !hasNoValueLeft(*unit, now)) {
+            && !cannotFinishInTime(*unit, now)) {
             addUnit(priorities[{policy.service, policy.priority}].waiting, *unit);
         }
     }
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -1,5 +1,7 @@
 #include "dispatcher_state.h"
 
+#include <acaciarail/workflow/objective.h>
+
 #include <algorithm>
 #include <limits>
 #include <numeric>
@@ -11,8 +13,6 @@
 
 namespace {
 
-/// A job is worthless once this many times its objective has passed; stated by the users' accounting.
-constexpr int maxLatenessFactor = 3;
 /// Urgent work of another organisation is preempted only for a guarantee; its loss is increased by this many times its estimated work.
 constexpr double urgentLossFactor = 4.0;
 /// The loss of work of priority 1 is weighted more than that of background work.
@@ -61,28 +61,18 @@
     return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
 }
 
-/// Returns the time from its acceptance within which a job is in time, by the estimates of its steps.
-auto objectiveOf(const Job &job) -> Duration
-{
-    Duration chain{};
-    for (const auto &it : job.spec.steps) {
-        chain += it.estimate;
-    }
-    return std::chrono::duration_cast<Duration>(chain * job.policy.stretch) + job.policy.targetLatency;
-}
-
 /// Returns whether a unit has little time left beside its run time, so that it would be late on a slow worker. Both are derived from the
 /// same estimate, so an error of the estimate changes their ratio little.
 auto isShortOfTime(const Unit &unit, TimePoint now) -> bool
 {
-    const auto left = unit.job->acceptedAt + objectiveOf(*unit.job) - now;
+    const auto left = unit.job->acceptedAt + unit.job->objective - now;
     return unit.job->policy.priority == 0 || left < unit.step->estimate * minSpareFactor;
 }
 
 /// Returns whether a unit would end after its objective if it started now.
 auto isLate(const Unit &unit, TimePoint now) -> bool
 {
-    return unit.job->spec.occurrences == 0 && now + unit.step->estimate > unit.job->acceptedAt + objectiveOf(*unit.job);
+    return unit.job->spec.occurrences == 0 && now + unit.step->estimate > unit.job->acceptedAt + unit.job->objective;
 }
 
 auto withoutAvoided(std::vector<Candidate> candidates) -> std::vector<Candidate>
@@ -466,15 +456,14 @@
     return out;
 }
 
+} // namespace
+
 auto cannotFinishInTime(const Unit &unit, TimePoint now) -> bool
 {
-    const auto objective = objectiveOf(*unit.job);
-    const auto finish = now + unit.step->estimate;
-    return unit.job->spec.occurrences == 0 && finish > unit.job->acceptedAt + maxLatenessFactor * objective;
+    const auto &job = *unit.job;
+    return job.spec.occurrences == 0 && now + unit.step->estimate > job.acceptedAt + valuelessAfterObjectives * job.objective;
 }
 
-} // namespace
-
 /// Returns where a unit could be placed if nothing else ran. A worker that is listed and does not answer counts: it may be back soon.
 auto Dispatcher::State::idleFit(const Unit &unit) -> IdleFit
 {
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -147,6 +147,8 @@
     JobSpec spec;
     /// Policy of its queue as configured now, or as of acceptance when the queue is no longer configured.
     QueuePolicy policy;
+    /// See objectiveOf(); changes with the policy.
+    Duration objective{};
     TimePoint acceptedAt;
     bool cancelled = false;
     bool failed = false;
@@ -318,6 +320,7 @@
     auto createOccurrence(Job &job, std::uint32_t occurrence, TimePoint now) -> void;
     auto unblock(Job &job, std::uint32_t occurrence, TimePoint now) -> void;
     auto policyFor(const JobSpec &spec) const -> QueuePolicy;
+    auto updatePolicy(Job &job) const -> void;
     auto recordRunTimeRatio(const Unit &unit, TimePoint now) -> void;
     auto slowZones() const -> std::set<ZoneName>;
     auto updateUsage(TimePoint now) -> void;
@@ -447,6 +450,10 @@
     double preemptedCoreSeconds = 0;
 };
 
+/// Returns whether the result of a unit that starts now would be worthless when it ends. Never true for a job with a schedule. \pre none.
+/// Thread-safe.
+[[nodiscard]] auto cannotFinishInTime(const Unit &unit, TimePoint now) -> bool;
+
 /// Returns the time that a member still needs, from its own progress where that is known. \pre none. Thread-safe.
 [[nodiscard]] auto remainingTime(const Unit &unit, const Member &member, TimePoint now) -> Duration;
 
