--- a/tests/workflow/load_test.cpp
+++ b/tests/workflow/load_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <functional>
 #include <iomanip>
@@ -274,77 +275,37 @@
             .failureShare = 0.02};
 }
 
-/// Jobs of Vindvagt at \a load times their usual rates: a stop takes 200 ms, and a restart from a checkpoint 600 ms.
-auto vindvagt(const char *name, double load) -> LoadPattern
-{
-    return {.name = name,
-            .racks = 3,
-            .workersPerRack = 12,
-            .workerCapacity = {64'000, 262'144, 8},
-            .classes = {{.queue = "gearbox-check",
-                         .priority = 0,
-                         .rate = 2.7 * load,
-                         .meanTasks = 5,
-                         .maxTasks = 12,
-                         .gang = true,
-                         .sameRackShare = 0.8,
-                         .milliCores = 3000,
-                         .memoryMiB = 6000,
-                         .accelerators = {1, 2, 4, 8},
-                         .runTime = 2500ms,
-                         .stretch = 1.5,
-                         .targetLatency = 400ms,
-                         .unevenness = 0.15,
-                         .estimateError = 0.5,
-                         .value = 4,
-                         .lateValue = 0.8},
-                        {.queue = "blade-sweep",
-                         .priority = 1,
-                         .rate = 0.51 * load,
-                         .meanTasks = 13,
-                         .maxTasks = 20,
-                         .gang = true,
-                         .sameRackShare = 0.6,
-                         .milliCores = 3000,
-                         .memoryMiB = 6000,
-                         .accelerators = {1, 2, 4, 8},
-                         .runTime = 8500ms,
-                         .stretch = 3,
-                         .targetLatency = 1200ms,
-                         .unevenness = 0.15,
-                         .estimateError = 0.2,
-                         .value = 3,
-                         .lateValue = 0.9},
-                        {.queue = "fatigue-report",
-                         .priority = 2,
-                         .rate = 0.5 * load,
-                         .meanTasks = 39,
-                         .maxTasks = 120,
-                         .milliCores = 3000,
-                         .memoryMiB = 6000,
-                         .runTime = 7600ms,
-                         .stretch = 3,
-                         .targetLatency = 3s,
-                         .unevenness = 0.15,
-                         .estimateError = 0.2,
-                         .secondStepShare = 0.3,
-                         .value = 1,
-                         .lateValue = 0.3}},
-            .length = 14s,
-            .decisionInterval = 20ms,
-            .speeds = {0.8, 1.0, 1.25},
-            .checkpointInterval = 500ms,
-            .restoreTime = 600ms,
-            .stopTime = 200ms,
-            .failureShare = 0.02};
-}
-
 auto with(LoadPattern pattern, const std::function<void(LoadPattern &)> &change) -> LoadPattern
 {
     change(pattern);
     return pattern;
 }
 
+/// Jobs of Vindvagt at \a load times their usual rates: a stop takes 200 ms, and a restart from a checkpoint 600 ms.
+auto vindvagt(const char *name, double load) -> LoadPattern
+{
+    return with(captionWorks(name, load), [load](LoadPattern &p) {
+        p.racks = 3;
+        p.workersPerRack = 12;
+        p.workerCapacity = {64'000, 262'144, 8};
+        p.speeds = {0.8, 1.0, 1.25};
+        p.checkpointInterval = 500ms;
+        p.restoreTime = 600ms;
+        p.stopTime = 200ms;
+        const std::array queues{"gearbox-check", "blade-sweep", "fatigue-report"};
+        const std::array rates{2.7, 0.51, 0.5};
+        const std::array<Duration, 3> runTimes{2500ms, 8500ms, 7600ms};
+        for (std::size_t i = 0; i < p.classes.size(); ++i) {
+            p.classes[i].queue = queues.at(i);
+            p.classes[i].rate = rates.at(i) * load;
+            p.classes[i].runTime = runTimes.at(i);
+            p.classes[i].unevenness = 0.15;
+        }
+        p.classes[urgent].targetLatency = 400ms;
+        p.classes[normal].estimateError = 0.2;
+    });
+}
+
 struct ValueCase
 {
     LoadPattern pattern;
