Use a worker only by an entry of its present incarnation

Callers saw tasks run on workers without the label that their step requires. Cause: the labels of a worker come from its entry in the list, its incarnation from its reports, and nothing tied the two together. A worker that restarted under its name as another kind was used by the labels of its earlier life until the new entry was read, and again when an older entry was read after the newer one, which happens when the pages of the topic were read before its tail. Change: Worker::entryIsCurrent(): nothing starts on a worker whose entry names another incarnation than its reports. Entries or reports without one are taken as before.

--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -209,10 +209,15 @@
     /// Its index among the candidates of the current placement round.
     std::size_t candidateIndex = 0;
 
+    /// Returns whether the entry describes the incarnation that the reports come from. One that has restarted may be of another kind.
+    [[nodiscard]] auto entryIsCurrent() const -> bool
+    {
+        return info.incarnation == 0 || incarnation == 0 || info.incarnation == incarnation;
+    }
     /// Returns whether it takes new runs, reachable or not.
     [[nodiscard]] auto takesRuns() const -> bool
     {
-        return listed && !info.draining && !evacuated;
+        return listed && entryIsCurrent() && !info.draining && !evacuated;
     }
     [[nodiscard]] auto schedulable() const -> bool
     {
--- a/tests/workflow/changed_worker_test.cpp
+++ b/tests/workflow/changed_worker_test.cpp
@@ -158,7 +158,6 @@
 }
 
 // Guards against a start on a worker by the labels that it had before it restarted under its name.
-BOOST_TEST_DECORATOR(*boost::unit_test::disabled())
 BOOST_DATA_TEST_CASE(aRestartedWorkerIsNotUsedByItsEarlierEntry, data::make(staleEntryCases), c)
 {
     checkStarts(c);
