Log and count how each start came about and what was known of its worker

Cause: the log could not show which path led to a start on a worker without the required label, what the unit required, nor which labels and which life the holder knew of the worker, so the hypotheses of that incident could not be told apart.

Change: placements carry `path` and `required_label`; tasks of different paths get lines of their own. `worker-listed` also appears when the service, rack, labels or life of an entry change, and names them. `worker-reborn` names both lives, the labels and whether the list or a report showed the restart; `worker-life-differs` reports a first report of another life than the entry. A repeated start command is logged as `start-repeated`, in place of `start-refused` with `outcome=unknown`, so that a missing response still costs one line. `job-submitted` has the labels that the job requires. State::reportIneligibleStart() logs a withheld start as a warning and counts it by reason; nothing calls it yet. Placements by path and withheld starts by reason are counted in the dispatcher's statistics and in the metrics. No decision changes.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -4,6 +4,7 @@
 #include <acaciarail/workflow/load_summary.h>
 #include <acaciarail/workflow/placement.h>
 #include <acaciarail/workflow/records.h>
+#include <acaciarail/workflow/start_trace.h>
 #include <acaciarail/workflow/worker.h>
 
 #include <cstddef>
@@ -143,6 +144,10 @@
     std::uint32_t priority = 0;
     /// False when the decision is part of a later event, which is logged.
     bool logged = true;
+    /// Of a unit that was placed: how its workers were found.
+    std::optional<PlacementPath> path = std::nullopt;
+    /// Of a start that was withheld; such an event is logged as a warning.
+    std::optional<StartObstacle> obstacle = std::nullopt;
 };
 
 /// Returns the approximate size of a start command with this payload in bytes. \pre none. Thread-safe.
@@ -193,6 +198,10 @@
     std::uint64_t preemptions = 0;
     /// Work lost by preemption.
     double preemptedCoreSeconds = 0;
+    /// Of this term.
+    PlacementCounts placements{};
+    /// Of this term.
+    WithheldStartCounts withheldStarts{};
 };
 
 /// Decides which task runs on which worker, for one holder during one term. Performs no input or output: the holder reports events, and
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher_state.h"
 
+#include <acaciarail/core/logging.h>
 #include <acaciarail/workflow/objective.h>
 
 #include <algorithm>
@@ -220,15 +221,42 @@
     }
 }
 
+auto startFields(PlacementPath path, const std::string &requiredLabel) -> std::string
+{
+    return std::string(" path=") + placementPathName(path) + requiredLabelField(requiredLabel);
+}
+
+auto requiredLabelField(const std::string &label) -> std::string
+{
+    return label.empty() ? std::string() : " required_label=" + quoteLogValue(label);
+}
+
+/// Reports that the start of a task on the worker that was chosen for it is withheld. \a unit is the task's unit.
+auto Dispatcher::State::reportIneligibleStart(const Unit &unit, const TaskId &task, const Worker &worker, StartObstacle obstacle) -> void
+{
+    ++withheldStarts.at(static_cast<std::size_t>(obstacle));
+    observe({"start-ineligible",
+             task.job,
+             "worker=" + worker.info.name.str() + ' ' + detail("step", task.step) + ' ' + detail("index", task.index) + ' '
+                 + detail("run", unit.record.run) + " reason=" + startObstacleName(obstacle) + requiredLabelField(unit.step->requiredLabel)
+                 + knownKind(worker),
+             {},
+             0,
+             true,
+             std::nullopt,
+             obstacle});
+}
+
 auto Dispatcher::State::logPlacedTasks() -> void
 {
     for (const auto &[key, placed] : std::exchange(placedTasks, {})) {
-        const auto &[job, occurrence, step] = key;
+        const auto &[job, occurrence, step, path] = key;
         const auto waitedMs = static_cast<std::uint64_t>(toMilliseconds(placed.longestWait).count());
         emitEvent("tasks-placed", job,
                   detail("occurrence", occurrence) + ' ' + detail("step", step) + ' ' + detail("tasks", placed.count) + ' '
                       + detail("first_index", placed.firstIndex) + ' ' + detail("last_index", placed.lastIndex) + ' '
-                      + detail("priority", placed.priority) + ' ' + detail("waited_ms", waitedMs));
+                      + detail("priority", placed.priority) + ' ' + detail("waited_ms", waitedMs)
+                      + startFields(path, placed.requiredLabel));
     }
 }
 
@@ -571,6 +599,8 @@
     out.fastWorkers = m_state->fastWorkers;
     out.preemptions = m_state->preemptions;
     out.preemptedCoreSeconds = m_state->preemptedCoreSeconds;
+    out.placements = m_state->placements;
+    out.withheldStarts = m_state->withheldStarts;
     return out;
 }
 
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -550,7 +550,8 @@
     usageUpdatedAt = now;
 }
 
-auto Dispatcher::State::assign(Unit &unit, const std::vector<std::shared_ptr<Worker>> &assignedWorkers, TimePoint now) -> void
+auto Dispatcher::State::assign(Unit &unit, const std::vector<std::shared_ptr<Worker>> &assignedWorkers, PlacementPath path, TimePoint now)
+    -> void
 {
     setStage(unit, UnitStage::Active);
     placementBudget -= static_cast<std::int64_t>(assignedWorkers.size() * startCommandBytes(unit.job->spec.payload.size()));
@@ -573,21 +574,26 @@
     }
     const auto waited = now - unit.waitingSince;
     const auto priority = unit.job->policy.priority;
+    ++placements.at(static_cast<std::size_t>(path));
     if (!unit.step->gang) {
-        auto &placed = placedTasks[{unit.id.job, unit.id.occurrence, unit.id.step}];
+        auto &placed = placedTasks[{unit.id.job, unit.id.occurrence, unit.id.step, path}];
+        if (placed.count == 0) {
+            placed.requiredLabel = unit.step->requiredLabel;
+        }
         placed.firstIndex = placed.count == 0 ? unit.id.index : std::min(placed.firstIndex, unit.id.index);
         placed.lastIndex = std::max(placed.lastIndex, unit.id.index);
         placed.longestWait = std::max(placed.longestWait, waited);
         placed.priority = priority;
         ++placed.count;
-        observe({"unit-placed", unit.id.job, {}, waited, priority, false});
+        observe({"unit-placed", unit.id.job, {}, waited, priority, false, path});
         return;
     }
     const auto waitedMs = toMilliseconds(waited);
     observe({"unit-placed", unit.id.job,
              "step=" + std::to_string(unit.id.step) + " index=" + std::to_string(unit.id.index) + " run=" + std::to_string(unit.record.run)
-                 + " priority=" + std::to_string(priority) + " waited_ms=" + std::to_string(waitedMs.count()) + " workers=" + names,
-             waited, priority});
+                 + " priority=" + std::to_string(priority) + " waited_ms=" + std::to_string(waitedMs.count())
+                 + startFields(path, unit.step->requiredLabel) + " workers=" + names,
+             waited, priority, true, path});
 }
 
 auto Dispatcher::State::cancelReservation(Unit &unit) -> void
@@ -618,7 +624,7 @@
             cancelReservation(*unit);
         }
         if (usable && fits) {
-            assign(*unit, reservedWorkers, now);
+            assign(*unit, reservedWorkers, PlacementPath::Reserved, now);
         }
     }
 }
@@ -696,7 +702,7 @@
         assignment = place(round.candidates(unit), anywhere);
     }
     if (assignment) {
-        assign(unit, round.workersAt(*assignment), now);
+        assign(unit, round.workersAt(*assignment), PlacementPath::Free, now);
         round.recordAssignment(*assignment, unit.demand());
     }
     return assignment.has_value();
@@ -713,7 +719,7 @@
     auto plan = planPreemption(withoutAvoided(pool), victims, request, maxLoss);
     if (!plan) {
         if (const auto assignment = place(pool, request)) {
-            assign(unit, round.workersAt(*assignment), now);
+            assign(unit, round.workersAt(*assignment), PlacementPath::Preempting, now);
             round.recordAssignment(*assignment, unit.demand());
             return;
         }
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -297,13 +298,14 @@
     std::uint32_t broken = 0;
 };
 
-/// Tasks of a step that were placed in one round, other than gangs.
+/// Tasks of a step that were placed in one round and in the same way, other than gangs.
 struct PlacedTasks
 {
     std::uint32_t count = 0;
     std::uint32_t firstIndex = 0;
     std::uint32_t lastIndex = 0;
     std::uint32_t priority = 0;
+    std::string requiredLabel;
     Duration longestWait{};
 };
 
@@ -350,7 +352,8 @@
     auto findOrCreateWorker(const WorkerName &name) -> Worker &;
     auto allocate(Unit &unit, Member &member) -> void;
     auto releaseMember(Unit &unit, Member &member) -> void;
-    auto handleRestart(Worker &worker, std::int64_t incarnation, TimePoint now) -> void;
+    auto setFirstIncarnation(Worker &worker, std::int64_t incarnation) const -> void;
+    auto handleRestart(Worker &worker, std::int64_t incarnation, std::string_view shownBy, TimePoint now) -> void;
     auto processRunning(Worker &worker, const WorkerReport &report, TimePoint now) -> void;
     auto processEnd(Worker &worker, const EndedTask &end, TimePoint now) -> void;
     auto processEarlierEnd(Unit &unit, const EndedTask &end, TimePoint now) -> void;
@@ -358,7 +361,9 @@
     auto findMember(Unit &unit, const Worker &worker, const TaskId &task) -> Member *;
     auto findCurrentMember(Unit *unit, const Worker &worker, const TaskId &task, std::uint32_t run) -> Member *;
     auto leaseExpiry(const Worker &worker) const -> TimePoint;
-    auto markWorkerLost(Worker &worker, std::string_view reason, TimePoint now, bool keepUnansweredStarts = false) -> void;
+    auto markWorkerLost(Worker &worker, std::string_view reason, TimePoint now, bool keepUnansweredStarts = false,
+                        const std::string &details = {}) -> void;
+    auto reportIneligibleStart(const Unit &unit, const TaskId &task, const Worker &worker, StartObstacle obstacle) -> void;
     auto expireWorkers(TimePoint now) -> void;
     auto checkProgress(TimePoint now) -> void;
     auto restartSlowRuns(TimePoint now) -> void;
@@ -375,7 +380,7 @@
     auto tryPlace(PlacementRound &round, Unit &unit, TimePoint now) -> bool;
     auto tryPreempt(PlacementRound &round, Unit &unit, bool guaranteed, TimePoint now) -> void;
     auto placeReserved(TimePoint now) -> void;
-    auto assign(Unit &unit, const std::vector<std::shared_ptr<Worker>> &assignedWorkers, TimePoint now) -> void;
+    auto assign(Unit &unit, const std::vector<std::shared_ptr<Worker>> &assignedWorkers, PlacementPath path, TimePoint now) -> void;
     auto cancelReservation(Unit &unit) -> void;
     auto endsRecorded(Worker &worker, TimePoint now) -> void;
     auto collectRecords(Decisions &out, TimePoint now) -> void;
@@ -431,8 +436,8 @@
     std::map<std::pair<ServiceName, Shape>, IdleFit> idleFits;
     std::map<JobId, EndCounts> gatheredEnds;
     TimePoint nextEndsLog;
-    /// By job, occurrence and step.
-    std::map<std::tuple<JobId, std::uint32_t, std::uint32_t>, PlacedTasks> placedTasks;
+    /// By job, occurrence, step and path.
+    std::map<std::tuple<JobId, std::uint32_t, std::uint32_t, PlacementPath>, PlacedTasks> placedTasks;
     std::set<ZoneName> evacuatedZones;
     std::optional<TimePoint> evacuationsConfirmedAt;
     /// The last states that were logged: all listed workers are in evacuated zones; the evacuated zones may be outdated.
@@ -448,8 +453,21 @@
     TimePoint nextProgressCheck;
     std::uint64_t preemptions = 0;
     double preemptedCoreSeconds = 0;
+    PlacementCounts placements{};
+    WithheldStartCounts withheldStarts{};
 };
 
+/// Returns the fields of a log line with what is known of a worker, each after a space: `service` and `labels` of its entry in the list,
+/// `listed_life` and `life` from its entry and from its reports. \pre none. Thread-safe.
+[[nodiscard]] auto knownKind(const Worker &worker) -> std::string;
+
+/// Returns the fields of a log line that trace a start, each after a space: `path`, and `required_label` where there is one. \pre none.
+/// Thread-safe.
+[[nodiscard]] auto startFields(PlacementPath path, const std::string &requiredLabel) -> std::string;
+
+/// Returns the field `required_label` of a log line after a space, or an empty string without a label. \pre none. Thread-safe.
+[[nodiscard]] auto requiredLabelField(const std::string &label) -> std::string;
+
 /// Returns whether the result of a unit that starts now would be worthless when it ends. Never true for a job with a schedule. \pre none.
 /// Thread-safe.
 [[nodiscard]] auto cannotFinishInTime(const Unit &unit, TimePoint now) -> bool;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -1,5 +1,7 @@
 #include "dispatcher_state.h"
 
+#include <acaciarail/core/logging.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -44,8 +46,36 @@
     return a.service == b.service && a.rack == b.rack && a.labels == b.labels && a.capacity == b.capacity && a.draining == b.draining;
 }
 
+/// Returns whether a changed entry of a listed worker is logged.
+auto isChangeLogged(const WorkerInfo &a, const WorkerInfo &b) -> bool
+{
+    return a.service != b.service || a.rack != b.rack || a.labels != b.labels || a.draining != b.draining || a.incarnation != b.incarnation;
+}
+
+/// Returns the fields of a log line with the entry \a info of a worker in the list, each after a space, and with what it changes of the
+/// worker's kind and life.
+auto entryDetail(const Worker &worker, const WorkerInfo &info) -> std::string
+{
+    auto out = std::string(" state=") + (info.draining ? "draining" : "ready") + " service=" + quoteLogValue(info.service.str()) + " rack="
+        + quoteLogValue(info.rack.str()) + " labels=" + labelsLogValue(info.labels) + " life=" + std::to_string(info.incarnation);
+    const bool hasEarlierEntry = worker.listed || worker.info.incarnation != 0;
+    if (hasEarlierEntry && worker.info.labels != info.labels) {
+        out += " previous_labels=" + labelsLogValue(worker.info.labels);
+    }
+    if (hasEarlierEntry && worker.info.incarnation != info.incarnation) {
+        out += " previous_life=" + std::to_string(worker.info.incarnation);
+    }
+    return out;
+}
+
 } // namespace
 
+auto knownKind(const Worker &worker) -> std::string
+{
+    return " service=" + quoteLogValue(worker.info.service.str()) + " labels=" + labelsLogValue(worker.info.labels)
+        + " listed_life=" + std::to_string(worker.info.incarnation) + " life=" + std::to_string(worker.incarnation);
+}
+
 auto endKindName(EndKind kind) noexcept -> const char *
 {
     constexpr std::array<const char *, 6> names{"done", "failed", "stopped", "lapsed", "broken", "alone"};
@@ -126,8 +156,8 @@
 auto Dispatcher::workerListed(const WorkerInfo &info, TimePoint now) -> void
 {
     auto &worker = m_state->findOrCreateWorker(info.name);
-    if (!worker.listed || worker.info.draining != info.draining) {
-        m_state->emitEvent("worker-listed", {}, workerDetail(worker) + " state=" + (info.draining ? "draining" : "ready"));
+    if (!worker.listed || isChangeLogged(worker.info, info)) {
+        m_state->emitEvent("worker-listed", {}, workerDetail(worker) + entryDetail(worker, info));
     }
     if (info.draining && !worker.info.draining) {
         worker.drainEnds = now + info.timeUntilShutdown;
@@ -145,7 +175,7 @@
     worker.listed = true;
     m_state->capacityChanged = true;
     if (worker.incarnation != 0 && info.incarnation > worker.incarnation) {
-        m_state->handleRestart(worker, info.incarnation, now);
+        m_state->handleRestart(worker, info.incarnation, "list", now);
     }
 }
 
@@ -160,15 +190,27 @@
     }
 }
 
-auto Dispatcher::State::handleRestart(Worker &worker, std::int64_t incarnation, TimePoint now) -> void
+/// Sets the incarnation from the first report of a worker. When it differs from that of the worker's entry, the service and the labels of
+/// the entry may be those of another life.
+auto Dispatcher::State::setFirstIncarnation(Worker &worker, std::int64_t incarnation) const -> void
 {
+    worker.incarnation = incarnation;
+    if (worker.listed && worker.info.incarnation != 0 && worker.info.incarnation != incarnation) {
+        emitEvent("worker-life-differs", {}, workerDetail(worker) + knownKind(worker));
+    }
+}
+
+/// Handles the restart of a worker under its name. \a shownBy is `list` or `report`, whichever showed it first.
+auto Dispatcher::State::handleRestart(Worker &worker, std::int64_t incarnation, std::string_view shownBy, TimePoint now) -> void
+{
+    const auto details = " shown_by=" + std::string(shownBy) + " previous_life=" + std::to_string(worker.incarnation);
     worker.incarnation = incarnation;
     worker.seenEnds = worker.batchEnds = worker.recordedEnds = 0;
     worker.orphanUsage = {};
     // It may be of another kind now.
     speeds.remove(worker.info.name);
     // A start command in transit may reach the new incarnation, so runs with an unanswered start are not treated as ended.
-    markWorkerLost(worker, "worker-reborn", now, true);
+    markWorkerLost(worker, "worker-reborn", now, true, details);
 }
 
 auto Dispatcher::pollAnswered(const PollCommand &command, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now,
@@ -213,9 +255,9 @@
     s.capacityChanged = s.capacityChanged || !worker.lastAnsweredPoll;
     worker.lastAnsweredPoll = std::max(sentAt, worker.lastAnsweredPoll.value_or(sentAt));
     if (worker.incarnation == 0) {
-        worker.incarnation = report->incarnation;
+        s.setFirstIncarnation(worker, report->incarnation);
     } else if (report->incarnation > worker.incarnation) {
-        s.handleRestart(worker, report->incarnation, now);
+        s.handleRestart(worker, report->incarnation, "report", now);
     } else if (report->incarnation < worker.incarnation) {
         worker.nextPoll = now;
         return;
@@ -376,7 +418,15 @@
     auto &worker = s.findOrCreateWorker(command.worker);
     auto *unit = s.findUnit(command.task);
     auto *member = s.findCurrentMember(unit, worker, command.task, command.run);
-    if (outcome != StartOutcome::Started) {
+    const bool repeats = outcome == StartOutcome::Unknown && member != nullptr && member->phase == MemberPhase::Starting && !unit->ending
+        && member->unansweredStarts + 1 < s.settings.maxStartAttempts;
+    if (repeats) {
+        ++member->unansweredStarts;
+        s.emitEvent("start-repeated", command.task.job,
+                    workerDetail(worker) + " step=" + std::to_string(command.task.step) + " index=" + std::to_string(command.task.index)
+                        + " run=" + std::to_string(command.run) + " attempt=" + std::to_string(member->unansweredStarts + 1)
+                        + requiredLabelField(unit->step->requiredLabel) + knownKind(worker));
+    } else if (outcome != StartOutcome::Started) {
         s.emitEvent("start-refused", command.task.job,
                     workerDetail(worker) + " step=" + std::to_string(command.task.step) + " index=" + std::to_string(command.task.index)
                         + " run=" + std::to_string(command.run) + " outcome=" + startOutcomeName(outcome));
@@ -406,7 +456,7 @@
         member->lastProgress = now;
         return;
     }
-    if (outcome == StartOutcome::Unknown && !unit->ending && ++member->unansweredStarts < s.settings.maxStartAttempts) {
+    if (repeats) {
         member->startedAt = now;
         s.pendingStarts.push_back(command);
         return;
@@ -499,10 +549,10 @@
 }
 
 /// Treats the runs on a worker as ended; with \a keepUnansweredStarts, except for those whose start has not been answered.
-auto Dispatcher::State::markWorkerLost(Worker &worker, std::string_view reason, TimePoint now, bool keepUnansweredStarts) -> void
+auto Dispatcher::State::markWorkerLost(Worker &worker, std::string_view reason, TimePoint now, bool keepUnansweredStarts,
+                                       const std::string &details) -> void
 {
-    emitEvent(reason, {},
-              workerDetail(worker) + " life=" + std::to_string(worker.incarnation) + " units=" + std::to_string(worker.units.size()));
+    emitEvent(reason, {}, workerDetail(worker) + " units=" + std::to_string(worker.units.size()) + details + knownKind(worker));
     const auto units = worker.units;
     for (auto *unit : units) {
         for (auto &member : unit->members) {
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -24,10 +24,11 @@
 
 auto logDecision(const DispatchEvent &event, std::uint64_t term) -> void
 {
+    const auto level = event.obstacle ? LogLevel::Warning : LogLevel::Info;
     if (event.job.empty()) {
-        logEvent(LogLevel::Info, event.name, {{"term", term}}, event.details);
+        logEvent(level, event.name, {{"term", term}}, event.details);
     } else {
-        logEvent(LogLevel::Info, event.name, {{"job", event.job.str()}, {"term", term}}, event.details);
+        logEvent(level, event.name, {{"job", event.job.str()}, {"term", term}}, event.details);
     }
 }
 
--- a/tests/adapter/instance_metrics_test.cpp
+++ b/tests/adapter/instance_metrics_test.cpp
@@ -3,10 +3,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include <fstream>
+#include <optional>
 #include <regex>
 #include <set>
 #include <sstream>
 #include <string>
+#include <utility>
 
 namespace Acaciarail::Adapter::Tests {
 
@@ -59,7 +61,8 @@
     metrics.recordStoreCall("append", "200", 3ms);
     metrics.recordWorkerCommand("hold", "200", 3ms);
     metrics.recordClosedConnection("callers", "unread");
-    metrics.recordDecision({"unit-placed", JobId("j1"), {}, 5ms, 0});
+    metrics.recordDecision({"unit-placed", JobId("j1"), {}, 5ms, 0, true, Workflow::PlacementPath::Free});
+    metrics.recordDecision({"start-ineligible", JobId("j1"), {}, {}, 0, true, std::nullopt, Workflow::StartObstacle::Label});
     metrics.recordTakeover(100ms);
     metrics.recordSkippedWorkerEntry();
     metrics.recordRejectedJob(Workflow::QueueName("queue"));
@@ -69,6 +72,24 @@
     BOOST_TEST(rendered == documented, boost::test_tools::per_element());
 }
 
+// Guards against placements and withheld starts that are counted under another path or reason, or not at all.
+BOOST_AUTO_TEST_CASE(placementsAndWithheldStartsAreCountedByLabel)
+{
+    Workflow::EngineHooks hooks;
+    hooks.clock.now = [] { return TimePoint(1h); };
+    const Workflow::Engine engine({}, std::move(hooks));
+    InstanceMetrics metrics;
+    metrics.recordDecision({"unit-placed", JobId("j1"), {}, 5ms, 0, true, Workflow::PlacementPath::Free});
+    metrics.recordDecision({"unit-placed", JobId("j2"), {}, 5ms, 0, false, Workflow::PlacementPath::Reserved});
+    metrics.recordDecision({"unit-placed", JobId("j3"), {}, 5ms, 0, true, Workflow::PlacementPath::Reserved});
+    metrics.recordDecision({"start-ineligible", JobId("j1"), {}, {}, 0, true, std::nullopt, Workflow::StartObstacle::Life});
+    const auto text = metrics.render(engine);
+    for (const auto *line : {"acaciarail_placements_total{path=\"free\"} 1\n", "acaciarail_placements_total{path=\"reserved\"} 2\n",
+                             "acaciarail_withheld_starts_total{reason=\"life\"} 1\n"}) {
+        BOOST_TEST(text.find(line) != std::string::npos, line);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Adapter::Tests
--- a/tests/adapter/wire_codec_test.cpp
+++ b/tests/adapter/wire_codec_test.cpp
@@ -1,6 +1,8 @@
 #include "evacuated_zones.h"
 #include "wire_codec.h"
 
+#include <acaciarail/workflow/start_trace.h>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -79,6 +81,34 @@
     BOOST_TEST((step.maxPerWorker == 2 && step.maxUnavailable == 1 && step.estimate == 900ms));
 }
 
+struct LabelCase
+{
+    const char *name;
+    const char *body;
+    const char *field;
+};
+
+auto operator<<(std::ostream &out, const LabelCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<LabelCase> labelCases{
+    {"no label", R"({"steps":[{"count":1},{"count":2}]})", ""},
+    {"one label", R"({"steps":[{"count":1},{"count":2,"requires":"a-next"}]})", "required_labels=a-next"},
+    {"the same label twice", R"({"steps":[{"count":1,"requires":"b"},{"count":2,"requires":"b"}]})", "required_labels=b"},
+    {"two labels", R"({"steps":[{"count":1,"requires":"b"},{"count":2,"requires":"a"}]})", "required_labels=a,b"},
+    {"a label that would forge a field", R"({"steps":[{"count":1,"requires":"b status=200"}]})", "required_labels=\"b status=200\""},
+};
+
+// Guards against a submission of which the log does not say what labels its steps require.
+BOOST_DATA_TEST_CASE(theLabelsThatAJobRequiresAreLogged, data::make(labelCases), c)
+{
+    Workflow::JobSpec spec;
+    BOOST_REQUIRE(!decodeJob(c.body, spec));
+    BOOST_TEST(Workflow::requiredLabelsLogField(spec) == c.field);
+}
+
 const std::string goodEntry = R"({"service":"s","address":"10.0.0.9:8080","zone":"z","state":"ready","born":17,
     "capacity":{"cpu":16000,"memMb":32768,"gpus":8},"labels":["a","r1-3"],"sequence":4})";
 
