Log an entry of a worker whose reports come from another life

Cause: an entry that is read after a report of a later life, for example by a new holder, replaced the known labels by outdated ones, and the log showed only the entry's own life.

Measured: the five cases of aRestartNamesBothLivesAndTheKnownLabels pass.

--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -65,6 +65,9 @@
     if (hasEarlierEntry && worker.info.incarnation != info.incarnation) {
         out += " previous_life=" + std::to_string(worker.info.incarnation);
     }
+    if (worker.incarnation != 0 && worker.incarnation != info.incarnation) {
+        out += " reported_life=" + std::to_string(worker.incarnation);
+    }
     return out;
 }
 
--- a/tests/workflow/start_trace_test.cpp
+++ b/tests/workflow/start_trace_test.cpp
@@ -267,8 +267,10 @@
     const char *name;
     /// Life of the first report, or 0 without one.
     std::int64_t firstReport;
-    bool shownByList;
-    bool wasUnlisted;
+    /// Whether the entry is removed from the list before the restart shows.
+    bool isUnlisted;
+    /// Life of the next entry, which has other labels, or 0 without one.
+    std::int64_t nextEntry;
     std::vector<std::string> events;
 };
 
@@ -277,30 +279,31 @@
     return out << c.name;
 }
 
+const std::string unlistedEvent = "worker-unlisted worker=w";
+const std::string listedEvent = "worker-listed worker=w state=ready service=service rack=r1-2 labels=a-next life=200 "
+                                "previous_labels=a,r1-2 previous_life=100 reported_life=100";
+const std::string rebornEvent = "worker-reborn worker=w units=0 shown_by=list previous_life=100 service=service labels=a-next "
+                                "listed_life=200 life=200";
+
 const std::vector<RestartCase> restartCases{
     {"a report shows it",
      100,
      false,
-     false,
+     0,
      {"worker-reborn worker=w units=0 shown_by=report previous_life=100 service=service labels=a,r1-2 listed_life=100 life=200"}},
-    {"the list shows it",
-     100,
-     true,
-     false,
-     {"worker-listed worker=w state=ready service=service rack=r1-2 labels=a-next life=200 previous_labels=a,r1-2 previous_life=100",
-      "worker-reborn worker=w units=0 shown_by=list previous_life=100 service=service labels=a-next listed_life=200 life=200"}},
-    {"the list shows it once the old entry was removed",
-     100,
-     true,
-     true,
-     {"worker-unlisted worker=w",
-      "worker-listed worker=w state=ready service=service rack=r1-2 labels=a-next life=200 previous_labels=a,r1-2 previous_life=100",
-      "worker-reborn worker=w units=0 shown_by=list previous_life=100 service=service labels=a-next listed_life=200 life=200"}},
+    {"the list shows it", 100, false, 200, {listedEvent, rebornEvent}},
+    {"the list shows it once the old entry was removed", 100, true, 200, {unlistedEvent, listedEvent, rebornEvent}},
     {"the first report shows that the entry is old",
      0,
      false,
-     false,
+     0,
      {"worker-life-differs worker=w service=service labels=a,r1-2 listed_life=100 life=200"}},
+    {"an entry is older than the reports",
+     200,
+     false,
+     150,
+     {"worker-listed worker=w state=ready service=service rack=r1-2 labels=a-next life=150 previous_labels=a,r1-2 previous_life=100 "
+      "reported_life=200"}},
 };
 
 // Guards against a restart that does not show whether the known labels are those of the new life.
@@ -312,11 +315,11 @@
         one.report(c.firstReport);
     }
     one.events.clear();
-    if (c.wasUnlisted) {
+    if (c.isUnlisted) {
         one.dispatcher.workerUnlisted(one.info.name, begin);
     }
-    if (c.shownByList) {
-        one.info.incarnation = 200;
+    if (c.nextEntry != 0) {
+        one.info.incarnation = c.nextEntry;
         one.info.labels = {"a-next"};
         one.list();
     }
