Report a start that is withheld, with the reason

Cause: a start that was not sent because its worker had changed was logged as `worker-unusable` or `not-sent`, like others. Change: startObstacle() says why a worker must not start a unit; recorded assignments and starts that are not sent for such a reason are logged as `start-ineligible` and counted. Measured: changedWorker checks the event and its counter; 123 tests of the dispatcher, the trace and changedWorker pass in debug, and the adapter tests.

--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -72,8 +72,8 @@
     }
     // When one member of a gang may not start, its run is ending, and no other member of it is started any more.
     auto *unit = s.findUnit(command.task);
-    return s.findCurrentMember(unit, *worker->second, command.task, command.run) != nullptr && !unit->ending && worker->second->takesRuns()
-        && isSuitable(worker->second->info, *unit);
+    return s.findCurrentMember(unit, *worker->second, command.task, command.run) != nullptr && !unit->ending
+        && !startObstacle(*worker->second, *unit);
 }
 
 /// Returns whether the evacuated zones were confirmed recently enough to start work.
@@ -511,9 +511,15 @@
         }
         unit->recordingAssignment = false;
         s.observeStart(*unit, now);
-        const auto unusable = [&](const Member &m) { return !m.worker->schedulable() || !isSuitable(m.worker->info, *unit); };
-        if (std::any_of(unit->members.begin(), unit->members.end(), unusable)) {
-            s.stopUnit(*unit, "worker-unusable");
+        for (std::uint32_t i = 0; i < unit->members.size(); ++i) {
+            const auto &chosen = *unit->members[i].worker;
+            const auto obstacle = startObstacle(chosen, *unit);
+            if (obstacle && !unit->ending) {
+                s.reportIneligibleStart(*unit, unit->task(i), chosen, *obstacle);
+            }
+            if (obstacle || !chosen.schedulable()) {
+                s.stopUnit(*unit, "worker-unusable");
+            }
         }
         for (std::uint32_t i = 0; i < unit->members.size(); ++i) {
             auto &member = unit->members[i];
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -86,6 +86,23 @@
         && (label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end());
 }
 
+auto startObstacle(const Worker &worker, const Unit &unit) -> std::optional<StartObstacle>
+{
+    if (!worker.listed || !worker.entryIsCurrent()) {
+        return StartObstacle::Life;
+    }
+    if (worker.info.draining) {
+        return StartObstacle::Draining;
+    }
+    if (worker.evacuated) {
+        return StartObstacle::Evacuated;
+    }
+    if (worker.info.service != unit.job->policy.service) {
+        return StartObstacle::Service;
+    }
+    return isSuitable(worker.info, unit) ? std::nullopt : std::optional(StartObstacle::Label);
+}
+
 /// One round of placement over the whole pool.
 class PlacementRound
 {
@@ -617,7 +634,7 @@
             needs[it.get()] += unit->demand();
         }
         const bool usable = std::all_of(needs.begin(), needs.end(),
-                                        [&](const auto &n) { return n.first->schedulable() && isSuitable(n.first->info, *unit); });
+                                        [&](const auto &n) { return n.first->schedulable() && !startObstacle(*n.first, *unit); });
         const bool fits = std::all_of(needs.begin(), needs.end(), [](const auto &n) { return n.first->free().covers(n.second); });
         const auto reservedWorkers = unit->reservedWorkers;
         if (!usable || fits || now > unit->reservedAt + settings.reservationTimeout) {
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -215,14 +215,9 @@
     {
         return info.incarnation == 0 || incarnation == 0 || info.incarnation == incarnation;
     }
-    /// Returns whether it takes new runs, reachable or not.
-    [[nodiscard]] auto takesRuns() const -> bool
-    {
-        return listed && entryIsCurrent() && !info.draining && !evacuated;
-    }
     [[nodiscard]] auto schedulable() const -> bool
     {
-        return takesRuns() && lastAnsweredPoll && !unreachableSince;
+        return listed && entryIsCurrent() && !info.draining && !evacuated && lastAnsweredPoll && !unreachableSince;
     }
     [[nodiscard]] auto free() const -> Demand
     {
@@ -467,10 +462,13 @@
     WithheldStartCounts withheldStarts{};
 };
 
-/// Returns whether a worker is of the service and has the label that a unit requires. A worker may change after a unit was placed on it, so
-/// each step towards a start asks again. \pre none. Thread-safe.
+/// Returns whether a worker is of the service and has the label that a unit requires. \pre none. Thread-safe.
 [[nodiscard]] auto isSuitable(const WorkerInfo &worker, const Unit &unit) -> bool;
 
+/// Returns why a worker must not start tasks of a unit, by what is known of it now, reachable or not. A worker may change after a unit was
+/// placed on it, so each step towards a start asks again. \pre none. Thread-safe.
+[[nodiscard]] auto startObstacle(const Worker &worker, const Unit &unit) -> std::optional<StartObstacle>;
+
 /// Returns the fields of a log line with what is known of a worker, each after a space: `service` and `labels` of its entry in the list,
 /// `listed_life` and `life` from its entry and from its reports. \pre none. Thread-safe.
 [[nodiscard]] auto knownKind(const Worker &worker) -> std::string;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -434,6 +434,11 @@
                     workerDetail(worker) + " step=" + std::to_string(command.task.step) + " index=" + std::to_string(command.task.index)
                         + " run=" + std::to_string(command.run) + " outcome=" + startOutcomeName(outcome));
     }
+    if (outcome == StartOutcome::NotSent && member != nullptr) {
+        if (const auto obstacle = startObstacle(worker, *unit)) {
+            s.reportIneligibleStart(*unit, command.task, worker, *obstacle);
+        }
+    }
     if (outcome == StartOutcome::Unknown) {
         worker.unansweredGrant = now;
     }
--- a/tests/workflow/changed_worker_test.cpp
+++ b/tests/workflow/changed_worker_test.cpp
@@ -76,6 +76,8 @@
     const char *name;
     /// Submits the labelled job, and makes `w0-1` a worker of kind `a` before the start.
     std::function<void(FakeFleet &)> changeBeforeStart;
+    /// Whether a start that was decided is reported as withheld.
+    bool withholdsStart = false;
 };
 
 auto operator<<(std::ostream &out, const ChangeCase &c) -> std::ostream &
@@ -103,7 +105,8 @@
          fleet.workers.at(WorkerName("w0-1")).info.labels = {"a", "rack0"};
          fleet.list("w0-1");
          fleet.storeUp = true;
-     }},
+     },
+     true},
     {"while a start without a response is repeated",
      [](FakeFleet &fleet) {
          fleet.commandDelay = [](bool grants) { return grants ? std::optional<Duration>(10s) : std::nullopt; };
@@ -113,7 +116,8 @@
          restartAs(fleet, "a");
          fleet.list("w0-1");
          fleet.starts.clear();
-     }},
+     },
+     true},
 };
 
 const std::vector<ChangeCase> staleEntryCases{
@@ -144,6 +148,8 @@
     c.changeBeforeStart(fleet);
     fleet.run(3s);
     BOOST_TEST(startsOfLabelled(fleet) == 0U);
+    BOOST_TEST(hasEvent(fleet, "start-ineligible") == c.withholdsStart);
+    BOOST_TEST(fleet.stats().withheldStarts.at(static_cast<std::size_t>(StartObstacle::Label)) == (c.withholdsStart ? 1U : 0U));
     restartAs(fleet, "b");
     fleet.list("w0-1");
     BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("labelled").has_value(); }, 20s));
