Send a start only over a connection to the incarnation that it is meant for

Callers saw tasks run on workers without the label that their step requires, and a task may run twice. Cause: the platform names workers by ids that a new incarnation keeps, and a worker that runs nothing is polled every 4 s. After a restart the next start opened a new connection, and the new incarnation, perhaps of another kind, ran a unit that was placed on the earlier one. When its next report showed the restart, that run was taken for ended with the earlier incarnation and started elsewhere as well. Change: a start names the incarnation that the unit was placed on. A start for another incarnation is not sent (StartOutcome::OtherIncarnation), and nothing more is placed on the worker until it has answered a poll. Evidence: workerClient/aStartReachesOnlyTheIncarnationThatItIsMeantFor; with the check of connections left out, two of its five cases reach the new incarnation.

--- a/packages/runtime/include/acaciarail/runtime/http_client.h
+++ b/packages/runtime/include/acaciarail/runtime/http_client.h
@@ -18,6 +18,9 @@
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+/// Identifies an established connection of a client. Never used again once the connection has closed; 0 for none.
+using HttpConnectionId = std::uint64_t;
+
 struct HttpClientSettings
 {
     SocketAddress address;
@@ -42,17 +45,21 @@
     Duration timeout{};
     /// Sent in addition to those of the client.
     HttpHeaders headers = {};
+    /// When set, the request is sent over an idle connection for which it returns true; without one, it fails with Error::NoEndpoint.
+    std::function<bool(HttpConnectionId)> mayUse = {};
 };
 
 struct HttpResult
 {
-    /// Empty once a complete response arrived; otherwise Error::Timeout, Error::ConnectionLost, Error::TooLarge,
-    /// or Error::Overloaded when too many requests are in progress.
+    /// Empty once a complete response arrived; otherwise Error::Timeout, Error::ConnectionLost, Error::TooLarge, Error::Overloaded when too
+    /// many requests are in progress, or Error::NoEndpoint when no idle connection may be used.
     std::error_code error;
     /// False when it is certain that the server never received any part of the request.
     bool maybeSent = false;
     int status = 0;
     std::string body;
+    /// The connection that carried the response.
+    HttpConnectionId connection = 0;
 };
 
 /// Requests to one HTTP server. Each request in progress has a connection of its own, so that a long poll or a connection without
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -8,6 +8,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <utility>
@@ -21,11 +23,13 @@
 /// evhttp's own timeout in seconds; the timer of each request, which has a finer resolution, ends it earlier.
 constexpr int fallbackTimeoutSeconds = 3600;
 
-/// One connection and the request in progress on it.
+/// One connection and the request in progress on it. evhttp connects it again for the next request after the server has closed it.
 struct Connection
 {
-    Connection(EventLoop &loop, const HttpClientSettings &settings)
-        : timer(loop, [this] { handleTimeout(); })
+    Connection(EventLoop &loop, const HttpClientSettings &settings, std::shared_ptr<HttpConnectionId> newestId)
+        : newest(std::move(newestId))
+        , id(++*newest)
+        , timer(loop, [this] { handleTimeout(); })
     {
         http = evhttp_connection_base_new(loop.base(), nullptr, settings.address.host.c_str(), settings.address.port);
         evhttp_connection_set_timeout(http, fallbackTimeoutSeconds);
@@ -38,6 +42,11 @@
             self->maybeSent = self->maybeSent || info->n_added > 0;
         };
         evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(http)), written, this);
+        const auto closed = [](evhttp_connection *, void *arg) {
+            auto *self = static_cast<Connection *>(arg);
+            self->id = ++*self->newest;
+        };
+        evhttp_connection_set_closecb(http, closed, this);
     }
     ~Connection()
     {
@@ -58,7 +67,7 @@
         auto *input = evhttp_request_get_input_buffer(request);
         std::string body(evbuffer_get_length(input), '\0');
         evbuffer_remove(input, body.data(), body.size());
-        finish({{}, true, status, std::move(body)});
+        finish({{}, true, status, std::move(body), id});
     }
 
     /// Frees the connection before the result is reported, because a request that was reported as not sent must not be sent later.
@@ -76,6 +85,9 @@
         }
     }
 
+    /// Shared with the client, which the connection may outlive.
+    std::shared_ptr<HttpConnectionId> newest;
+    HttpConnectionId id;
     evhttp_connection *http = nullptr;
     Timer timer;
     bool maybeSent = false;
@@ -94,13 +106,15 @@
     {
     }
 
-    auto acquire() -> std::shared_ptr<Connection>
+    /// Returns an idle connection, the one that was used last, or a new one; null if \a mayUse is set and accepts no idle connection.
+    auto acquire(const std::function<bool(HttpConnectionId)> &mayUse) -> std::shared_ptr<Connection>
     {
-        if (idle.empty()) {
-            return std::make_shared<Connection>(loop, settings);
+        const auto it = std::find_if(idle.rbegin(), idle.rend(), [&](const auto &c) { return !mayUse || mayUse(c->id); });
+        if (it == idle.rend()) {
+            return mayUse ? nullptr : std::make_shared<Connection>(loop, settings, newestId);
         }
-        auto connection = std::move(idle.back());
-        idle.pop_back();
+        auto connection = std::move(*it);
+        idle.erase(std::next(it).base());
         return connection;
     }
 
@@ -114,6 +128,7 @@
 
     EventLoop &loop;
     HttpClientSettings settings;
+    std::shared_ptr<HttpConnectionId> newestId = std::make_shared<HttpConnectionId>(0);
     std::map<Connection *, std::shared_ptr<Connection>> busy;
     std::vector<std::shared_ptr<Connection>> idle;
 };
@@ -131,15 +146,22 @@
 
 auto HttpClient::start(HttpRequest request, std::function<void(HttpResult)> done) -> void
 {
-    if (m_state->busy.size() >= m_state->settings.maxBusyConnections) {
-        m_state->loop.post([weak = std::weak_ptr<State>(m_state), hook = std::move(done)] {
+    const auto fail = [this, &done](Error error) {
+        m_state->loop.post([weak = std::weak_ptr<State>(m_state), hook = std::move(done), error] {
             if (!weak.expired()) {
-                hook({Error::Overloaded, false, 0, {}});
+                hook({error, false, 0, {}});
             }
         });
+    };
+    if (m_state->busy.size() >= m_state->settings.maxBusyConnections) {
+        fail(Error::Overloaded);
+        return;
+    }
+    const auto connection = m_state->acquire(request.mayUse);
+    if (!connection) {
+        fail(Error::NoEndpoint);
         return;
     }
-    const auto connection = m_state->acquire();
     m_state->busy.emplace(connection.get(), connection);
     connection->maybeSent = false;
     connection->failure = Error::ConnectionLost;
--- a/packages/workflow/include/acaciarail/workflow/worker.h
+++ b/packages/workflow/include/acaciarail/workflow/worker.h
@@ -109,6 +109,8 @@
     Duration lease{};
     /// Priority of the job's queue; more urgent commands are sent first.
     std::uint32_t priority = 0;
+    /// The incarnation of the worker that the run was assigned to; the command must not reach another one. 0 when it is not known.
+    std::int64_t incarnation = 0;
 };
 
 /// Stops a run. A run that has not started yet will not start.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -534,7 +534,8 @@
             member.startedAt = now;
             member.lastProgress = now;
             s.pendingStarts.push_back({member.worker->info.name, unit->task(i), unit->record.run, unit->job->spec.payload,
-                                       unit->record.checkpoint, s.settings.taskLease, unit->job->policy.priority});
+                                       unit->record.checkpoint, s.settings.taskLease, unit->job->policy.priority,
+                                       member.worker->incarnation});
         }
         s.requeueIfEnded(*unit, now);
     }
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -442,6 +442,11 @@
     if (outcome == StartOutcome::Unknown) {
         worker.unansweredGrant = now;
     }
+    if (outcome == StartOutcome::OtherIncarnation) {
+        // Nothing more is placed on the worker until a poll has shown what it is now.
+        worker.lastAnsweredPoll.reset();
+        worker.nextPoll = now;
+    }
     if (outcome == StartOutcome::Started) {
         worker.renewedAt = now;
         // A repeated start that finds its run started already extends nothing.
--- /dev/null
+++ b/tests/adapter/worker_client_test.cpp
@@ -0,0 +1,174 @@
+#include "worker_client.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace Acaciarail::Adapter::Tests {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+using Workflow::StartOutcome;
+
+constexpr const char *host = "127.0.0.1";
+
+/// One incarnation of a worker. Its connections close with it.
+class WorkerProcess
+{
+public:
+    WorkerProcess(Runtime::EventLoop &loop, std::uint16_t port, std::int64_t incarnation)
+        : m_incarnation(incarnation)
+        , m_http(evhttp_new(loop.base()))
+    {
+        auto *bound = evhttp_bind_socket_with_handle(m_http, host, port);
+        BOOST_REQUIRE(bound != nullptr);
+        sockaddr_in address{};
+        socklen_t n = sizeof address;
+        ::getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr *>(&address), &n);
+        m_port = ntohs(address.sin_port);
+        evhttp_set_gencb(
+            m_http, [](evhttp_request *request, void *self) { static_cast<WorkerProcess *>(self)->handle(request); }, this);
+    }
+    ~WorkerProcess()
+    {
+        evhttp_free(m_http);
+    }
+    WorkerProcess(const WorkerProcess &) = delete;
+    auto operator=(const WorkerProcess &) -> WorkerProcess & = delete;
+
+    [[nodiscard]] auto port() const -> std::uint16_t
+    {
+        return m_port;
+    }
+    [[nodiscard]] auto starts() const -> int
+    {
+        return m_starts;
+    }
+
+private:
+    auto handle(evhttp_request *request) -> void
+    {
+        const std::string path = evhttp_request_get_uri(request);
+        m_starts += path == "/api/run-start" ? 1 : 0;
+        auto body = R"({"clockMs":1000,"running":[],"ended":[],"born":)" + std::to_string(m_incarnation) + "}";
+        evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+        evhttp_send_reply(request, 200, nullptr, nullptr);
+    }
+
+    std::int64_t m_incarnation;
+    evhttp *m_http;
+    std::uint16_t m_port = 0;
+    int m_starts = 0;
+};
+
+struct Client
+{
+    Runtime::EventLoop loop;
+    InstanceMetrics metrics;
+    WorkerClient client{loop, metrics};
+    Workflow::WorkerHooks hooks = client.hooks({});
+
+    auto poll() -> bool
+    {
+        std::optional<bool> answered;
+        hooks.poll({WorkerName("w"), 0, {}, {}}, 1, [&](const auto &response) { answered = response.report.has_value(); });
+        loop.runUntil([&] { return answered.has_value(); }, 5s);
+        return answered.value_or(false);
+    }
+    auto start(std::int64_t incarnation) -> std::optional<StartOutcome>
+    {
+        std::optional<StartOutcome> outcome;
+        Workflow::StartCommand command{WorkerName("w"), {JobId("0123456789abcdef"), 0, 0, 0}, 1, "payload", {}, 3s};
+        command.incarnation = incarnation;
+        hooks.start(command, 1, [&](StartOutcome o) { outcome = o; });
+        loop.runUntil([&] { return outcome.has_value(); }, 5s);
+        return outcome;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(workerClient)
+
+struct IncarnationCase
+{
+    const char *name;
+    /// Of the worker that is polled, and of the one at its address when the start is sent.
+    std::int64_t polled;
+    std::int64_t running;
+    /// That the start is meant for; 0 for any.
+    std::int64_t target;
+    /// Empty for any outcome but Started; which one depends on when the closed connection is noticed.
+    std::optional<StartOutcome> expected;
+    /// Whether the client gets to notice the closed connections of the earlier process before the start.
+    bool closeNoticed = true;
+};
+
+auto operator<<(std::ostream &out, const IncarnationCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<IncarnationCase> incarnationCases{
+    {"the same process", 5, 5, 5, StartOutcome::Started},
+    {"a restart that the holder does not know of", 5, 6, 5, StartOutcome::OtherIncarnation},
+    {"a restart of which not even the closed connection is known", 5, 6, 5, std::nullopt, false},
+    {"a restart that the holder knows of from the list", 5, 6, 6, StartOutcome::Started},
+    {"a platform that does not tell incarnations apart", 0, 0, 0, StartOutcome::Started},
+};
+
+// Guards against a start that reaches another incarnation of a worker than the one it was decided for, whose kind may be another.
+BOOST_DATA_TEST_CASE(aStartReachesOnlyTheIncarnationThatItIsMeantFor, data::make(incarnationCases), c)
+{
+    Client client;
+    auto process = std::make_unique<WorkerProcess>(client.loop, 0, c.polled);
+    const auto port = process->port();
+    client.client.setAddress(WorkerName("w"), {host, port});
+    BOOST_REQUIRE(client.poll());
+    if (c.running != c.polled) {
+        process.reset();
+        process = std::make_unique<WorkerProcess>(client.loop, port, c.running);
+        if (c.closeNoticed) {
+            client.loop.runUntil([] { return false; }, 50ms);
+        }
+    }
+    const auto outcome = client.start(c.target);
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((c.expected ? *outcome == *c.expected : *outcome != StartOutcome::Started));
+    BOOST_TEST(process->starts() == (c.expected == StartOutcome::Started ? 1 : 0));
+}
+
+// Guards against starts that wait for the only connection that is known to lead to the worker.
+BOOST_AUTO_TEST_CASE(manyStartsToAWorkerAreAnswered)
+{
+    Client client;
+    WorkerProcess process(client.loop, 0, 5);
+    client.client.setAddress(WorkerName("w"), {host, process.port()});
+    BOOST_REQUIRE(client.poll());
+    constexpr int n = 16;
+    int started = 0;
+    for (int i = 0; i < n; ++i) {
+        Workflow::StartCommand command{
+            WorkerName("w"), {JobId("0123456789abcdef"), 0, 0, static_cast<std::uint32_t>(i)}, 1, "payload", {}, 3s};
+        command.incarnation = 5;
+        client.hooks.start(command, 1, [&](StartOutcome o) { started += o == StartOutcome::Started ? 1 : 0; });
+    }
+    client.loop.runUntil([&] { return started == n; }, 5s);
+    BOOST_TEST(started == n);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Acaciarail::Adapter::Tests
