Acknowledge ends only to the incarnation that reported them

A task may run again although it had ended as done. Cause: a poll carries the number up to which ends are recorded. After a restart that the holder does not know of, it went over a new connection to the next incarnation, which numbers its ends from 1 again and forgets those up to that number. Change: a poll names the incarnation whose ends it acknowledges, and goes over a connection to it. Evidence: workerClient/anAcknowledgementReachesOnlyTheIncarnationThatReportedTheEnds fails with that check left out (the next incarnation is told 7).

--- a/packages/workflow/include/acaciarail/workflow/worker.h
+++ b/packages/workflow/include/acaciarail/workflow/worker.h
@@ -132,6 +132,8 @@
     Duration lease{};
     /// The response may wait this long for a run to end.
     Duration wait{};
+    /// The incarnation of the worker whose ends are recorded; another one must not forget its own. 0 when it is not known.
+    std::int64_t incarnation = 0;
 };
 
 } // namespace Acaciarail::Workflow
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -827,12 +827,12 @@
             // A worker that runs nothing has no end of a run to wait for.
             const bool idle = known && !unrecorded && w.units.empty() && w.orphanUsage == Demand{};
             w.idlePoll = idle;
-            out.polls.push_back(
-                {name, w.recordedEnds, Duration::zero(), known && !unrecorded && !idle ? settings.pollWait : Duration::zero()});
+            out.polls.push_back({name, w.recordedEnds, Duration::zero(),
+                                 known && !unrecorded && !idle ? settings.pollWait : Duration::zero(), w.incarnation});
         }
         if (known && !w.renewalOutstanding && !w.units.empty() && now >= w.nextRenewal) {
             w.renewalOutstanding = true;
-            out.polls.push_back({name, w.recordedEnds, settings.taskLease, Duration::zero()});
+            out.polls.push_back({name, w.recordedEnds, settings.taskLease, Duration::zero(), w.incarnation});
         }
     }
 }
--- a/tests/adapter/worker_client_test.cpp
+++ b/tests/adapter/worker_client_test.cpp
@@ -7,8 +7,11 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <netinet/in.h>
+#include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <ostream>
@@ -56,12 +59,21 @@
     {
         return m_starts;
     }
+    /// The highest number of an end that a poll has acknowledged.
+    [[nodiscard]] auto acknowledged() const -> std::uint64_t
+    {
+        return m_acknowledged;
+    }
 
 private:
     auto handle(evhttp_request *request) -> void
     {
         const std::string path = evhttp_request_get_uri(request);
         m_starts += path == "/api/run-start" ? 1 : 0;
+        auto *input = evhttp_request_get_input_buffer(request);
+        std::string received(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, received.data(), received.size());
+        m_acknowledged = std::max(m_acknowledged, nlohmann::json::parse(received).value("lastSeen", std::uint64_t{0}));
         auto body = R"({"clockMs":1000,"running":[],"ended":[],"born":)" + std::to_string(m_incarnation) + "}";
         evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
         evhttp_send_reply(request, 200, nullptr, nullptr);
@@ -71,6 +83,7 @@
     evhttp *m_http;
     std::uint16_t m_port = 0;
     int m_starts = 0;
+    std::uint64_t m_acknowledged = 0;
 };
 
 struct Client
@@ -80,10 +93,11 @@
     WorkerClient client{loop, metrics};
     Workflow::WorkerHooks hooks = client.hooks({});
 
-    auto poll() -> bool
+    auto poll(std::uint64_t recordedEnds = 0, std::int64_t incarnation = 0) -> bool
     {
         std::optional<bool> answered;
-        hooks.poll({WorkerName("w"), 0, {}, {}}, 1, [&](const auto &response) { answered = response.report.has_value(); });
+        hooks.poll({WorkerName("w"), recordedEnds, {}, {}, incarnation}, 1,
+                   [&](const auto &response) { answered = response.report.has_value(); });
         loop.runUntil([&] { return answered.has_value(); }, 5s);
         return answered.value_or(false);
     }
@@ -150,6 +164,25 @@
     BOOST_TEST(process->starts() == (c.expected == StartOutcome::Started ? 1 : 0));
 }
 
+// Guards against an incarnation that forgets its ends because those of an earlier one with the same numbers are recorded.
+BOOST_AUTO_TEST_CASE(anAcknowledgementReachesOnlyTheIncarnationThatReportedTheEnds)
+{
+    Client client;
+    auto process = std::make_unique<WorkerProcess>(client.loop, 0, 5);
+    const auto port = process->port();
+    client.client.setAddress(WorkerName("w"), {host, port});
+    BOOST_REQUIRE(client.poll());
+    BOOST_TEST(client.poll(7, 5));
+    BOOST_TEST(process->acknowledged() == 7U);
+    process.reset();
+    process = std::make_unique<WorkerProcess>(client.loop, port, 6);
+    client.loop.runUntil([] { return false; }, 50ms);
+    BOOST_TEST(client.poll(7, 5));
+    BOOST_TEST(process->acknowledged() == 0U);
+    BOOST_TEST(client.poll(2, 6));
+    BOOST_TEST(process->acknowledged() == 2U);
+}
+
 // Guards against starts that wait for the only connection that is known to lead to the worker.
 BOOST_AUTO_TEST_CASE(manyStartsToAWorkerAreAnswered)
 {
