--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -18,6 +18,11 @@
     return std::chrono::duration_cast<Duration>(lease * clockFactor);
 }
 
+auto kindOf(const WorkerInfo &info) -> std::string
+{
+    return info.labels.empty() ? std::string() : info.labels.front();
+}
+
 auto unixTime(TimePoint t) -> std::chrono::milliseconds
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(t.time_since_epoch());
@@ -49,10 +54,18 @@
     }
     m_batch.clear();
     m_batchOutcomes.clear();
+    m_deferred.clear();
     ++m_term;
+    record("holder term=" + std::to_string(m_term));
     m_dispatcher = std::make_unique<Dispatcher>(
-        settings, [this](const DispatchEvent &e) { events.push_back(std::string(e.name) + ' ' + e.job.str() + ' ' + e.details); }, m_now);
+        settings,
+        [this](const DispatchEvent &e) {
+            events.push_back(std::string(e.name) + ' ' + e.job.str() + ' ' + e.details);
+            record(events.back());
+        },
+        m_now);
     m_dispatcher->setConfiguration(configuration);
+    noteServices();
     applyEvacuations();
     for (const auto &[key, value] : stored) {
         StateEntry entry;
@@ -73,14 +86,62 @@
     for (const auto &it : m_cancelled) {
         m_dispatcher->cancel(JobId(it), m_now);
     }
-    for (const auto &[name, worker] : workers) {
-        m_dispatcher->workerListed(worker.info, m_now);
+    for (auto &[name, worker] : workers) {
+        worker.knownIncarnation = 0;
+        readEntry(worker.outdatedEntry.value_or(worker.info));
+    }
+}
+
+auto FakeFleet::record(std::string line) -> void
+{
+    constexpr TimePoint begin{1h};
+    trace.push_back(std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_now - begin).count()) + " ms "
+                    + std::move(line));
+}
+
+auto FakeFleet::noteServices() -> void
+{
+    for (const auto &it : configuration->queues) {
+        m_queueServices[it.name].insert(it.policy.service);
+    }
+}
+
+auto FakeFleet::moveQueue(const std::string &queue, const std::string &service) -> void
+{
+    auto changed = std::make_shared<Configuration>(*configuration);
+    for (auto &it : changed->queues) {
+        if (it.name == QueueName(queue)) {
+            it.policy.service = ServiceName(service);
+        }
+    }
+    ++changed->version;
+    configuration = std::move(changed);
+    noteServices();
+    m_dispatcher->setConfiguration(configuration);
+}
+
+auto FakeFleet::readEntry(const WorkerInfo &info) -> void
+{
+    auto &worker = workers.at(info.name);
+    worker.knownIncarnation = std::max(worker.knownIncarnation, info.incarnation);
+    worker.listedIncarnation = info.incarnation;
+    record("entry-read worker=" + info.name.str() + " life=" + std::to_string(info.incarnation) + " service=" + info.service.str()
+           + " kind=" + kindOf(info));
+    m_dispatcher->workerListed(info, m_now);
+}
+
+/// The newest entry is that of the present life from now on.
+auto FakeFleet::entryWritten(FakeWorker &worker) -> void
+{
+    if (auto outdated = std::exchange(worker.outdatedEntry, std::nullopt)) {
+        worker.earlierEntry = std::move(outdated);
     }
 }
 
 auto FakeFleet::submit(JobSpec spec) -> void
 {
     spec.acceptedAt = unixTime(m_now);
+    noteServices();
     if (const auto *queue = configuration->queue(spec.queue)) {
         spec.policy = queue->policy;
     }
@@ -120,15 +181,30 @@
 
 auto FakeFleet::announceShutdown(const std::string &worker, Duration remaining) -> void
 {
-    auto &info = workers.at(WorkerName(worker)).info;
-    info.draining = true;
-    info.timeUntilShutdown = remaining;
-    m_dispatcher->workerListed(info, m_now);
+    auto &w = workers.at(WorkerName(worker));
+    w.info.draining = true;
+    w.info.timeUntilShutdown = remaining;
+    list(worker);
 }
 
 auto FakeFleet::list(const std::string &worker) -> void
 {
-    m_dispatcher->workerListed(workers.at(WorkerName(worker)).info, m_now);
+    auto &w = workers.at(WorkerName(worker));
+    entryWritten(w);
+    readEntry(w.info);
+}
+
+auto FakeFleet::listEarlierEntry(const std::string &worker) -> void
+{
+    if (const auto &entry = workers.at(WorkerName(worker)).earlierEntry) {
+        readEntry(*entry);
+    }
+}
+
+auto FakeFleet::listNewestEntry(const std::string &worker) -> void
+{
+    const auto &w = workers.at(WorkerName(worker));
+    readEntry(w.outdatedEntry.value_or(w.info));
 }
 
 auto FakeFleet::unlist(const std::string &worker) -> void
@@ -148,6 +224,8 @@
     auto &w = workers.at(WorkerName(worker));
     forgetRuns(w);
     ++w.info.incarnation;
+    record("restart worker=" + worker + " life=" + std::to_string(w.info.incarnation) + " service=" + w.info.service.str()
+           + " kind=" + kindOf(w.info));
     w.info.draining = false;
     w.leaseEnds = {};
     w.term = 0;
@@ -159,6 +237,17 @@
     }
 }
 
+auto FakeFleet::restartAs(const std::string &worker, const std::string &service, const std::string &kind) -> void
+{
+    auto &w = workers.at(WorkerName(worker));
+    if (!w.outdatedEntry) {
+        w.outdatedEntry = w.info;
+    }
+    w.info.service = ServiceName(service);
+    w.info.labels.front() = kind;
+    restart(worker);
+}
+
 auto FakeFleet::forgetRuns(FakeWorker &worker) -> void
 {
     for (auto &run : worker.runs) {
@@ -188,6 +277,7 @@
 {
     m_now += tick;
     executeDelayed();
+    runDeferred();
     for (auto &[name, worker] : workers) {
         finishRuns(worker);
         answerPoll(worker);
@@ -216,20 +306,45 @@
         sendStop(it);
     }
     for (const auto &it : decisions.starts) {
-        start(it);
+        defer(startQueueDelay, [this, it] { start(it); });
     }
     for (const auto &it : decisions.polls) {
         sendPoll(it);
     }
 }
 
-auto FakeFleet::isDelayed(const FakeWorker &worker, bool grants, std::function<void(FakeWorker &)> execute) -> bool
+auto FakeFleet::defer(Duration delay, std::function<void()> call) -> void
+{
+    if (delay == Duration::zero()) {
+        call();
+    } else {
+        m_deferred.push_back({m_now + delay, std::move(call)});
+    }
+}
+
+auto FakeFleet::runDeferred() -> void
+{
+    std::vector<Deferred> due;
+    for (auto it = m_deferred.begin(); it != m_deferred.end();) {
+        if (it->at <= m_now) {
+            due.push_back(std::move(*it));
+            it = m_deferred.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    for (const auto &it : due) {
+        it.call();
+    }
+}
+
+auto FakeFleet::isDelayed(const FakeWorker &worker, bool grants, std::function<void(FakeWorker &)> execute, bool isStart) -> bool
 {
     const auto delay = commandDelay ? commandDelay(grants) : std::nullopt;
     if (!worker.reachable || !delay) {
         return false;
     }
-    m_delayed.push_back({m_now + *delay, worker.info.name, worker.info.incarnation, m_term, std::move(execute)});
+    m_delayed.push_back({m_now + *delay, worker.info.name, worker.info.incarnation, m_term, std::move(execute), isStart});
     return true;
 }
 
@@ -241,7 +356,8 @@
             continue;
         }
         auto &worker = workers.at(it->worker);
-        if (it->incarnation == worker.info.incarnation && it->term >= worker.term) {
+        const bool reaches = it->incarnation == worker.info.incarnation || (it->isStart && delayedStartsReachNewLives);
+        if (reaches && it->term >= worker.term) {
             it->execute(worker);
         }
         it = m_delayed.erase(it);
@@ -274,7 +390,11 @@
     worker.refusedRuns[command.task] = std::max(worker.refusedRuns[command.task], command.run);
     for (auto &run : worker.runs) {
         if (!run.end && run.command.task == command.task && run.command.run == command.run) {
-            end(worker, run, EndKind::Stopped);
+            if (stopDuration == Duration::zero()) {
+                end(worker, run, EndKind::Stopped);
+            } else {
+                run.stopsAt = run.stopsAt.value_or(m_now + stopDuration);
+            }
         }
     }
 }
@@ -340,12 +460,18 @@
     checkRecord(command);
     starts.push_back(command);
     auto &worker = workers.at(command.worker);
-    if (isDelayed(worker, true, [this, command](FakeWorker &w) { startRun(w, command); }) || !worker.reachable) {
-        m_dispatcher->startAnswered(command, StartOutcome::Unknown, m_now);
+    const Addressee addressee{worker.knownIncarnation, worker.info.incarnation};
+    record("start-sent " + command.task.job.str() + " index=" + std::to_string(command.task.index) + " run=" + std::to_string(command.run)
+           + " worker=" + command.worker.str() + " known_life=" + std::to_string(addressee.known)
+           + " life=" + std::to_string(addressee.present));
+    if (isDelayed(
+            worker, true, [this, command, addressee](FakeWorker &w) { startRun(w, command, addressee); }, true)
+        || !worker.reachable) {
+        defer(responseTimeout, [this, command] { m_dispatcher->startAnswered(command, StartOutcome::Unknown, m_now); });
         return;
     }
     worker.term = m_term;
-    auto response = startRun(worker, command);
+    auto response = startRun(worker, command, addressee);
     if (!worker.scriptedResponses.empty()) {
         response = worker.scriptedResponses.front();
         worker.scriptedResponses.erase(worker.scriptedResponses.begin());
@@ -355,7 +481,7 @@
     }
 }
 
-auto FakeFleet::startRun(FakeWorker &worker, const StartCommand &command) -> StartOutcome
+auto FakeFleet::startRun(FakeWorker &worker, const StartCommand &command, const Addressee &addressee) -> StartOutcome
 {
     const auto isSameRun = [&](const Run &run) { return !run.end && run.command.task == command.task && run.command.run == command.run; };
     extendLease(worker, command.lease);
@@ -367,6 +493,7 @@
         return StartOutcome::Superseded;
     }
     checkStart(command);
+    checkEligibility(worker, command, addressee);
     Run run;
     run.command = command;
     run.startedAt = m_now;
@@ -402,6 +529,54 @@
     }
 }
 
+auto FakeFleet::brokenRule(const FakeWorker &worker, const StartCommand &command) -> std::string
+{
+    const auto &job = m_jobs.at(command.task.job.str());
+    const auto &step = job.steps[command.task.step];
+    noteServices();
+    const auto services = m_queueServices.find(job.queue);
+    // A queue that was never configured has the policy with which the job was accepted.
+    const bool sent =
+        services == m_queueServices.end() ? worker.info.service == job.policy.service : services->second.contains(worker.info.service);
+    if (!sent) {
+        return "service " + worker.info.service.str();
+    }
+    const auto &labels = worker.info.labels;
+    if (!step.requiredLabel.empty() && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end()) {
+        return "required label " + step.requiredLabel + ", kind " + kindOf(worker.info);
+    }
+    const auto isOfStep = [&](const Run &run) {
+        const auto &task = run.command.task;
+        return !run.end && task.job == command.task.job && task.occurrence == command.task.occurrence && task.step == command.task.step;
+    };
+    const auto tasks = std::count_if(worker.runs.begin(), worker.runs.end(), isOfStep);
+    if (step.maxPerWorker > 0 && tasks >= static_cast<std::ptrdiff_t>(step.maxPerWorker)) {
+        return "more than " + std::to_string(step.maxPerWorker) + " tasks of the step";
+    }
+    return {};
+}
+
+auto FakeFleet::checkEligibility(const FakeWorker &worker, const StartCommand &command, const Addressee &addressee) -> void
+{
+    StartFinding finding{command, Awareness::Known, brokenRule(worker, command), worker.listedIncarnation == worker.info.incarnation,
+                         m_now};
+    if (worker.info.incarnation > addressee.present) {
+        finding.awareness = Awareness::Late;
+    } else if (worker.info.incarnation > addressee.known) {
+        finding.awareness = Awareness::Unknown;
+    }
+    if (finding.awareness == Awareness::Known && finding.rule.empty()) {
+        return;
+    }
+    const auto text = "a start of " + command.task.job.str() + " on " + worker.info.name.str() + " against its " + finding.rule
+        + (finding.entryRead ? ", whose entry was read" : ", whose entry was not read");
+    if (finding.awareness == Awareness::Known) {
+        violations.push_back(text);
+        record("violation: " + text);
+    }
+    startFindings.push_back(std::move(finding));
+}
+
 auto FakeFleet::end(FakeWorker &worker, Run &run, EndKind kind) -> void
 {
     run.end = kind;
@@ -418,6 +593,9 @@
         if (!run.end && m_now > worker.leaseEnds) {
             end(worker, run, EndKind::LeaseExpired);
         }
+        if (!run.end && run.stopsAt && m_now >= *run.stopsAt) {
+            end(worker, run, EndKind::Stopped);
+        }
         run.lapsedBeforeAcknowledgement = run.lapsedBeforeAcknowledgement || (run.end && !run.acknowledged && m_now > worker.leaseEnds);
         if (run.end || worker.slowdown <= 0) {
             continue;
@@ -482,6 +660,10 @@
 auto FakeFleet::answer(FakeWorker &worker, const PollCommand &command, TimePoint sentAt) -> void
 {
     acknowledgeEnds(worker, command.recordedEnds);
+    if (worker.knownIncarnation < worker.info.incarnation) {
+        worker.knownIncarnation = worker.info.incarnation;
+        record("first-report worker=" + worker.info.name.str() + " life=" + std::to_string(worker.info.incarnation));
+    }
     m_dispatcher->pollAnswered(command, sentAt, makeReport(worker), m_now);
 }
 
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,15 @@
     auto unlist(const std::string &worker) -> void;
     /// Restarts a worker: its runs end without a report, and it knows nothing of before. Its entry is as it was until list() is called.
     auto restart(const std::string &worker) -> void;
+    /// Restarts a worker as one of another service or kind, that is its first label. The holder reads the new entry when list() is called;
+    /// until then the list holds the entry of an earlier life, also for a new holder.
+    auto restartAs(const std::string &worker, const std::string &service, const std::string &kind) -> void;
+    /// The list is read again from an older position: the entry before the newest one arrives again. Does nothing when there is none.
+    auto listEarlierEntry(const std::string &worker) -> void;
+    /// The newest entry of a worker arrives again; it may be that of an earlier life, see restartAs().
+    auto listNewestEntry(const std::string &worker) -> void;
+    /// A new version of the configuration sends a queue to another service.
+    auto moveQueue(const std::string &queue, const std::string &service) -> void;
     /// Shuts a worker down: its runs end without a report, and its entry is removed.
     auto shutDown(const std::string &worker) -> void;
 
@@ -66,6 +76,28 @@
         bool acknowledged = false;
         /// The worker's lease expired between the end and its acknowledgement, so the end need not be heeded.
         bool lapsedBeforeAcknowledgement = false;
+        /// When a stop takes effect.
+        std::optional<TimePoint> stopsAt;
+    };
+    /// What the holder knew of the life that a start reached.
+    enum class Awareness {
+        /// An entry or a report of this life had reached the holder when it sent the start.
+        Known,
+        /// The worker had restarted, and neither an entry nor a report of the new life had reached the holder.
+        Unknown,
+        /// The worker restarted after the start was sent, and the new life carried it out late.
+        Late,
+    };
+    /// A start that the worker's present life may not get, or that reached another life than the holder knew.
+    struct StartFinding
+    {
+        StartCommand command;
+        Awareness awareness = Awareness::Known;
+        /// Of an ineligible start: the rule that it breaks.
+        std::string rule;
+        /// The newest entry that the holder has read is that of this life.
+        bool entryRead = false;
+        TimePoint at;
     };
     struct FakeWorker
     {
@@ -91,6 +123,13 @@
         std::vector<EndedTask> ends;
         std::uint64_t endCount = 0;
         std::optional<std::pair<PollCommand, TimePoint>> pendingPoll;
+        /// The newest entry in the list while it is that of an earlier life.
+        std::optional<WorkerInfo> outdatedEntry;
+        /// The entry of an earlier life before the newest one.
+        std::optional<WorkerInfo> earlierEntry;
+        /// Newest life that an entry or a report to the present holder named, and the life of the entry that it read last.
+        std::int64_t knownIncarnation = 0;
+        std::int64_t listedIncarnation = 0;
     };
 
     /// Of the next holder.
@@ -108,6 +147,14 @@
     /// response, and is carried out also by a worker that is disconnected; its lease counts from then on. Commands take effect at once when
     /// this is empty or returns nothing.
     std::function<std::optional<Duration>(bool grants)> commandDelay;
+    /// Time that starts wait at the holder before they are sent.
+    Duration startQueueDelay{};
+    /// Time until a start without a response is reported to the holder.
+    Duration responseTimeout{};
+    /// Time that a stop takes.
+    Duration stopDuration{};
+    /// Delayed starts are carried out also by a new life of the worker; other delayed commands never are.
+    bool delayedStartsReachNewLives = false;
     /// Whether a run may start although another has ended as done, while the end is not acknowledged or no longer counts.
     bool allowsRunsAfterLapse = false;
     std::vector<StartCommand> starts;
@@ -116,6 +163,10 @@
     bool operatorTopicReadable = true;
     /// Violations of invariants that the workers observed.
     std::vector<std::string> violations;
+    /// Those with Awareness::Known are violations as well.
+    std::vector<StartFinding> startFindings;
+    /// Events of the holder and of the workers with their times, oldest first.
+    std::vector<std::string> trace;
 
 private:
     struct DelayedCommand
@@ -125,19 +176,42 @@
         std::int64_t incarnation = 0;
         std::uint64_t term = 0;
         std::function<void(FakeWorker &)> execute;
+        bool isStart = false;
+    };
+    /// A life as the holder knew it when it sent a command.
+    struct Addressee
+    {
+        std::int64_t known = 0;
+        std::int64_t present = 0;
+    };
+    /// Something that happens at the present holder later.
+    struct Deferred
+    {
+        TimePoint at;
+        std::function<void()> call;
     };
 
     auto step() -> void;
     auto executeDelayed() -> void;
     /// Returns whether a command is delayed, and if so, schedules it.
-    auto isDelayed(const FakeWorker &worker, bool grants, std::function<void(FakeWorker &)> execute) -> bool;
+    auto isDelayed(const FakeWorker &worker, bool grants, std::function<void(FakeWorker &)> execute, bool isStart = false) -> bool;
+    /// Calls \a call at once when \a delay is zero.
+    auto defer(Duration delay, std::function<void()> call) -> void;
+    auto runDeferred() -> void;
+    auto readEntry(const WorkerInfo &info) -> void;
+    auto entryWritten(FakeWorker &worker) -> void;
+    auto record(std::string line) -> void;
+    auto noteServices() -> void;
     auto sendPoll(const PollCommand &command) -> void;
     auto sendStop(const StopCommand &command) -> void;
     auto extendLease(FakeWorker &worker, Duration lease) -> void;
     auto stopRun(FakeWorker &worker, const StopCommand &command) -> void;
     auto applyEvacuations() -> void;
     auto checkZone(const StartCommand &command) -> void;
-    auto startRun(FakeWorker &worker, const StartCommand &command) -> StartOutcome;
+    auto startRun(FakeWorker &worker, const StartCommand &command, const Addressee &addressee) -> StartOutcome;
+    /// Returns the rule that a start on a worker breaks; empty when it breaks none.
+    auto brokenRule(const FakeWorker &worker, const StartCommand &command) -> std::string;
+    auto checkEligibility(const FakeWorker &worker, const StartCommand &command, const Addressee &addressee) -> void;
     auto forgetRuns(FakeWorker &worker) -> void;
     auto acknowledgeEnds(FakeWorker &worker, std::uint64_t number) -> void;
     auto finishRuns(FakeWorker &worker) -> void;
@@ -155,6 +229,9 @@
     std::map<ZoneName, TimePoint> m_evacuated;
     std::uint64_t m_term = 0;
     std::vector<DelayedCommand> m_delayed;
+    std::vector<Deferred> m_deferred;
+    /// Services that any version of the configuration sent a queue to.
+    std::map<QueueName, std::set<ServiceName>> m_queueServices;
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::map<std::string, JobSpec> m_jobs;
     std::vector<std::string> m_cancelled;
