--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -413,9 +413,10 @@
 auto FakeFleet::sendPoll(const PollCommand &command) -> void
 {
     auto &worker = workers.at(command.worker);
-    const auto execute = [this, command](FakeWorker &w) {
+    const auto addressee = worker.knownIncarnation;
+    const auto execute = [this, command, addressee](FakeWorker &w) {
         extendLease(w, command.lease);
-        acknowledgeEnds(w, command.recordedEnds);
+        acknowledgeEnds(w, command.recordedEnds, addressee);
     };
     if (isDelayed(worker, command.lease > Duration::zero(), execute) || !worker.reachable) {
         m_dispatcher->pollAnswered(command, m_now, std::nullopt, m_now, !worker.refusesConnections);
@@ -424,9 +425,10 @@
     worker.term = m_term;
     extendLease(worker, command.lease);
     if (command.wait == Duration::zero() && !worker.withholdsResponses) {
-        answer(worker, command, m_now);
+        answer(worker, command, m_now, addressee);
     } else if (command.wait > Duration::zero()) {
         worker.pendingPoll.emplace(command, m_now);
+        worker.pendingPollAddressee = addressee;
     }
 }
 
@@ -537,7 +539,8 @@
             }
             const bool counts = !allowsRunsAfterLapse || (run.acknowledged && !run.lapsedBeforeAcknowledgement);
             if (run.end == EndKind::Done && run.command.task == command.task && counts) {
-                violation("a run after the end of " + command.task.job.str());
+                violation("a run after the end of " + command.task.job.str()
+                          + (run.acknowledgedToEarlierLife ? " that was acknowledged to an earlier life" : ""));
             }
         }
     }
@@ -676,12 +679,12 @@
         return;
     }
     worker.pendingPoll.reset();
-    answer(worker, command, sentAt);
+    answer(worker, command, sentAt, worker.pendingPollAddressee);
 }
 
-auto FakeFleet::answer(FakeWorker &worker, const PollCommand &command, TimePoint sentAt) -> void
+auto FakeFleet::answer(FakeWorker &worker, const PollCommand &command, TimePoint sentAt, std::int64_t addressee) -> void
 {
-    acknowledgeEnds(worker, command.recordedEnds);
+    acknowledgeEnds(worker, command.recordedEnds, addressee);
     if (worker.knownIncarnation < worker.info.incarnation) {
         worker.knownIncarnation = worker.info.incarnation;
         record("first-report worker=" + worker.info.name.str() + " life=" + std::to_string(worker.info.incarnation));
@@ -689,7 +692,7 @@
     m_dispatcher->pollAnswered(command, sentAt, makeReport(worker), m_now);
 }
 
-auto FakeFleet::acknowledgeEnds(FakeWorker &worker, std::uint64_t number) -> void
+auto FakeFleet::acknowledgeEnds(FakeWorker &worker, std::uint64_t number, std::int64_t addressee) -> void
 {
     if (number > 0 && !worker.ends.empty() && worker.ends.front().number <= number) {
         std::string ends;
@@ -704,6 +707,7 @@
             continue;
         }
         run.acknowledged = true;
+        run.acknowledgedToEarlierLife = addressee < worker.info.incarnation;
         if (run.end != EndKind::Done || run.lapsedBeforeAcknowledgement) {
             continue;
         }
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -76,6 +76,8 @@
         bool acknowledged = false;
         /// The worker's lease expired between the end and its acknowledgement, so the end need not be heeded.
         bool lapsedBeforeAcknowledgement = false;
+        /// The end was acknowledged by a poll that the holder sent before it knew of this life, so it was never reported.
+        bool acknowledgedToEarlierLife = false;
         /// When a stop takes effect.
         std::optional<TimePoint> stopsAt;
     };
@@ -131,6 +133,8 @@
         std::vector<EndedTask> ends;
         std::uint64_t endCount = 0;
         std::optional<std::pair<PollCommand, TimePoint>> pendingPoll;
+        /// Life that the holder knew when it sent the pending poll.
+        std::int64_t pendingPollAddressee = 0;
         /// The newest entry in the list while it is that of an earlier life.
         std::optional<WorkerInfo> outdatedEntry;
         /// The entry of an earlier life before the newest one.
@@ -226,10 +230,11 @@
     auto brokenRule(const FakeWorker &worker, const StartCommand &command) -> std::string;
     auto checkEligibility(const FakeWorker &worker, const StartCommand &command, const Addressee &addressee) -> void;
     auto forgetRuns(FakeWorker &worker) -> void;
-    auto acknowledgeEnds(FakeWorker &worker, std::uint64_t number) -> void;
+    /// \a addressee is the life that the holder knew when it sent the acknowledgement.
+    auto acknowledgeEnds(FakeWorker &worker, std::uint64_t number, std::int64_t addressee) -> void;
     auto finishRuns(FakeWorker &worker) -> void;
     auto answerPoll(FakeWorker &worker) -> void;
-    auto answer(FakeWorker &worker, const PollCommand &command, TimePoint sentAt) -> void;
+    auto answer(FakeWorker &worker, const PollCommand &command, TimePoint sentAt, std::int64_t addressee) -> void;
     auto start(const StartCommand &command) -> void;
     auto checkRecord(const StartCommand &command) -> void;
     auto checkStart(const StartCommand &command) -> void;
