Check the required label of each start in the soak

Cause: users saw starts of units on workers without the label that they require. In the soak all workers had one kind and no job required a label, so it could not find them.

Change: workers have one of two kinds, 40% of the steps require one of them, and workers restart under their name as the other kind, alone or with their rack, after 2 ms to 3 s, with their new entry written at once or up to 1 s later. The ledger reports each start on a worker without the required label. Every fourth seed runs without evacuations, because queued starts are checked in another way there. Each incarnation of a worker has a listener of its own, so that no command sent to the previous one is executed by the next.

--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -4,6 +4,7 @@
 #include <event2/http.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <utility>
 
@@ -19,6 +20,8 @@
 constexpr int requestTimeoutSeconds = 3;
 constexpr std::uint32_t maxSubmitAttempts = 5;
 constexpr std::size_t maxOpenJobs = 12;
+/// Share of the steps that require a label.
+constexpr double labelProbability = 0.4;
 constexpr int firstErrorStatus = 300;
 constexpr int statusUnauthorized = 401;
 constexpr int statusGone = 410;
@@ -43,6 +46,9 @@
         if (it.checkpoints) {
             step["checkpoints"] = true;
         }
+        if (!it.requiredLabel.empty()) {
+            step["requires"] = it.requiredLabel;
+        }
         if (!it.dependsOn.empty()) {
             step["dependsOn"] = it.dependsOn;
         }
@@ -59,6 +65,7 @@
     , m_routes(std::move(routes))
     , m_hooks(std::move(hooks))
     , m_random(seed)
+    , m_labelRandom(seed)
     , m_name(std::move(name))
 {
     tick();
@@ -115,9 +122,25 @@
         step.accelerators = 0;
         steps.push_back(step);
     }
+    for (auto &it : steps) {
+        requireLabel(it);
+    }
     return steps;
 }
 
+auto Caller::requireLabel(StepPlan &step) -> void
+{
+    if (std::uniform_real_distribution<double>(0, 1)(m_labelRandom) >= labelProbability) {
+        return;
+    }
+    step.requiredLabel = workerKinds.at(m_labelRandom() % workerKinds.size());
+    if (step.gang) {
+        // A larger gang may not find enough workers of the kind.
+        const auto tasksPerWorker = WorkerSize{}.accelerators / step.accelerators;
+        step.count = std::min(step.count, static_cast<std::uint32_t>(minWorkersPerKind * tasksPerWorker));
+    }
+}
+
 auto Caller::addJob() -> void
 {
     Job job;
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ledger.h"
+#include "worker_kind.h"
 
 #include <acaciarail/runtime/event_loop.h>
 #include <acaciarail/runtime/socket_address.h>
@@ -82,12 +83,15 @@
     auto randomInteger(std::int64_t low, std::int64_t high) -> std::int64_t;
     auto withProbability(double probability) -> bool;
     auto makeSteps() -> std::vector<StepPlan>;
+    auto requireLabel(StepPlan &step) -> void;
 
     Runtime::EventLoop &m_loop;
     Ledger &m_ledger;
     std::vector<QueueRoute> m_routes;
     Hooks m_hooks;
     std::mt19937_64 m_random;
+    /// Apart from the other draws, so that the jobs of a seed stay the same otherwise.
+    std::mt19937_64 m_labelRandom;
     std::string m_name;
     std::deque<Job> m_jobs;
     std::size_t m_nextIndex = 0;
--- a/tests/soak/instances.h
+++ b/tests/soak/instances.h
@@ -20,7 +20,9 @@
 {
 public:
     /// \pre the references outlive the object; \a directory exists and receives settings and logs.
-    Instances(Runtime::EventLoop &loop, Ledger &ledger, StoreServer &store, std::size_t count, std::filesystem::path directory);
+    /// \a evacuations configures that zones may be evacuated.
+    Instances(Runtime::EventLoop &loop, Ledger &ledger, StoreServer &store, std::size_t count, std::filesystem::path directory,
+              bool evacuations);
 
     [[nodiscard]] auto count() const -> std::size_t
     {
@@ -88,6 +90,7 @@
     Ledger &m_ledger;
     std::filesystem::path m_directory;
     std::vector<Instance> m_instances;
+    bool m_evacuations = true;
     bool m_stopping = false;
 };
 
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -1,5 +1,6 @@
 #include "ledger.h"
 
+#include <algorithm>
 #include <charconv>
 #include <iostream>
 
@@ -119,6 +120,23 @@
     }
 }
 
+/// The rule has no exception for a start that the worker executes late: the incarnation that received the command executes it, and its
+/// labels do not change.
+auto Ledger::checkRequiredLabel(const TaskName &task, const ObservedRun &run) -> void
+{
+    const auto &required = m_jobs.at(task.job).plan.steps.at(task.step).requiredLabel;
+    const auto &labels = run.workerLabels;
+    if (required.empty() || std::find(labels.begin(), labels.end(), required) != labels.end()) {
+        return;
+    }
+    std::string text;
+    for (const auto &it : labels) {
+        text += (text.empty() ? "" : ",") + it;
+    }
+    addViolation("a start without the required label " + required + ": " + run.task + " run " + std::to_string(run.run) + " on "
+                 + run.worker + " with the labels " + text);
+}
+
 auto Ledger::runStarted(const ObservedRun &run) -> void
 {
     ++m_runStarts;
@@ -148,6 +166,7 @@
         addViolation("a checkpoint that the task never saved: " + name);
     }
     checkDependencies(*task);
+    checkRequiredLabel(*task, run);
     m_activeRuns[run.task] = run;
 }
 
@@ -200,7 +219,7 @@
 auto Ledger::addViolation(const std::string &description) -> void
 {
     m_violations.push_back(description);
-    std::cout << "violation: " << description << std::endl;
+    std::cout << "violation: " << description << " at_ms=" << unixNow().count() << std::endl;
 }
 
 auto Ledger::checkAtEnd() -> void
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -22,6 +22,8 @@
     bool gang = false;
     bool checkpoints = false;
     std::vector<std::uint32_t> dependsOn;
+    /// Label that the workers of its tasks must have; empty for any worker.
+    std::string requiredLabel;
     /// Each run of its tasks fails.
     bool fails = false;
 };
@@ -53,6 +55,8 @@
     std::uint32_t run = 0;
     std::string payload;
     std::string checkpoint;
+    /// Labels of the incarnation of the worker that began the run.
+    std::vector<std::string> workerLabels;
 };
 
 /// Records the responses that callers received and the runs that workers observed, and reports a violation where they break a rule of the
@@ -126,6 +130,7 @@
     };
 
     auto checkDependencies(const TaskName &task) -> void;
+    auto checkRequiredLabel(const TaskName &task, const ObservedRun &run) -> void;
     auto unitKey(const TaskName &task) const -> std::string;
     auto isStepDone(const std::string &job, std::uint32_t occurrence, std::uint32_t step) -> bool;
 
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -19,7 +19,24 @@
 
 auto run(std::uint32_t number, const char *worker, const char *name = task) -> ObservedRun
 {
-    return {worker, name, number, "payload", {}};
+    return {worker, name, number, "payload", {}, {"a", "rack0"}};
+}
+
+/// Changes the job so that its first step requires a label.
+auto requireLabel(Ledger &ledger, const char *label) -> void
+{
+    StepPlan step;
+    step.requiredLabel = label;
+    ledger.registerJob({job, "payload", {step}});
+}
+
+/// Records a run that begins on a worker with these labels and is stopped.
+auto runWithLabels(Ledger &ledger, std::uint32_t number, const std::vector<std::string> &labels) -> void
+{
+    auto observed = run(number, "w0");
+    observed.workerLabels = labels;
+    ledger.runStarted(observed);
+    ledger.runEnded(observed, "stopped", {});
 }
 
 auto acceptJob(Ledger &ledger) -> void
@@ -140,6 +157,61 @@
          l.submitAttemptEnded(job, 503);
          runToEnd(l, run(1, "w0"), "done");
      }},
+    {"a run on a worker with the required label", 0,
+     [](Ledger &l) {
+         leaveUnanswered(l);
+         requireLabel(l, "a");
+         runWithLabels(l, 1, {"a", "rack0"});
+     }},
+    {"a run on a worker whose second label is the required one", 0,
+     [](Ledger &l) {
+         leaveUnanswered(l);
+         requireLabel(l, "rack0");
+         runWithLabels(l, 1, {"a", "rack0"});
+     }},
+    {"a run on a worker without labels that needs none", 0,
+     [](Ledger &l) {
+         leaveUnanswered(l);
+         runWithLabels(l, 1, {});
+     }},
+    {"a run on a worker without the required label", 1,
+     [](Ledger &l) {
+         leaveUnanswered(l);
+         requireLabel(l, "b");
+         runWithLabels(l, 1, {"a", "rack0"});
+     }},
+    {"a run on a worker without labels that requires one", 1,
+     [](Ledger &l) {
+         leaveUnanswered(l);
+         requireLabel(l, "a");
+         runWithLabels(l, 1, {});
+     }},
+    {"a run on a worker with a part of the required label", 1,
+     [](Ledger &l) {
+         leaveUnanswered(l);
+         requireLabel(l, "a-next");
+         runWithLabels(l, 1, {"a", "rack0"});
+     }},
+    {"a run on a worker whose label begins with the required one", 1,
+     [](Ledger &l) {
+         leaveUnanswered(l);
+         requireLabel(l, "a");
+         runWithLabels(l, 1, {"a-next", "rack0"});
+     }},
+    {"a run on a worker that has restarted as another kind", 1,
+     [](Ledger &l) {
+         leaveUnanswered(l);
+         requireLabel(l, "a");
+         runWithLabels(l, 1, {"a", "rack0"});
+         runWithLabels(l, 2, {"a-next", "rack0"});
+     }},
+    {"each run on a worker without the required label is a violation", 2,
+     [](Ledger &l) {
+         leaveUnanswered(l);
+         requireLabel(l, "a");
+         runWithLabels(l, 1, {"a-next", "rack0"});
+         runWithLabels(l, 2, {"a-next", "rack0"});
+     }},
     {"a job that ran after a submission with unknown outcome", 0,
      [](Ledger &l) {
          l.submitAttemptEnded(job, 503);
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -1,6 +1,7 @@
 #include "scenario.h"
 
 #include <algorithm>
+#include <array>
 #include <iostream>
 
 namespace Acaciarail::Soak {
@@ -42,10 +43,12 @@
     : m_settings(withSizes(settings))
     , m_random(settings.seed)
     , m_evacuationRandom(settings.seed)
+    , m_restartRandom(~settings.seed)
     , m_plannedOnly(settings.seed % 5 == 0)
+    , m_evacuations(settings.seed % 4 != 3)
     , m_store(m_loop, m_ledger, m_settings.instances, settings.seed)
     , m_workers(m_loop, m_ledger, m_store, m_settings.workers, settings.seed)
-    , m_instances(m_loop, m_ledger, m_store, m_settings.instances, settings.directory)
+    , m_instances(m_loop, m_ledger, m_store, m_settings.instances, settings.directory, m_evacuations)
     , m_routes{{"urgent", "urgent.example", "/u/"}, {"normal", "normal.example", "/n/"}, {"background", "normal.example", "/n/back/"}}
     , m_faults(makeFaults())
 {
@@ -262,6 +265,34 @@
              [this] { toggleNextEvacuation(); });
 }
 
+auto Scenario::restartNextWorkers() -> void
+{
+    if (!m_injectingFaults) {
+        return;
+    }
+    const auto random = [this](int low, int high) { return std::uniform_int_distribution<int>(low, high)(m_restartRandom); };
+    const auto &workers = m_workers.workers();
+    std::vector<std::size_t> numbers{static_cast<std::size_t>(random(0, static_cast<int>(workers.size()) - 1))};
+    if (random(0, 2) == 0) {
+        const auto rack = workers[numbers.front()].rack;
+        numbers.clear();
+        for (std::size_t i = 0; i < workers.size(); ++i) {
+            if (workers[i].rack == rack) {
+                numbers.push_back(i);
+            }
+        }
+    }
+    // From a process that another one replaces at once to a machine that boots.
+    constexpr std::array<std::pair<int, int>, 3> pausesMs{{{2, 30}, {30, 500}, {500, 3000}}};
+    const auto [shortest, longest] = pausesMs.at(m_restartRandom() % pausesMs.size());
+    const std::chrono::milliseconds pause(random(shortest, longest));
+    const std::chrono::milliseconds entryDelay(random(0, 1) == 0 ? 0 : random(1, 1000));
+    std::cout << "restart of " << numbers.size() << " workers, first " << workers[numbers.front()].name << " pause_ms=" << pause.count()
+              << " at_ms=" << unixNow().count() << '\n';
+    m_workers.restartAsOtherKind(numbers, pause, entryDelay);
+    schedule(std::chrono::milliseconds(random(100, 1500)), [this] { restartNextWorkers(); });
+}
+
 auto Scenario::restore() -> void
 {
     m_injectingFaults = false;
@@ -324,7 +355,12 @@
     m_injectingFaults = true;
     addCallers(4);
     schedule(randomDuration(500, 1500), [this] { injectNextFault(); });
-    schedule(1s, [this] { toggleNextEvacuation(); });
+    if (m_evacuations) {
+        schedule(1s, [this] { toggleNextEvacuation(); });
+    }
+    if (!m_plannedOnly) {
+        schedule(1s, [this] { restartNextWorkers(); });
+    }
     (void)m_loop.runUntil([] { return false; }, m_settings.traffic);
     restore();
     for (const auto &it : m_callers) {
--- a/tests/soak/scenario.h
+++ b/tests/soak/scenario.h
@@ -25,9 +25,10 @@
     std::filesystem::path directory;
 };
 
-/// Runs the scenario of one seed: a deployment, its callers, randomly selected faults, and evacuations of zones. Every fifth seed injects
-/// planned operations only (graceful restart, reload, configuration change, key withdrawal), during which no request may lose its response.
-/// Not thread-safe.
+/// Runs the scenario of one seed: a deployment, its callers, randomly selected faults, evacuations of
+/// zones, and restarts of workers as another kind. Every fourth seed has no evacuations, since an instance checks a queued command to start
+/// a run in another way where none are configured. Every fifth seed injects planned operations only (graceful restart, reload,
+/// configuration change, key withdrawal), during which no request may lose its response. Not thread-safe.
 class Scenario
 {
 public:
@@ -54,6 +55,7 @@
     auto addWorkerFaults(std::vector<Fault> &out) -> void;
     auto injectNextFault() -> void;
     auto toggleNextEvacuation() -> void;
+    auto restartNextWorkers() -> void;
     auto restore() -> void;
     auto publishConfiguration() -> void;
     auto addCallers(std::size_t count) -> void;
@@ -68,7 +70,9 @@
     std::mt19937_64 m_random;
     /// Apart from the other faults, so that those of a seed stay the same.
     std::mt19937_64 m_evacuationRandom;
+    std::mt19937_64 m_restartRandom;
     bool m_plannedOnly = false;
+    bool m_evacuations = true;
     Runtime::EventLoop m_loop;
     Ledger m_ledger;
     StoreServer m_store;
--- a/tests/soak/tcp_proxy.cpp
+++ b/tests/soak/tcp_proxy.cpp
@@ -166,6 +166,11 @@
     m_links.clear();
 }
 
+auto TcpProxy::setTarget(Runtime::SocketAddress target) -> void
+{
+    m_target = std::move(target);
+}
+
 auto TcpProxy::setRefusing(bool refusing) -> void
 {
     m_refusing = refusing;
--- a/tests/soak/tcp_proxy.h
+++ b/tests/soak/tcp_proxy.h
@@ -46,6 +46,8 @@
     auto blackholeConnections() -> void;
     /// Resets the connections that are open now. \pre none.
     auto resetConnections() -> void;
+    /// Sets the address to which new connections are forwarded. \pre none.
+    auto setTarget(Runtime::SocketAddress target) -> void;
     /// Sets whether new connections are closed immediately. \pre none.
     auto setRefusing(bool refusing) -> void;
 
--- a/tests/soak/worker_fleet.cpp
+++ b/tests/soak/worker_fleet.cpp
@@ -1,6 +1,7 @@
 #include "worker_fleet.h"
 
 #include <algorithm>
+#include <iostream>
 #include <utility>
 
 namespace Acaciarail::Soak {
@@ -44,16 +45,25 @@
         it.name = "w" + std::to_string(i);
         it.rack = "rack" + std::to_string(i / workersPerRack);
         it.zone = zones.at(i / workersPerRack % zones.size());
-        it.listener =
-            std::make_unique<HttpListener>(loop, [this, i](const HttpCall &call, const Respond &respond) { handle(i, call, respond); });
-        it.proxy = std::make_unique<TcpProxy>(loop, it.listener->address());
-        startWorker(it);
+        it.kind = i % workerKinds.size();
+        it.proxy = std::make_unique<TcpProxy>(loop, Runtime::SocketAddress{});
+        startWorker(i, {});
     }
     tick();
 }
 
-auto WorkerFleet::startWorker(Worker &worker) -> void
+auto WorkerFleet::labels(const Worker &worker) const -> std::vector<std::string>
 {
+    return {workerKinds.at(worker.kind), worker.rack};
+}
+
+auto WorkerFleet::startWorker(std::size_t i, Duration entryDelay) -> void
+{
+    auto &worker = m_workers.at(i);
+    worker.listener =
+        std::make_unique<HttpListener>(m_loop, [this, i](const HttpCall &call, const Respond &respond) { handle(i, call, respond); });
+    worker.proxy->setTarget(worker.listener->address());
+    worker.proxy->setRefusing(false);
     worker.up = true;
     worker.draining = false;
     worker.startedAt = m_loop.now();
@@ -63,7 +73,18 @@
     worker.endCount = 0;
     worker.highestRuns.clear();
     worker.ends.clear();
-    publishEntry(worker);
+    worker.listedAt.reset();
+    worker.reports = 0;
+    if (entryDelay <= Duration::zero()) {
+        publishEntry(worker);
+        return;
+    }
+    m_loop.callAfter(entryDelay, [this, i, incarnation = worker.incarnation] {
+        auto &it = m_workers[i];
+        if (it.up && it.incarnation == incarnation && !it.listedAt) {
+            publishEntry(it);
+        }
+    });
 }
 
 auto WorkerFleet::stopWorker(Worker &worker) -> void
@@ -75,6 +96,7 @@
     worker.pendingPolls.clear();
     worker.proxy->setRefusing(true);
     worker.proxy->resetConnections();
+    worker.listener.reset();
 }
 
 auto WorkerFleet::crash(std::size_t i, Duration pause) -> void
@@ -84,10 +106,28 @@
         return;
     }
     stopWorker(worker);
-    m_loop.callAfter(pause, [this, i] {
-        m_workers[i].proxy->setRefusing(false);
-        startWorker(m_workers[i]);
-    });
+    m_loop.callAfter(pause, [this, i] { startWorker(i, {}); });
+}
+
+auto WorkerFleet::restartAsOtherKind(const std::vector<std::size_t> &numbers, Duration pause, Duration entryDelay) -> void
+{
+    const auto ofKind = [this](std::size_t kind) {
+        return std::count_if(m_workers.begin(), m_workers.end(), [&](const Worker &it) { return it.kind == kind; });
+    };
+    for (const auto i : numbers) {
+        auto &worker = m_workers.at(i);
+        if (!worker.up || worker.draining || ofKind(worker.kind) <= minWorkersPerKind) {
+            continue;
+        }
+        stopWorker(worker);
+        worker.kind = (worker.kind + 1) % workerKinds.size();
+        m_loop.callAfter(pause, [this, i, entryDelay] {
+            startWorker(i, entryDelay);
+            const auto &it = m_workers[i];
+            std::cout << "worker-restarted worker=" << it.name << " kind=" << workerKinds.at(it.kind) << " life=" << it.incarnation
+                      << " entry_delay_ms=" << toMilliseconds(entryDelay).count() << '\n';
+        });
+    }
 }
 
 auto WorkerFleet::drain(std::size_t i, Duration remaining) -> void
@@ -137,6 +177,7 @@
 
 auto WorkerFleet::publishEntry(Worker &worker) -> void
 {
+    worker.listedAt = worker.listedAt.value_or(m_loop.now());
     json entry{{"service", "service"},
                {"address", worker.proxy->address().str()},
                {"zone", worker.zone},
@@ -146,7 +187,7 @@
                {"sequence", worker.endCount},
                {"born", worker.incarnation},
                {"capacity", {{"cpu", worker.size.milliCores}, {"memMb", worker.size.memoryMiB}, {"gpus", worker.size.accelerators}}},
-               {"labels", {"a", worker.rack}}};
+               {"labels", labels(worker)}};
     if (worker.draining) {
         entry["remainingMs"] = toMilliseconds(std::max(worker.drainEnd - m_loop.now(), Duration::zero())).count();
     }
@@ -203,8 +244,9 @@
 {
     const auto now = clock(worker);
     const auto refuse = [&](const char *reason) { return HttpReply{409, json{{"clockMs", now.count()}, {"reason", reason}}.dump()}; };
-    ObservedRun observed{worker.name, body.at("task"), body.at("run"), field<std::string>(body, "spec", {}),
-                         field<std::string>(body, "checkpoint", {})};
+    ObservedRun observed{
+        worker.name,   body.at("task"), body.at("run"), field<std::string>(body, "spec", {}), field<std::string>(body, "checkpoint", {}),
+        labels(worker)};
     const auto fenceToken = field<std::uint64_t>(body, "fenceToken", 0);
     if (fenceToken < worker.fenceToken) {
         return refuse("fence");
@@ -243,7 +285,11 @@
     if (!late && evacuated != m_evacuated.end() && m_loop.now() > evacuated->second + evacuationBound) {
         m_ledger.addViolation("a start of " + observed.task + " in the evacuated zone " + worker.zone);
     }
+    const auto violations = m_ledger.violations().size();
     m_ledger.runStarted(observed);
+    if (m_ledger.violations().size() > violations) {
+        printCircumstances(worker, observed, fenceToken, late);
+    }
     worker.leaseExpiry = std::max(worker.leaseExpiry, std::min(until, now + maxLease));
     Run run;
     run.observed = observed;
@@ -257,6 +303,14 @@
     return {200, json{{"clockMs", now.count()}}.dump()};
 }
 
+auto WorkerFleet::printCircumstances(const Worker &worker, const ObservedRun &run, std::uint64_t fenceToken, bool late) const -> void
+{
+    const auto age = [this](TimePoint at) { return std::to_string(toMilliseconds(m_loop.now() - at).count()); };
+    std::cout << "start-observed task=" << run.task << " run=" << run.run << " worker=" << worker.name << " life=" << worker.incarnation
+              << " life_ms=" << age(worker.startedAt) << " listed_ms=" << (worker.listedAt ? age(*worker.listedAt) : "never")
+              << " reports=" << worker.reports << " fence=" << fenceToken << " late=" << late << '\n';
+}
+
 auto WorkerFleet::stopRun(Worker &worker, const json &body) -> HttpReply
 {
     const auto now = clock(worker);
@@ -301,8 +355,9 @@
     return pollReply(worker);
 }
 
-auto WorkerFleet::pollReply(const Worker &worker) const -> HttpReply
+auto WorkerFleet::pollReply(Worker &worker) const -> HttpReply
 {
+    ++worker.reports;
     auto running = json::array();
     for (const auto &[task, run] : worker.runs) {
         const auto name = parseTask(task);
@@ -417,7 +472,7 @@
     const bool publishDue = now >= m_nextPublication;
     m_nextPublication = publishDue ? now + publishInterval : m_nextPublication;
     for (auto &worker : m_workers) {
-        if (publishDue && worker.up && !worker.unlisted) {
+        if (publishDue && worker.up && !worker.unlisted && worker.listedAt) {
             publishEntry(worker);
         }
         auto pending = std::exchange(worker.pendingPolls, {});
--- a/tests/soak/worker_fleet.h
+++ b/tests/soak/worker_fleet.h
@@ -4,24 +4,19 @@
 #include "ledger.h"
 #include "store_server.h"
 #include "tcp_proxy.h"
+#include "worker_kind.h"
 
 #include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 namespace Acaciarail::Soak {
 
-struct WorkerSize
-{
-    std::int64_t milliCores = 32'000;
-    std::int64_t memoryMiB = 65'536;
-    std::int64_t accelerators = 8;
-};
-
 /// Stand-in for the workers over HTTP, each behind its own proxy. Workers run tasks under leases, report the ends of runs to the system,
 /// and record starts and ends in the ledger. Not thread-safe.
 class WorkerFleet
@@ -53,9 +48,12 @@
     struct Worker
     {
         std::string name;
+        /// Index in workerKinds; changes only with a new incarnation.
+        std::size_t kind = 0;
         std::string rack;
         std::string zone;
         WorkerSize size;
+        /// Listens for one incarnation only, so that no command to the previous one is executed by the next.
         std::unique_ptr<HttpListener> listener;
         std::unique_ptr<TcpProxy> proxy;
         bool up = true;
@@ -64,6 +62,10 @@
         TimePoint drainEnd;
         /// The worker does not renew its entry in the store.
         bool unlisted = false;
+        /// When this incarnation first wrote its entry in the store, which may have that of the previous one until then.
+        std::optional<TimePoint> listedAt;
+        /// Reports that this incarnation has sent.
+        std::size_t reports = 0;
         /// Unix time of the start in ms, increased if needed so that it grows with each restart.
         std::int64_t incarnation = 0;
         TimePoint startedAt;
@@ -84,6 +86,10 @@
 
     /// Stops the worker without warning and restarts it as a new incarnation after \a pause.
     auto crash(std::size_t number, Duration pause) -> void;
+    /// Stops the workers of \a numbers without warning. Each restarts after \a pause under its name as a new incarnation of the other kind,
+    /// and writes its entry in the store \a entryDelay later. Leaves out workers that are stopped or draining, and those without which too
+    /// few of their kind would be left. \pre the numbers are those of workers.
+    auto restartAsOtherKind(const std::vector<std::size_t> &numbers, Duration pause, Duration entryDelay) -> void;
     /// Announces the departure of the worker and stops it after \a remaining; it restarts as a new incarnation.
     auto drain(std::size_t number, Duration remaining) -> void;
     /// Ends all faults of the workers and their proxies; workers that are stopped or draining still restart at their own time.
@@ -109,12 +115,15 @@
     auto startRun(Worker &worker, const nlohmann::json &body, bool late) -> HttpReply;
     auto stopRun(Worker &worker, const nlohmann::json &body) -> HttpReply;
     auto poll(Worker &worker, const nlohmann::json &body) -> std::optional<HttpReply>;
-    auto pollReply(const Worker &worker) const -> HttpReply;
+    auto pollReply(Worker &worker) const -> HttpReply;
     auto clock(const Worker &worker) const -> std::chrono::milliseconds;
     auto endRun(Worker &worker, const std::string &task, const std::string &outcome) -> void;
     auto publishEntry(Worker &worker) -> void;
     auto stopWorker(Worker &worker) -> void;
-    auto startWorker(Worker &worker) -> void;
+    auto startWorker(std::size_t number, Duration entryDelay) -> void;
+    auto labels(const Worker &worker) const -> std::vector<std::string>;
+    /// Prints what tells how the system came to a start that broke a rule.
+    auto printCircumstances(const Worker &worker, const ObservedRun &run, std::uint64_t fenceToken, bool late) const -> void;
     auto tick() -> void;
     auto advance(Worker &worker, Duration step) -> void;
     auto gangMembers(const Run &run) -> std::vector<std::pair<Worker *, std::string>>;
