--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -16,6 +16,20 @@
         self.begun = at
         self.timer = None
         self.gang = None
+        # What the minion was when the run started; a later life of it may differ.
+        self.worker = None
+        self.labels = []
+        self.fence = 0
+        self.life = 0
+        self.ends_before = 0
+        self.life_s = 0.0
+        self.polls_before = 0
+        self.entry_s = None  # since the entry of this life was written; None before that
+        self.lease_ms = 0  # as requested
+        # Number among the ends of the minion, time and kind of its own end; the number is 0 for an end that the minion doesn't list.
+        self.end_number = 0
+        self.ended_at = None
+        self.how = None
 
     def percent(self, now):
         if self.begun is None:
@@ -34,6 +48,7 @@
         self.starts = []  # (time, worker, task, run)
         self.ends = []  # (time, worker, task, run, how)
         self.acknowledged = []  # (time, worker, task, run, how)
+        self.runs = []  # every Run, in the order of the starts
         self.gangs = {}
 
     def step_of(self, task):
@@ -73,6 +88,10 @@
         self.next_end = 1
         self.changed = asyncio.Event()
         self.server = None
+        self.life = 1
+        self.polls = 0  # answered in this life
+        self.entry_at = None  # when the entry of this life was written first
+        self.restarting = False
         fleet.workers.append(self)
 
     def clock(self):
@@ -96,6 +115,7 @@
         if not self.cut_from_store and not self.gone:
             self.listed = True
             self.last_beat = time.monotonic()
+            self.entry_at = self.entry_at or self.last_beat
             self.fleet.store.put("keyed.servers", self.id, self.entry())
 
     async def check_in(self):
@@ -129,6 +149,36 @@
             self.listed = False
             self.fleet.store.put("keyed.servers", self.id, b"")
 
+    async def restart(self, labels, pause, entry_delay=0.0):
+        """The minion crashes and starts again under its id and address, with `labels`, after `pause` seconds.
+
+        The new life knows nothing of before: `born`, its clock, fence, ends and refused runs begin anew. Its entry is written `entry_delay`
+        seconds after its start; until then the store holds that of the life before.
+        """
+        self.fleet.record("minion restarts", worker=self.id, runs=len(self.runs), before=self.labels, after=labels,
+                          pause=f"{pause:.3f}", entry_delay=f"{entry_delay:.3f}")
+        self.restarting = self.cut_from_store = True
+        self.entry_at = None
+        self.link.set("reset")
+        self.server.close()
+        for run in list(self.runs.values()):
+            self.end(run, "gone", listed=False)
+        await asyncio.sleep(pause)
+        self.life += 1
+        self.labels = labels
+        self.began = time.monotonic()
+        self.born = int(time.time() * 1000)
+        self.until = self.token = self.polls = 0
+        self.refused, self.ended, self.next_end = {}, [], 1
+        self.link.set("up")
+        self.server = await serve(self.address, self.handle, self.link)
+        self.fleet.record("minion is back", worker=self.id, life=self.life, labels=labels, born=self.born)
+        if entry_delay > 0:
+            await asyncio.sleep(entry_delay)
+        self.cut_from_store = self.restarting = False
+        self.report()
+        self.fleet.record("entry written", worker=self.id, life=self.life, labels=labels)
+
     async def watch_lease(self):
         while not self.gone:
             await asyncio.sleep(0.02)
@@ -144,12 +194,16 @@
         return total
 
     def end(self, run, how, listed=True):
-        if self.runs.pop((run.task, run.number), None) is None:
+        # A timer of an earlier life must not end a run of the same number in this one.
+        if self.runs.get((run.task, run.number)) is not run:
             return
+        del self.runs[(run.task, run.number)]
         if run.timer:
             run.timer.cancel()
         self.refused[run.task] = max(self.refused.get(run.task, 0), run.number)
+        run.ended_at, run.how = time.monotonic(), how
         if listed:
+            run.end_number = self.next_end
             self.ended.append([self.next_end, run.task, run.number, how, ""])
             self.next_end += 1
         self.fleet.ends.append((time.monotonic(), self.id, run.task, run.number, how))
@@ -204,7 +258,12 @@
         if any(used[name] + demand[name] > self.capacity[name] for name in demand):
             return self.refuse(task, number, "room")
         run = Run(task, number, time.monotonic(), step["duration"], demand)
+        run.worker, run.labels, run.fence, run.life = self, self.labels, self.token, self.life
+        run.ends_before, run.life_s, run.polls_before = self.next_end - 1, time.monotonic() - self.began, self.polls
+        run.entry_s = run.at - self.entry_at if self.entry_at else None
+        run.lease_ms = request["untilMs"] - self.clock()
         self.runs[(task, number)] = run
+        self.fleet.runs.append(run)
         self.fleet.starts.append((time.monotonic(), self, task, number))
         self.fleet.record("run started", worker=self.id, labels=self.labels, service=self.service, task=task, run=number)
         if step.get("gang"):
@@ -225,6 +284,7 @@
         return 200, to_json({"clockMs": self.clock()})
 
     async def hold(self, request):
+        life = self.life
         self.extend(request.get("untilMs"))
         seen = request["lastSeen"]
         for end in self.ended:
@@ -239,7 +299,11 @@
                 await asyncio.wait_for(changed.wait(), wait)
             except asyncio.TimeoutError:
                 pass
+        if life != self.life:
+            # The connection ended with the life that received the call.
+            raise ConnectionResetError
         now = time.monotonic()
+        self.polls += 1
         running = [[r.task, r.number, "", r.percent(now), r.demand["cpu"]] for r in self.runs.values()]
         return 200, to_json({"clockMs": self.clock(), "born": self.born, "running": running, "ended": self.ended[:500]})
 
