Test starts after many connections, closed connections and changed addresses

Five of the new cases fail with the present code: a connection whose id is evicted from the known ones as soon as it is recorded, an id that is changed before the response that closes its connection is reported, commands in progress when a worker's address changes, a worker that restarts with a lower incarnation, and an entry without one. The case of a queued start fails when Dispatcher::maySend() does not check the worker.

--- a/tests/adapter/worker_client_test.cpp
+++ b/tests/adapter/worker_client_test.cpp
@@ -59,6 +59,15 @@
     {
         return m_starts;
     }
+    [[nodiscard]] auto requests() const -> int
+    {
+        return m_requests;
+    }
+    /// From now on, closes each connection after one response.
+    auto closeAfterEachResponse() -> void
+    {
+        m_closing = true;
+    }
     /// The highest number of an end that a poll has acknowledged.
     [[nodiscard]] auto acknowledged() const -> std::uint64_t
     {
@@ -70,11 +79,15 @@
     {
         const std::string path = evhttp_request_get_uri(request);
         m_starts += path == "/api/run-start" ? 1 : 0;
+        ++m_requests;
         auto *input = evhttp_request_get_input_buffer(request);
         std::string received(evbuffer_get_length(input), '\0');
         evbuffer_remove(input, received.data(), received.size());
         m_acknowledged = std::max(m_acknowledged, nlohmann::json::parse(received).value("lastSeen", std::uint64_t{0}));
         auto body = R"({"clockMs":1000,"running":[],"ended":[],"born":)" + std::to_string(m_incarnation) + "}";
+        if (m_closing) {
+            evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+        }
         evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
         evhttp_send_reply(request, 200, nullptr, nullptr);
     }
@@ -83,6 +96,8 @@
     evhttp *m_http;
     std::uint16_t m_port = 0;
     int m_starts = 0;
+    int m_requests = 0;
+    bool m_closing = false;
     std::uint64_t m_acknowledged = 0;
 };
 
@@ -202,6 +217,84 @@
     BOOST_TEST(started == n);
 }
 
+// Guards against a worker that can no longer be started on, because the incarnation at the other end of a long-lived connection is
+// forgotten as soon as it is reported once many newer connections have come and gone.
+BOOST_DATA_TEST_CASE(startsAreSentAfterManyBursts, data::make({8, 16}), n)
+{
+    Client client;
+    WorkerProcess process(client.loop, 0, 5);
+    client.client.setAddress(WorkerName("w"), {host, process.port()});
+    BOOST_REQUIRE(client.poll());
+    constexpr int bursts = 60;
+    for (int burst = 0; burst < bursts; ++burst) {
+        int started = 0;
+        int answered = 0;
+        const auto requestsBefore = process.requests();
+        for (int i = 0; i < n; ++i) {
+            Workflow::StartCommand command{
+                WorkerName("w"), {JobId("0123456789abcdef"), 0, 0, static_cast<std::uint32_t>(i)}, 1, "payload", {}, 3s};
+            command.incarnation = 5;
+            client.hooks.start(command, 1, [&](StartOutcome o) {
+                started += o == StartOutcome::Started ? 1 : 0;
+                ++answered;
+            });
+        }
+        client.loop.runUntil([&] { return answered == n; }, 5s);
+        BOOST_TEST_CONTEXT("burst " << burst << ", requests " << process.requests() - requestsBefore)
+        {
+            BOOST_TEST(answered == n);
+            BOOST_TEST(started == n);
+        }
+        if (started < n) {
+            break;
+        }
+    }
+    const auto requestsBefore = process.requests();
+    const auto outcome = client.start(5);
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST_CONTEXT("requests for one start: " << process.requests() - requestsBefore)
+    {
+        BOOST_TEST((*outcome == StartOutcome::Started));
+    }
+    BOOST_TEST(client.poll(7, 5));
+    BOOST_TEST(process.acknowledged() == 7U);
+}
+
+// Guards against a start that reaches another incarnation over a connection that evhttp opens again, after the server has closed it with
+// the response that named the earlier incarnation.
+BOOST_AUTO_TEST_CASE(aConnectionThatClosesWithItsResponseLeadsToNoIncarnation)
+{
+    Client client;
+    auto process = std::make_unique<WorkerProcess>(client.loop, 0, 5);
+    const auto port = process->port();
+    client.client.setAddress(WorkerName("w"), {host, port});
+    process->closeAfterEachResponse();
+    BOOST_REQUIRE(client.poll());
+    process.reset();
+    process = std::make_unique<WorkerProcess>(client.loop, port, 6);
+    client.loop.runUntil([] { return false; }, 50ms);
+    const auto outcome = client.start(5);
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((*outcome == StartOutcome::OtherIncarnation));
+    BOOST_TEST(process->starts() == 0);
+}
+
+// Guards against a poll that is never answered, and a worker that is never polled again, because the worker was listed at a new address
+// meanwhile.
+BOOST_AUTO_TEST_CASE(aPollIsAnsweredWhenTheAddressOfTheWorkerChanges)
+{
+    Client client;
+    WorkerProcess first(client.loop, 0, 5);
+    WorkerProcess second(client.loop, 0, 6);
+    client.client.setAddress(WorkerName("w"), {host, first.port()});
+    BOOST_REQUIRE(client.poll());
+    bool answered = false;
+    client.hooks.poll({WorkerName("w"), 0, {}, {}, 5}, 1, [&](const auto &) { answered = true; });
+    client.client.setAddress(WorkerName("w"), {host, second.port()});
+    client.loop.runUntil([&] { return answered; }, 3s);
+    BOOST_TEST(answered);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Adapter::Tests
--- a/tests/workflow/changed_worker_test.cpp
+++ b/tests/workflow/changed_worker_test.cpp
@@ -107,6 +107,15 @@
          fleet.storeUp = true;
      },
      true},
+    {"while its start is queued, without a restart",
+     [](FakeFleet &fleet) {
+         fleet.startQueueDelay = 300ms;
+         submitLabelled(fleet);
+         fleet.run(100ms);
+         fleet.workers.at(WorkerName("w0-1")).info.labels = {"a", "rack0"};
+         fleet.list("w0-1");
+     },
+     true},
     {"while a start without a response is repeated",
      [](FakeFleet &fleet) {
          fleet.commandDelay = [](bool grants) { return grants ? std::optional<Duration>(10s) : std::nullopt; };
@@ -169,6 +178,46 @@
     checkStarts(c);
 }
 
+// Guards against a worker that is of no use for good, and runs that are taken to go on there, after it has restarted with a lower number of
+// its life, because its machine's clock was set back.
+BOOST_AUTO_TEST_CASE(aWorkerThatRestartsWithALowerIncarnationIsUsedAgain)
+{
+    auto fleet = makeFleet();
+    auto &worker = fleet.workers.at(WorkerName("w0-1"));
+    worker.info.incarnation = 9;
+    fleet.list("w0-1");
+    fleet.run(100ms);
+    fleet.duration = [](const TaskId &) { return Duration(5s); };
+    submitLabelled(fleet);
+    BOOST_REQUIRE(fleet.runUntil([&] { return startsOfLabelled(fleet) > 0; }, 1s));
+    fleet.run(500ms);
+    fleet.restart("w0-1");
+    worker.info.incarnation = 5;
+    fleet.list("w0-1");
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("labelled").has_value(); }, 60s));
+    BOOST_TEST((fleet.outcome("labelled") == JobPhase::Completed));
+    BOOST_TEST(startsOfLabelled(fleet) == 2U);
+}
+
+// Guards against a start by the labels of an entry that names no life, which another writer may have stored under the worker's key.
+BOOST_AUTO_TEST_CASE(anEntryWithoutALifeDoesNotDescribeAWorkerThatReportsOne)
+{
+    auto fleet = makeFleet();
+    restartAs(fleet, "a");
+    fleet.list("w0-1");
+    fleet.run(1s);
+    auto &info = fleet.workers.at(WorkerName("w0-1")).info;
+    const auto own = info;
+    info.labels = {"b", "rack0"};
+    info.incarnation = 0;
+    fleet.list("w0-1");
+    info = own;
+    submitLabelled(fleet);
+    fleet.run(3s);
+    BOOST_TEST(startsOfLabelled(fleet) == 0U);
+    BOOST_TEST(fleet.violations.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Workflow::Tests
