Notice a restart whose incarnation is lower than the one before

A worker was of no use after its restart, and its runs were taken to go on. When a worker's clock is set back before it restarts, its incarnation is lower than the one before, and its reports were ignored as late ones of an earlier process. Change: the response to a poll that was sent after the present incarnation became known comes from a later one, unless it names one that is known to be over. Entries of those do not count as a restart.

--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -168,6 +168,9 @@
     TimePoint drainEnds;
     /// Incarnation that the reports came from; 0 before the first report.
     std::int64_t incarnation = 0;
+    /// When that incarnation became known, and those before it.
+    TimePoint incarnationKnownAt;
+    std::set<std::int64_t> earlierIncarnations;
     Demand used;
     /// Used by runs on the worker that belong to no current assignment; they are being stopped.
     Demand orphanUsage;
@@ -210,6 +213,13 @@
     /// Its index among the candidates of the current placement round.
     std::size_t candidateIndex = 0;
 
+    /// Returns whether the response to a poll that was sent at \a sentAt comes from a later incarnation. Their numbers are times of day, so
+    /// a later one is lower when the clock was set back in between.
+    [[nodiscard]] auto isLaterIncarnation(std::int64_t reported, TimePoint sentAt) const -> bool
+    {
+        const bool isNew = reported != 0 && reported != incarnation && !earlierIncarnations.contains(reported);
+        return isNew && (reported > incarnation || sentAt > incarnationKnownAt);
+    }
     /// Returns whether the entry describes the incarnation that the reports come from. One that has restarted may be of another kind.
     [[nodiscard]] auto entryIsCurrent() const -> bool
     {
@@ -357,7 +367,7 @@
     auto findOrCreateWorker(const WorkerName &name) -> Worker &;
     auto allocate(Unit &unit, Member &member) -> void;
     auto releaseMember(Unit &unit, Member &member) -> void;
-    auto setFirstIncarnation(Worker &worker, std::int64_t incarnation) const -> void;
+    auto setFirstIncarnation(Worker &worker, std::int64_t incarnation, TimePoint now) const -> void;
     auto handleRestart(Worker &worker, std::int64_t incarnation, std::string_view shownBy, TimePoint now) -> void;
     auto processRunning(Worker &worker, const WorkerReport &report, TimePoint now) -> void;
     auto processEnd(Worker &worker, const EndedTask &end, TimePoint now) -> void;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -177,7 +177,7 @@
     worker.rack = m_state->rackNumbers.emplace(info.rack, m_state->rackNumbers.size()).first->second;
     worker.listed = true;
     m_state->capacityChanged = true;
-    if (worker.incarnation != 0 && info.incarnation > worker.incarnation) {
+    if (worker.incarnation != 0 && info.incarnation > worker.incarnation && !worker.earlierIncarnations.contains(info.incarnation)) {
         m_state->handleRestart(worker, info.incarnation, "list", now);
     }
 }
@@ -195,9 +195,10 @@
 
 /// Sets the incarnation from the first report of a worker. When it differs from that of the worker's entry, the service and the labels of
 /// the entry may be those of another life.
-auto Dispatcher::State::setFirstIncarnation(Worker &worker, std::int64_t incarnation) const -> void
+auto Dispatcher::State::setFirstIncarnation(Worker &worker, std::int64_t incarnation, TimePoint now) const -> void
 {
     worker.incarnation = incarnation;
+    worker.incarnationKnownAt = now;
     if (worker.listed && worker.info.incarnation != 0 && worker.info.incarnation != incarnation) {
         emitEvent("worker-life-differs", {}, workerDetail(worker) + knownKind(worker));
     }
@@ -207,7 +208,8 @@
 auto Dispatcher::State::handleRestart(Worker &worker, std::int64_t incarnation, std::string_view shownBy, TimePoint now) -> void
 {
     const auto details = " shown_by=" + std::string(shownBy) + " previous_life=" + std::to_string(worker.incarnation);
-    worker.incarnation = incarnation;
+    worker.earlierIncarnations.insert(std::exchange(worker.incarnation, incarnation));
+    worker.incarnationKnownAt = now;
     worker.seenEnds = worker.batchEnds = worker.recordedEnds = 0;
     worker.orphanUsage = {};
     // It may be of another kind now.
@@ -258,10 +260,10 @@
     s.capacityChanged = s.capacityChanged || !worker.lastAnsweredPoll;
     worker.lastAnsweredPoll = std::max(sentAt, worker.lastAnsweredPoll.value_or(sentAt));
     if (worker.incarnation == 0) {
-        s.setFirstIncarnation(worker, report->incarnation);
-    } else if (report->incarnation > worker.incarnation) {
+        s.setFirstIncarnation(worker, report->incarnation, now);
+    } else if (worker.isLaterIncarnation(report->incarnation, sentAt)) {
         s.handleRestart(worker, report->incarnation, "report", now);
-    } else if (report->incarnation < worker.incarnation) {
+    } else if (report->incarnation != worker.incarnation) {
         worker.nextPoll = now;
         return;
     }
