Take no entry without an incarnation for that of a worker that reports one

A unit could start on a worker without its label. Cause: an entry without an incarnation, which another writer may have stored under the worker's key, counted as current for any. Change: such an entry is current only where the reports name none either. Evidence: changedWorker/anEntryWithoutALifeDoesNotDescribeAWorkerThatReportsOne, found by the review, failed before (one start).

--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -223,7 +223,7 @@
     /// Returns whether the entry describes the incarnation that the reports come from. One that has restarted may be of another kind.
     [[nodiscard]] auto entryIsCurrent() const -> bool
     {
-        return info.incarnation == 0 || incarnation == 0 || info.incarnation == incarnation;
+        return incarnation == 0 || info.incarnation == incarnation;
     }
     [[nodiscard]] auto schedulable() const -> bool
     {
