Keep what is known of open connections to a worker, and ask again before a start that waited

Starts to a worker could stop for good, and a start that waited for a report was sent without another check. Cause: of more than 32 connections the oldest was forgotten, also while it was open, so a connection that stays idle for long was asked over again and again. A response that closes its connection was noted for the next one. Verification, the start window and evacuations did not know of each other. Commands in progress were dropped without a result when a worker's address changed, so that it was never polled again.

--- a/packages/runtime/include/acaciarail/runtime/http_client.h
+++ b/packages/runtime/include/acaciarail/runtime/http_client.h
@@ -18,7 +18,7 @@
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
-/// Identifies an established connection of a client. Never used again once the connection has closed; 0 for none.
+/// Identifies a connection of any client in the process. Never used again once the connection has closed; 0 for none.
 using HttpConnectionId = std::uint64_t;
 
 struct HttpClientSettings
@@ -77,6 +77,11 @@
     /// destroyed. \pre none.
     auto start(HttpRequest request, std::function<void(HttpResult)> done) -> void;
 
+    /// Returns whether a connection is still open. \pre none.
+    [[nodiscard]] auto isOpen(HttpConnectionId connection) const -> bool;
+    /// Returns the number of requests without a result. \pre none.
+    [[nodiscard]] auto inProgress() const -> std::size_t;
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -9,6 +9,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include <algorithm>
+#include <atomic>
 #include <iterator>
 #include <limits>
 #include <map>
@@ -23,13 +24,17 @@
 /// evhttp's own timeout in seconds; the timer of each request, which has a finer resolution, ends it earlier.
 constexpr int fallbackTimeoutSeconds = 3600;
 
+auto nextConnectionId() -> HttpConnectionId
+{
+    static std::atomic<HttpConnectionId> newest = 0;
+    return ++newest;
+}
+
 /// One connection and the request in progress on it. evhttp connects it again for the next request after the server has closed it.
 struct Connection
 {
-    Connection(EventLoop &loop, const HttpClientSettings &settings, std::shared_ptr<HttpConnectionId> newestId)
-        : newest(std::move(newestId))
-        , id(++*newest)
-        , timer(loop, [this] { handleTimeout(); })
+    Connection(EventLoop &loop, const HttpClientSettings &settings)
+        : timer(loop, [this] { handleTimeout(); })
     {
         http = evhttp_connection_base_new(loop.base(), nullptr, settings.address.host.c_str(), settings.address.port);
         evhttp_connection_set_timeout(http, fallbackTimeoutSeconds);
@@ -44,7 +49,7 @@
         evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(http)), written, this);
         const auto closed = [](evhttp_connection *, void *arg) {
             auto *self = static_cast<Connection *>(arg);
-            self->id = ++*self->newest;
+            self->id = nextConnectionId();
         };
         evhttp_connection_set_closecb(http, closed, this);
     }
@@ -67,7 +72,7 @@
         auto *input = evhttp_request_get_input_buffer(request);
         std::string body(evbuffer_get_length(input), '\0');
         evbuffer_remove(input, body.data(), body.size());
-        finish({{}, true, status, std::move(body), id});
+        finish({{}, true, status, std::move(body), requestId});
     }
 
     /// Frees the connection before the result is reported, because a request that was reported as not sent must not be sent later.
@@ -85,9 +90,9 @@
         }
     }
 
-    /// Shared with the client, which the connection may outlive.
-    std::shared_ptr<HttpConnectionId> newest;
-    HttpConnectionId id;
+    HttpConnectionId id = nextConnectionId();
+    /// The connection that the request in progress was sent over; evhttp closes it before it reports a response that asks for that.
+    HttpConnectionId requestId = 0;
     evhttp_connection *http = nullptr;
     Timer timer;
     bool maybeSent = false;
@@ -111,7 +116,7 @@
     {
         const auto it = std::find_if(idle.rbegin(), idle.rend(), [&](const auto &c) { return !mayUse || mayUse(c->id); });
         if (it == idle.rend()) {
-            return mayUse ? nullptr : std::make_shared<Connection>(loop, settings, newestId);
+            return mayUse ? nullptr : std::make_shared<Connection>(loop, settings);
         }
         auto connection = std::move(*it);
         idle.erase(std::next(it).base());
@@ -128,7 +133,6 @@
 
     EventLoop &loop;
     HttpClientSettings settings;
-    std::shared_ptr<HttpConnectionId> newestId = std::make_shared<HttpConnectionId>(0);
     std::map<Connection *, std::shared_ptr<Connection>> busy;
     std::vector<std::shared_ptr<Connection>> idle;
 };
@@ -164,6 +168,7 @@
     }
     m_state->busy.emplace(connection.get(), connection);
     connection->maybeSent = false;
+    connection->requestId = connection->id;
     connection->failure = Error::ConnectionLost;
     connection->timerError = Error::Timeout;
     const std::weak_ptr<State> weak = m_state;
@@ -210,4 +215,16 @@
     }
 }
 
+auto HttpClient::isOpen(HttpConnectionId connection) const -> bool
+{
+    const auto &s = *m_state;
+    return std::any_of(s.idle.begin(), s.idle.end(), [&](const auto &it) { return it->id == connection; })
+        || std::any_of(s.busy.begin(), s.busy.end(), [&](const auto &it) { return it.second->id == connection; });
+}
+
+auto HttpClient::inProgress() const -> std::size_t
+{
+    return m_state->busy.size();
+}
+
 } // namespace Acaciarail::Runtime
--- a/packages/workflow/include/acaciarail/workflow/worker.h
+++ b/packages/workflow/include/acaciarail/workflow/worker.h
@@ -3,6 +3,7 @@
 #include <acaciarail/workflow/job.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -111,6 +112,8 @@
     std::uint32_t priority = 0;
     /// The incarnation of the worker that the run was assigned to; the command must not reach another one. 0 when it is not known.
     std::int64_t incarnation = 0;
+    /// Asked again when something else had to be sent first; empty when the command may be sent at any time.
+    std::function<bool()> maySend = {};
 };
 
 /// Stops a run. A run that has not started yet will not start.
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -448,6 +448,7 @@
         // Nothing more is placed on the worker until a poll has shown what it is now.
         worker.lastAnsweredPoll.reset();
         worker.nextPoll = now;
+        worker.avoidUntil = std::max(worker.avoidUntil, now + s.settings.declineAvoidTime);
     }
     if (outcome == StartOutcome::Started) {
         worker.renewedAt = now;
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -451,8 +451,20 @@
     }
 }
 
-auto Holder::sendStart(const StartCommand &command) -> void
+auto Holder::mayStart(const StartCommand &command) const -> bool
 {
+    const auto now = m_hooks.clock.now();
+    return !m_paused && m_lease.isValid(now) && m_dispatcher->maySend(command, now);
+}
+
+auto Holder::sendStart(StartCommand command) -> void
+{
+    auto copy = command;
+    copy.payload.clear();
+    command.maySend = [weak = weak_from_this(), copy = std::move(copy)] {
+        const auto self = weak.lock();
+        return self && self->mayStart(copy);
+    };
     const auto bytes = startCommandBytes(command.payload.size());
     m_startWindow.sent(bytes);
     m_hooks.workers.start(command, m_term, guarded([command, bytes, sentAt = m_hooks.clock.now()](Holder &self, StartOutcome outcome) {
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -69,7 +69,9 @@
     auto sendCommands(Decisions &decisions) -> void;
     /// Sends queued starts as far as the window allows, the most urgent first, and drops those that have waited too long.
     auto sendStarts() -> void;
-    auto sendStart(const StartCommand &command) -> void;
+    auto sendStart(StartCommand command) -> void;
+    /// Returns whether a start that was decided earlier may still be sent.
+    [[nodiscard]] auto mayStart(const StartCommand &command) const -> bool;
     /// Drops the queued starts that may no longer be sent.
     auto dropForbiddenStarts() -> void;
     /// Bytes of starts that may be added to the queue.
