--- a/packages/workflow/include/acaciarail/workflow/worker.h
+++ b/packages/workflow/include/acaciarail/workflow/worker.h
@@ -24,7 +24,7 @@
     Duration timeUntilShutdown{};
     /// How long its tasks will take longer because it was unused for a while.
     Duration coldTime{};
-    /// Identifies the worker's process: it grows when the worker restarts under the same name.
+    /// Identifies the worker's process: another one under the same name has a higher number, or a lower one after its clock was set back.
     std::int64_t incarnation = 0;
 };
 
