--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -291,6 +291,16 @@
         self.publish()
         self.tasks = [asyncio.create_task(self._tick()), asyncio.create_task(self._check_in())]
 
+    async def crash(self):
+        """Ends at once and says nothing; its entry stays in the store."""
+        for it in self.tasks:
+            it.cancel()
+        await self.server.stop()
+        for run in list(self.runs.values()):
+            self.world.record(f"{self.name}: {run.task} run {run.run} is lost")
+            self.world.history.setdefault(run.task, []).append((self.world.record.now(), "end", self.name, run.run, "gone"))
+        self.runs.clear()
+
     def publish(self):
         self.sequence += 1
         self.world.store.put("keyed.servers", self.name, {
