--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -128,7 +128,7 @@
         self.servers = []
         self.holder = None
         self.on_holder = None
-        # Called with (instance index, operation, query); may return ("status", code), "silent" or None.
+        # Called with (instance index, operation, query); may return ("status", code), ("late", seconds), "lost", "silent" or None.
         self.trouble = None
 
     async def listen(self, instances):
@@ -165,6 +165,10 @@
         if isinstance(fault, tuple) and fault[0] == "status":
             return fault[1], {}
         if name == "log-append":
+            if isinstance(fault, tuple) and fault[0] == "late":
+                await asyncio.sleep(fault[1])
+                self.record(f"store: carries out an append to {query['topic']} late: {self.append(instance, query, body)[0]}")
+                return None
             await asyncio.sleep(self.append_s)
             answer = self.append(instance, query, body)
             return None if fault == "lost" else answer
