--- a/review/10/case.py
+++ b/review/seen-2/lost-rack/case.py
@@ -4,7 +4,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "lib-2"))
+sys.path.insert(0, os.path.join(HERE, "..", "..", "lib-2"))
 import world
 
 RACKS = 6
