--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,67 +1,123 @@
-"""The append of a submission is carried out late; its caller, told 504, asks to cancel the job and is told that there is none."""
+"""Workers that are emptied leave once they have reported the ends of their last runs."""
 import asyncio
+import itertools
 import os
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib-2"))
 import world
 
-JOB = "00000000000c0ffe"
-STEP = {"count": 4, "cpu": 5600, "memMb": 8192, "gpus": 1, "estimateMs": 7600}
-# Answers of the store are lost for this long; a write that gets no answer is done 1 to 6 s later.
-LOST_S = 0.5
-LATE_S = 5.5
-CANCEL_S = 3.0
-CONTACT_S = 3.0
+RACKS = 6
+WORKERS = 48
+# 0.065 of the workers are emptied at a time, one after the other.
+LEAVING = 3
+WAVES = 12
+WAVE_S = 4.5
+CAPACITY = {"cpu": 64000, "memMb": 131072, "gpus": 8}
+# Two tasks that fill a worker's GPUs, so that each job has a worker of its own.
+STEP = {"count": 2, "cpu": 7500, "memMb": 15000, "gpus": 4, "estimateMs": 1000, "gang": False}
+WORK_S = 3.0
+SECOND_LATER_S = 0.010
+DRAIN_MS = 2500
+# An end counts as taken note of so long after it was listed.
+NOTED_S = 0.1
+
+
+class LeavingWorker(world.Worker):
+    """Stays for DRAIN_MS after its report, and leaves then as soon as it runs nothing and has answered with each end once."""
+
+    draining = False
+    leaving = False
+    leaves_at = 0.0
+    listed = 0
+
+    def publish(self):
+        if self.leaving:
+            return
+        self.sequence += 1
+        entry = {"service": self.world.service, "address": f"127.0.0.1:{self.server.port}", "zone": self.zone, "version": "v1", "slots": 8,
+                 "state": "draining" if self.draining else "ready", "coldLeftMs": 0, "sequence": self.sequence, "capacity": self.capacity,
+                 "labels": ["a", self.rack], "born": self.born}
+        if self.draining:
+            entry["remainingMs"] = max(0, int(1000 * (self.leaves_at - time.monotonic())))
+        self.world.store.put("keyed.servers", self.name, entry)
+
+    def drain(self):
+        self.draining = True
+        self.server.end_idle_connections()
+        self.leaves_at = time.monotonic() + DRAIN_MS / 1000
+        self.world.record(f"{self.name}: reports that it drains, with {list(self.runs)}")
+        self.publish()
+
+    async def _hold(self, call):
+        status, answer = await super()._hold(call)
+        ends = [e[0] for e in answer["ended"]]
+        self.world.record(f"{self.name}: answers a hold (lastSeen {call.get('lastSeen', 0)}, waitMs {call.get('waitMs', 0)}, "
+                          f"untilMs {call.get('untilMs', '-')}) with ends {ends}")
+        for n, task, run, how, _ in answer["ended"]:
+            if n > self.listed:
+                self.world.history.setdefault(task, []).append((self.world.record.now() + self.server.delay, "listed", self.name, run, how))
+        self.listed = max([self.listed, *ends])
+        done = self.draining and not self.runs and self.listed >= self.end_count and time.monotonic() >= self.leaves_at
+        if done and not self.leaving:
+            self.leaving = True
+            # The response goes out first.
+            asyncio.get_running_loop().call_later(self.server.delay + 0.003, lambda: asyncio.ensure_future(self.leave()))
+        return status, answer
+
+    async def leave(self):
+        self.world.record(f"{self.name}: leaves")
+        for it in self.tasks:
+            it.cancel()
+        await self.server.stop()
+        self.world.store.put("keyed.servers", self.name, None)
 
 
 async def run_case(w, trouble):
     await w.open(instances=2)
-    for i in range(8):
-        await w.add_worker(f"i-{i}", "bne-a", "r1-0", {"cpu": 64000, "memMb": 131072, "gpus": 8}, lambda task: 7.6)
+    numbers = itertools.count()
+
+    def works(task):
+        return WORK_S + (SECOND_LATER_S if task.endswith(".1") else 0.0)
+
+    async def add():
+        n = next(numbers)
+        # 8 ms each way, as between two regions of the site.
+        it = LeavingWorker(w, f"i-{n}", "bne-a", f"r1-{n % RACKS}", CAPACITY, works, w.bounds["holdMaxMs"] / 1000, w.bounds["stopMs"] / 4000,
+                           rtt_s=0.016)
+        await it.start()
+        w.workers.append(it)
+
+    for _ in range(WORKERS):
+        await add()
     for it in w.instances:
         it.start()
     await w.ready()
     await asyncio.sleep(4)
-    # Any instance but the holder, which isn't disturbed at all.
-    taker = next(it for it in w.instances if it.index != w.store.holder)
-    begin = w.record.now()
-    late = []
-
-    def lose(instance, operation, query):
-        in_time = w.record.now() < begin + LOST_S
-        if in_time and not late and operation == "log-append" and query["topic"] == "keyed.intake" and instance == taker.index:
-            late.append(w.record.now())
-            return "late", LATE_S
-        return None
-
-    w.store.trouble = lose if trouble else None
-    w.jobs[JOB] = [STEP]
-    status, _ = await w.call(taker, "POST", "/shade/" + JOB, {"spec": "text", "steps": [STEP]})
-    if trouble and (not late or status not in (0, 502, 504)):
-        raise world.CannotRun(f"the submission was answered with {status}")
-    await asyncio.sleep(0.2)
-    acknowledged = None
-    for _ in range(5):
-        status, _ = await w.call(taker, "DELETE", "/shade/" + JOB)
-        if 200 <= status < 300 or status == 410:
-            acknowledged = w.record.now()
-            break
-        await asyncio.sleep(0.3)
-    if acknowledged is None:
-        return []
-    await asyncio.sleep(max(0.0, begin + LATE_S + 16 - w.record.now()))
-    status, answer = await w.call(taker, "GET", "/shade/" + JOB)
-    w.record(f"cancelling acknowledged at {acknowledged:.3f}")
+    jobs = itertools.count(0xD00)
+    for wave in range(WAVES):
+        for _ in range(LEAVING * 3):
+            await w.submit(w.instances, "/shade/", f"{next(jobs):016x}", [STEP])
+        await asyncio.sleep(0.44)
+        busy = [it for it in w.workers if not it.draining and len(it.runs) == 2]
+        # Those with earlier ends first: all of them have some after a while.
+        busy.sort(key=lambda it: it.end_count == 0)
+        for it in busy[:LEAVING] if trouble else []:
+            it.drain()
+            await add()
+        await asyncio.sleep(WAVE_S - 0.44)
+    await asyncio.sleep(20)
     out = []
     for task, events in w.history.items():
+        done = [(at, worker, run) for at, kind, worker, run, how in events if kind == "listed" and how == "done"]
         for at, kind, worker, run, _ in events:
-            # By then the machines have been in touch again, too.
-            if kind == "start" and at > acknowledged + CANCEL_S and at > begin + LOST_S + CONTACT_S:
-                out.append(f"UNASKED: {task} run {run} starts on {worker} at {at:.3f}, {at - acknowledged:.1f} s after DELETE was answered; "
-                           f"GET answers {status} {answer}")
+            for listed, other, other_run in done:
+                if kind == "start" and at > listed + NOTED_S and run != other_run:
+                    out.append(f"TWICE: {task} run {run} starts on {worker} at {at:.3f}, after {other} had answered at {listed:.3f} that run "
+                               f"{other_run} has ended done")
     return out
 
 
-world.main(HERE, run_case)
+world.main(HERE, run_case, 118)
--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -55,11 +55,20 @@
         self.server = None
         self.port = 0
         self.writers = set()
+        # Each response asks for the end of its connection, as those of a server do that is about to leave.
+        self.closing = False
+        self.busy = set()
 
     async def start(self, host="127.0.0.1", port=0):
         self.server = await asyncio.start_server(self._serve, host, port, limit=4 * 1024 * 1024)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def end_idle_connections(self):
+        """Closes the connections without a request in progress, and each of the others after its response."""
+        self.closing = True
+        for w in self.writers - self.busy:
+            w.close()
+
     async def stop(self):
         """Closes the listener and all connections, as the end of a process does."""
         self.server.close()
@@ -80,6 +89,7 @@
                         headers[key.strip().lower()] = value.strip()
                 n = int(headers.get("content-length", "0"))
                 body = await reader.readexactly(n) if n else b""
+                self.busy.add(writer)
                 answer = await self.handler(method, target, headers, body)
                 if answer is None:
                     await asyncio.sleep(3600)
@@ -89,8 +99,12 @@
                     out = json.dumps(out, separators=(",", ":")).encode()
                 if self.delay > 0:
                     await asyncio.sleep(self.delay)
-                writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(out)}\r\n\r\n".encode() + out)
+                close = "Connection: close\r\n" if self.closing else ""
+                writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{close}Content-Length: {len(out)}\r\n\r\n".encode() + out)
                 await writer.drain()
+                self.busy.discard(writer)
+                if close:
+                    return
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError, asyncio.LimitOverrunError):
             pass
         finally:
@@ -421,7 +435,7 @@
         self.index = index
         self.name = f"frontend-{zone}-{index + 1}"
         self.zone = zone
-        self.host = f"127.0.0.{index + 2}"
+        self.host = f"127.0.0.{int(os.environ.get('HOST_BASE', '2')) + index}"
         self.front = free_port(self.host)
         self.readiness = free_port(self.host)
         self.process = None
