Conclude nothing from a run that is missing from a report without all ends

Cause: a worker lists 500 ends at a time, and the others once these are acknowledged. Dispatcher::State::processMissing() took a run that was in neither list for one that had ended without a result, and started it again.

Ruled out: starts that an earlier holder did not send (the tasks had run for 10 s); a report from before the takeover (runs count as missing only by polls that were sent later).

Change: a report says whether it is complete. A missing run is judged by a complete one only; the listed ends are recorded and acknowledged at once, so that the next report lists more. The log line report-incomplete shows it. The simulated workers and those of the soak list 500 ends at a time now, as the platform's do, and the response to a poll may take time in the fleet of the dispatcher tests: without delay, the late ends arrived before the second start was sent.

--- a/packages/workflow/include/acaciarail/workflow/worker.h
+++ b/packages/workflow/include/acaciarail/workflow/worker.h
@@ -69,9 +69,12 @@
 {
     std::int64_t incarnation = 0;
     std::vector<RunningTask> running;
+    /// Ends that are not acknowledged, the earliest first.
     std::vector<EndedTask> ended;
     /// See WorkerInfo::coldTime.
     Duration coldTime{};
+    /// False when runs or ends may be missing, so that a run that is not listed may have ended in any way.
+    bool isComplete = true;
 };
 
 /// Outcome of a command to start a run.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -475,7 +475,8 @@
 {
     worker.recordedEnds = std::max(worker.recordedEnds, worker.batchEnds);
     if (!worker.unreachableSince && worker.recordedEnds == worker.seenEnds) {
-        worker.nextPoll = worker.units.empty() ? now + std::min(settings.idleAcknowledgementDelay, settings.taskLease / 6) : now;
+        const bool mayWait = worker.units.empty() && !worker.hasUnlistedEnds;
+        worker.nextPoll = mayWait ? now + std::min(settings.idleAcknowledgementDelay, settings.taskLease / 6) : now;
     }
 }
 
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -201,6 +201,8 @@
     std::uint64_t seenEnds = 0;
     std::uint64_t batchEnds = 0;
     std::uint64_t recordedEnds = 0;
+    /// The last report was incomplete, so that further ends are to be asked for at once.
+    bool hasUnlistedEnds = false;
     TimePoint avoidUntil;
     /// 0 for the fastest workers of its service, more for slower ones; see slownessOf().
     std::uint32_t slowness = 0;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -389,6 +389,14 @@
 
 auto Dispatcher::State::processMissing(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> void
 {
+    worker.hasUnlistedEnds = !report.isComplete;
+    if (!report.isComplete) {
+        // A run that is not listed may have ended as done; its end is listed once those before it are acknowledged.
+        emitEvent("report-incomplete", {},
+                  workerDetail(worker) + " running=" + std::to_string(report.running.size())
+                      + " ended=" + std::to_string(report.ended.size()) + " units=" + std::to_string(worker.units.size()));
+        return;
+    }
     const auto units = worker.units;
     for (auto *unit : units) {
         for (std::uint32_t i = 0; i < unit->members.size(); ++i) {
--- a/tests/adapter/wire_codec_test.cpp
+++ b/tests/adapter/wire_codec_test.cpp
@@ -213,6 +213,38 @@
     BOOST_TEST(response.skippedRows == c.skipped);
 }
 
+struct EndCountCase
+{
+    const char *name;
+    int ends;
+    bool complete;
+};
+
+auto operator<<(std::ostream &out, const EndCountCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<EndCountCase> endCountCases{
+    {"no end", 0, true},
+    {"one end less than fits", 499, true},
+    {"as many ends as fit", 500, false},
+};
+
+// Guards against a run that counts as missing although its end did not fit into the report.
+BOOST_DATA_TEST_CASE(aReportThatIsFullIsNotComplete, data::make(endCountCases), c)
+{
+    std::string ends;
+    for (int i = 1; i <= c.ends; ++i) {
+        ends += (i > 1 ? ",[" : "[") + std::to_string(i) + R"(,"5c0e7a21d94b36f8.0.0.)" + std::to_string(i) + R"(",1,"done",""])";
+    }
+    Workflow::WorkerReport report;
+    CommandResponse response;
+    BOOST_TEST(!decodeReport(R"({"running":[],"ended":[)" + ends + "]}", report, response));
+    BOOST_TEST(report.ended.size() == static_cast<std::size_t>(c.ends));
+    BOOST_TEST(report.isComplete == c.complete);
+}
+
 // Guards against reports that cannot be attributed to their tasks.
 BOOST_AUTO_TEST_CASE(taskNamesAreReversible)
 {
--- a/tests/soak/worker_fleet.cpp
+++ b/tests/soak/worker_fleet.cpp
@@ -19,6 +19,8 @@
 /// Equals `bounds.evacuateMs` in the settings of the instances.
 constexpr Duration evacuationBound = 5s;
 constexpr std::size_t workersPerRack = 4;
+/// Most ends that a worker lists in one response, the earliest first; the platform's limit.
+constexpr std::size_t maxListedEnds = 500;
 constexpr double fullPercent = 100.0;
 /// Rate of the workers' clocks: 2% slow.
 constexpr double clockRate = 0.98;
@@ -368,6 +370,9 @@
     }
     auto ended = json::array();
     for (const auto &it : worker.ends) {
+        if (ended.size() == maxListedEnds) {
+            break;
+        }
         ended.push_back({it.number, it.observed.task, it.observed.run, it.outcome, it.checkpoint});
     }
     return {200, json{{"clockMs", clock(worker).count()}, {"born", worker.incarnation}, {"running", running}, {"ended", ended}}.dump()};
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -283,6 +283,57 @@
     BOOST_TEST(fleet.violations.empty());
 }
 
+struct ManyEndsCase
+{
+    const char *name;
+    /// Of the runs whose ends do not fit.
+    EndKind end;
+    /// Another holder takes over before any end is recorded; otherwise the records of the same one are not stored for a while.
+    bool takeOver;
+    JobPhase outcome;
+};
+
+auto operator<<(std::ostream &out, const ManyEndsCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<ManyEndsCase> manyEndsCases{
+    {"done, and a new holder", EndKind::Done, true, JobPhase::Completed},
+    {"done, and a slow store", EndKind::Done, false, JobPhase::Completed},
+    {"failed, and a new holder", EndKind::Failed, true, JobPhase::Failed},
+    {"failed, and a slow store", EndKind::Failed, false, JobPhase::Failed},
+};
+
+// Guards against tasks that run again after they have ended, because their ends did not fit into one report and were taken for missing.
+BOOST_DATA_TEST_CASE(aRunWhoseEndDoesNotFitIntoAReportIsNotStartedAgain, data::make(manyEndsCases), c)
+{
+    constexpr std::uint32_t tasks = FakeFleet::maxListedEnds + 100;
+    FakeFleet fleet(1, 1, {tasks, tasks, tasks});
+    fleet.duration = [](const TaskId &) { return Duration(2s); };
+    fleet.ending = [&](const StartCommand &s) { return s.task.index < FakeFleet::maxListedEnds ? EndKind::Done : c.end; };
+    fleet.responseDelay = 40ms;
+    addQueue(*fleet.configuration, "once", 1, 1);
+    StepSpec step;
+    step.count = tasks;
+    step.taskDemand = {1, 1, 1};
+    step.estimate = 2s;
+    fleet.submit(simpleJob("j1", "once", step));
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.starts.size() == tasks; }, 1s));
+    fleet.run(1s);
+    fleet.storeUp = false;
+    fleet.run(2s);
+    if (c.takeOver) {
+        fleet.takeOver();
+    }
+    fleet.run(2s);
+    fleet.storeUp = true;
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 5s));
+    BOOST_TEST((fleet.outcome("j1") == c.outcome));
+    BOOST_TEST(fleet.starts.size() == tasks);
+    BOOST_TEST(fleet.violations.empty());
+}
+
 struct CrashCase
 {
     const char *name;
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -664,7 +664,9 @@
 {
     WorkerReport report;
     report.incarnation = worker.info.incarnation;
-    report.ended = worker.ends;
+    report.isComplete = worker.ends.size() < maxListedEnds;
+    report.ended.assign(worker.ends.begin(),
+                        worker.ends.begin() + static_cast<std::ptrdiff_t>(std::min(worker.ends.size(), maxListedEnds)));
     for (const auto &run : worker.runs) {
         if (!run.end) {
             const auto work = std::chrono::duration<double>(duration(run.command.task)).count() * worker.slowdown;
@@ -698,7 +700,8 @@
         worker.knownIncarnation = worker.info.incarnation;
         record("first-report worker=" + worker.info.name.str() + " life=" + std::to_string(worker.info.incarnation));
     }
-    m_dispatcher->pollAnswered(command, sentAt, makeReport(worker), m_now);
+    defer(responseDelay,
+          [this, command, sentAt, report = makeReport(worker)] { m_dispatcher->pollAnswered(command, sentAt, report, m_now); });
 }
 
 auto FakeFleet::acknowledgeEnds(FakeWorker &worker, std::uint64_t number, std::int64_t addressee) -> void
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -146,6 +146,8 @@
         std::int64_t listedIncarnation = 0;
     };
 
+    /// Most ends that a worker lists in one report, the earliest first; the platform's limit.
+    static constexpr std::size_t maxListedEnds = 500;
     /// Of the next holder.
     DispatcherSettings settings;
     /// Run time of a task on a healthy worker.
@@ -167,6 +169,8 @@
     Duration startQueueDelay{};
     /// Time until a start without a response is reported to the holder.
     Duration responseTimeout{};
+    /// Time that the response to a poll takes to arrive.
+    Duration responseDelay{};
     /// Time that a stop takes.
     Duration stopDuration{};
     /// Delayed starts are carried out also by a new life of the worker; other delayed commands never are.
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -10,6 +10,8 @@
 constexpr Duration confirmInterval = 500ms;
 constexpr Duration callTimeout = 1s;
 constexpr Duration startTimeout = 300ms;
+/// Most ends that a worker lists in one report, the earliest first; the platform's limit.
+constexpr std::size_t maxListedEnds = 500;
 
 } // namespace
 
@@ -280,7 +282,11 @@
                          [this, repeated, term, until, done = std::move(done)] { poll(repeated, term, until, done); });
         return;
     }
-    WorkerReport report{1, {}, machine.endedTasks};
+    WorkerReport report;
+    report.incarnation = 1;
+    report.isComplete = machine.endedTasks.size() < maxListedEnds;
+    report.ended.assign(machine.endedTasks.begin(),
+                        machine.endedTasks.begin() + static_cast<std::ptrdiff_t>(std::min(machine.endedTasks.size(), maxListedEnds)));
     for (const auto &run : machine.runs) {
         if (!run.ended) {
             constexpr int fullPercent = 100;
