Pass on the report that verifies a connection to a worker

Cause: a command that must reach one incarnation of a worker is preceded by a poll when no open connection is known to lead there. WorkerClient looked at the incarnation of its answer and dropped the rest. A worker that had closed its connections and left right after that answer had told its last ends in vain; their tasks started again when its lease had expired.

Ruled out: ends that were seen and not recorded in time (nothing logged); leases that lapsed (the workers ran nothing).

Change: ReportHook passes the report to the dispatcher before the command is sent, for acknowledgements and for starts. An end is used once, by its number. The simulated workers can close each connection and leave after a report; the soak's workers close theirs while they drain.

The worker repeats its ends to the next poll, or to the next holder, which are not acknowledged; only one that leaves in between tells them in vain. Not changed; - responses to starts and stops: carry the clock and the reason only; the clock of a stop's response is not used, and comes with each other one; - 421 before a start: the next poll gets it too.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -252,6 +252,9 @@
     /// was certainly not sent. \pre none.
     auto pollAnswered(const PollCommand &command, TimePoint sentAt, const std::optional<WorkerReport> &report, TimePoint now,
                       bool maybeSent = true) -> void;
+    /// Reports the runs of a worker, as it listed them when it was asked at \a sentAt before another command could be sent. That command is
+    /// answered separately. \pre none.
+    auto reportReceived(const WorkerName &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> void;
     /// Reports that another worker answers at the address of this one, which has ended. \pre none.
     auto workerReplaced(const PollCommand &command, TimePoint now) -> void;
     /// \pre none.
--- a/packages/workflow/include/acaciarail/workflow/worker.h
+++ b/packages/workflow/include/acaciarail/workflow/worker.h
@@ -77,6 +77,10 @@
     bool isComplete = true;
 };
 
+/// Called with each report that had to be asked for before a command could be sent, and the time at which it was asked for. The worker may
+/// leave before it reports the same again. Empty when it is not wanted.
+using ReportHook = std::function<void(const WorkerReport &, TimePoint sentAt)>;
+
 /// Outcome of a command to start a run.
 enum class StartOutcome : std::uint8_t {
     Started,
@@ -117,6 +121,8 @@
     std::int64_t incarnation = 0;
     /// Asked again when something else had to be sent first; empty when the command may be sent at any time.
     std::function<bool()> maySend = {};
+    /// See ReportHook.
+    ReportHook reported = {};
 };
 
 /// Stops a run. A run that has not started yet will not start.
@@ -140,6 +146,8 @@
     Duration wait{};
     /// The incarnation of the worker whose ends are recorded; another one must not forget its own. 0 when it is not known.
     std::int64_t incarnation = 0;
+    /// See ReportHook.
+    ReportHook reported = {};
 };
 
 } // namespace Acaciarail::Workflow
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -371,6 +371,7 @@
     auto releaseMember(Unit &unit, Member &member) -> void;
     auto setFirstIncarnation(Worker &worker, std::int64_t incarnation, TimePoint now) const -> void;
     auto handleRestart(Worker &worker, std::int64_t incarnation, std::string_view shownBy, TimePoint now) -> void;
+    auto processReport(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> bool;
     auto processRunning(Worker &worker, const WorkerReport &report, TimePoint now) -> void;
     auto processEnd(Worker &worker, const EndedTask &end, TimePoint now) -> void;
     auto processEarlierEnd(Unit &unit, const EndedTask &end, TimePoint now) -> void;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -244,35 +244,13 @@
         }
         return;
     }
-    worker.unansweredPolls = 0;
-    worker.coldUntil = report->coldTime > Duration::zero() ? now + report->coldTime : worker.coldUntil;
-    worker.lastReport = now;
     if (renews) {
         worker.renewedAt = now;
         worker.leaseExtendedAt = std::max(worker.leaseExtendedAt, sentAt);
     }
-    worker.nextRenewal = s.renewalTime(worker);
-    if (worker.unreachableSince) {
-        s.emitEvent("worker-reachable", {}, workerDetail(worker));
-        s.capacityChanged = true;
-        worker.unreachableSince.reset();
-    }
-    s.capacityChanged = s.capacityChanged || !worker.lastAnsweredPoll;
-    worker.lastAnsweredPoll = std::max(sentAt, worker.lastAnsweredPoll.value_or(sentAt));
-    if (worker.incarnation == 0) {
-        s.setFirstIncarnation(worker, report->incarnation, now);
-    } else if (worker.isLaterIncarnation(report->incarnation, sentAt)) {
-        s.handleRestart(worker, report->incarnation, "report", now);
-    } else if (report->incarnation != worker.incarnation) {
+    if (!s.processReport(worker, *report, sentAt, now)) {
         worker.nextPoll = now;
-        return;
-    }
-    s.processRunning(worker, *report, now);
-    for (const auto &it : report->ended) {
-        s.processEnd(worker, it, now);
-    }
-    s.processMissing(worker, *report, sentAt, now);
-    if (worker.seenEnds > worker.recordedEnds) {
+    } else if (worker.seenEnds > worker.recordedEnds) {
         worker.nextPoll = now + s.settings.stopRetryDelay;
     } else if (!renews) {
         const auto pause = std::chrono::duration_cast<Duration>(s.settings.idlePollInterval * s.intervalFactor());
@@ -280,6 +258,43 @@
     }
 }
 
+auto Dispatcher::reportReceived(const WorkerName &name, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> void
+{
+    auto &worker = m_state->findOrCreateWorker(name);
+    if (!m_state->processReport(worker, report, sentAt, now)) {
+        worker.nextPoll = now;
+    }
+}
+
+/// Returns whether the report comes from the present incarnation of the worker; that of an earlier one has no further effect.
+auto Dispatcher::State::processReport(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> bool
+{
+    worker.unansweredPolls = 0;
+    worker.coldUntil = report.coldTime > Duration::zero() ? now + report.coldTime : worker.coldUntil;
+    worker.lastReport = now;
+    worker.nextRenewal = renewalTime(worker);
+    if (worker.unreachableSince) {
+        emitEvent("worker-reachable", {}, workerDetail(worker));
+        capacityChanged = true;
+        worker.unreachableSince.reset();
+    }
+    capacityChanged = capacityChanged || !worker.lastAnsweredPoll;
+    worker.lastAnsweredPoll = std::max(sentAt, worker.lastAnsweredPoll.value_or(sentAt));
+    if (worker.incarnation == 0) {
+        setFirstIncarnation(worker, report.incarnation, now);
+    } else if (worker.isLaterIncarnation(report.incarnation, sentAt)) {
+        handleRestart(worker, report.incarnation, "report", now);
+    } else if (report.incarnation != worker.incarnation) {
+        return false;
+    }
+    processRunning(worker, report, now);
+    for (const auto &it : report.ended) {
+        processEnd(worker, it, now);
+    }
+    processMissing(worker, report, sentAt, now);
+    return true;
+}
+
 auto Dispatcher::State::processRunning(Worker &worker, const WorkerReport &report, TimePoint now) -> void
 {
     worker.orphanUsage = {};
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -457,6 +457,14 @@
     return !m_paused && m_lease.isValid(now) && m_dispatcher->maySend(command, now);
 }
 
+auto Holder::reportHook(const WorkerName &worker) -> ReportHook
+{
+    return guarded([worker](Holder &self, const WorkerReport &report, TimePoint sentAt) {
+        self.m_dispatcher->reportReceived(worker, report, sentAt, self.m_hooks.clock.now());
+        self.scheduleStep(self.m_settings.eventBatchDelay);
+    });
+}
+
 auto Holder::sendStart(StartCommand command) -> void
 {
     auto copy = command;
@@ -465,6 +473,7 @@
         const auto self = weak.lock();
         return self && self->mayStart(copy);
     };
+    command.reported = reportHook(command.worker);
     const auto bytes = startCommandBytes(command.payload.size());
     m_startWindow.sent(bytes);
     m_hooks.workers.start(command, m_term, guarded([command, bytes, sentAt = m_hooks.clock.now()](Holder &self, StartOutcome outcome) {
@@ -499,7 +508,8 @@
         queue.push_back({std::move(it), now});
     }
     sendStarts();
-    for (const auto &it : decisions.polls) {
+    for (auto &it : decisions.polls) {
+        it.reported = reportHook(it.worker);
         const auto sentAt = m_hooks.clock.now();
         m_hooks.workers.poll(it, m_term, guarded([it, sentAt](Holder &self, const WorkerHooks::PollResponse &response) {
                                  if (response.fenced) {
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -70,6 +70,8 @@
     /// Sends queued starts as far as the window allows, the most urgent first, and drops those that have waited too long.
     auto sendStarts() -> void;
     auto sendStart(StartCommand command) -> void;
+    /// Returns what the reports of a worker are passed to that are not the result of a command.
+    [[nodiscard]] auto reportHook(const WorkerName &worker) -> ReportHook;
     /// Returns whether a start that was decided earlier may still be sent.
     [[nodiscard]] auto mayStart(const StartCommand &command) const -> bool;
     /// Drops the queued starts that may no longer be sent.
--- a/tests/adapter/worker_client_test.cpp
+++ b/tests/adapter/worker_client_test.cpp
@@ -12,11 +12,13 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <ostream>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Acaciarail::Adapter::Tests {
 
@@ -68,6 +70,11 @@
     {
         m_closing = true;
     }
+    /// The next response to a poll lists this end, and no later one does, as if the worker had left.
+    auto reportEndOnce(std::uint64_t number) -> void
+    {
+        m_end = number;
+    }
     /// The highest number of an end that a poll has acknowledged.
     [[nodiscard]] auto acknowledged() const -> std::uint64_t
     {
@@ -84,7 +91,9 @@
         std::string received(evbuffer_get_length(input), '\0');
         evbuffer_remove(input, received.data(), received.size());
         m_acknowledged = std::max(m_acknowledged, nlohmann::json::parse(received).value("lastSeen", std::uint64_t{0}));
-        auto body = R"({"clockMs":1000,"running":[],"ended":[],"born":)" + std::to_string(m_incarnation) + "}";
+        const auto number = path == "/api/hold" ? std::exchange(m_end, 0) : 0;
+        const auto end = number == 0 ? "" : "[" + std::to_string(number) + R"(,"0123456789abcdef.0.0.0",1,"done",""])";
+        const auto body = R"({"clockMs":1000,"running":[],"ended":[)" + end + R"(],"born":)" + std::to_string(m_incarnation) + "}";
         if (m_closing) {
             evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
         }
@@ -99,6 +108,7 @@
     int m_requests = 0;
     bool m_closing = false;
     std::uint64_t m_acknowledged = 0;
+    std::uint64_t m_end = 0;
 };
 
 struct Client
@@ -108,19 +118,20 @@
     WorkerClient client{loop, metrics};
     Workflow::WorkerHooks hooks = client.hooks({});
 
-    auto poll(std::uint64_t recordedEnds = 0, std::int64_t incarnation = 0) -> bool
+    auto poll(std::uint64_t recordedEnds = 0, std::int64_t incarnation = 0, const Workflow::ReportHook &reported = {}) -> bool
     {
         std::optional<bool> answered;
-        hooks.poll({WorkerName("w"), recordedEnds, {}, {}, incarnation}, 1,
+        hooks.poll({WorkerName("w"), recordedEnds, {}, {}, incarnation, reported}, 1,
                    [&](const auto &response) { answered = response.report.has_value(); });
         loop.runUntil([&] { return answered.has_value(); }, 5s);
         return answered.value_or(false);
     }
-    auto start(std::int64_t incarnation) -> std::optional<StartOutcome>
+    auto start(std::int64_t incarnation, const Workflow::ReportHook &reported = {}) -> std::optional<StartOutcome>
     {
         std::optional<StartOutcome> outcome;
         Workflow::StartCommand command{WorkerName("w"), {JobId("0123456789abcdef"), 0, 0, 0}, 1, "payload", {}, 3s};
         command.incarnation = incarnation;
+        command.reported = reported;
         hooks.start(command, 1, [&](StartOutcome o) { outcome = o; });
         loop.runUntil([&] { return outcome.has_value(); }, 5s);
         return outcome;
@@ -295,6 +306,43 @@
     BOOST_TEST(answered);
 }
 
+struct VerificationCase
+{
+    const char *name;
+    /// The command that is sent when no open connection is known to lead to the worker.
+    std::function<void(Client &, const Workflow::ReportHook &)> send;
+};
+
+auto operator<<(std::ostream &out, const VerificationCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<VerificationCase> verificationCases{
+    {"an acknowledgement", [](Client &c, const Workflow::ReportHook &reported) { c.poll(1, 5, reported); }},
+    {"a start", [](Client &c, const Workflow::ReportHook &reported) { c.start(5, reported); }},
+};
+
+// Guards against work that is done again after a worker has reported its end only when it was asked for its incarnation, and then left.
+BOOST_DATA_TEST_CASE(theReportThatVerifiesAConnectionIsPassedOn, data::make(verificationCases), c)
+{
+    Client client;
+    WorkerProcess process(client.loop, 0, 5);
+    client.client.setAddress(WorkerName("w"), {host, process.port()});
+    process.closeAfterEachResponse();
+    BOOST_REQUIRE(client.poll());
+    process.reportEndOnce(2);
+    std::vector<std::pair<Workflow::WorkerReport, TimePoint>> reports;
+    const auto begin = client.loop.now();
+    c.send(client, [&reports](const Workflow::WorkerReport &report, TimePoint sentAt) { reports.emplace_back(report, sentAt); });
+    BOOST_REQUIRE(!reports.empty());
+    const auto &[report, sentAt] = reports.front();
+    BOOST_TEST(report.incarnation == 5);
+    BOOST_TEST((sentAt >= begin && sentAt <= client.loop.now()));
+    BOOST_REQUIRE(report.ended.size() == 1U);
+    BOOST_TEST(report.ended.front().number == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Acaciarail::Adapter::Tests
--- a/tests/soak/http_listener.cpp
+++ b/tests/soak/http_listener.cpp
@@ -30,6 +30,9 @@
 
 auto send(evhttp_request *request, const HttpReply &reply) -> void
 {
+    if (reply.closesConnection) {
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+    }
     auto *out = evhttp_request_get_output_buffer(request);
     evbuffer_add(out, reply.body.data(), reply.body.size());
     evhttp_send_reply(request, reply.status, nullptr, nullptr);
--- a/tests/soak/http_listener.h
+++ b/tests/soak/http_listener.h
@@ -31,6 +31,8 @@
 {
     int status = 200;
     std::string body = "{}";
+    /// The connection ends after this response.
+    bool closesConnection = false;
 };
 
 /// Responds to one call; may be called later, or never.
--- a/tests/soak/worker_fleet.cpp
+++ b/tests/soak/worker_fleet.cpp
@@ -62,8 +62,13 @@
 auto WorkerFleet::startWorker(std::size_t i, Duration entryDelay) -> void
 {
     auto &worker = m_workers.at(i);
-    worker.listener =
-        std::make_unique<HttpListener>(m_loop, [this, i](const HttpCall &call, const Respond &respond) { handle(i, call, respond); });
+    worker.listener = std::make_unique<HttpListener>(m_loop, [this, i](const HttpCall &call, const Respond &respond) {
+        handle(i, call, [this, i, respond](HttpReply reply) {
+            // A server that is about to leave keeps no connection.
+            reply.closesConnection = m_workers[i].draining;
+            respond(reply);
+        });
+    });
     worker.proxy->setTarget(worker.listener->address());
     worker.proxy->setRefusing(false);
     worker.up = true;
--- a/tests/workflow/engine_test.cpp
+++ b/tests/workflow/engine_test.cpp
@@ -146,6 +146,36 @@
     BOOST_TEST(world->workers.startCount == 2U);
 }
 
+// Guards against work that is done again after its worker has listed the end only in the report that was asked for before an
+// acknowledgement, and has left then.
+BOOST_DATA_TEST_CASE(anEndThatAWorkerReportsRightBeforeItLeavesCounts, data::xrange(0, 60, 4), offsetMs)
+{
+    SimWorld world(1, 1);
+    world.workers.add("w0", {32'000, 65'536, 8}, "rack0");
+    world.workers.closesConnections = true;
+    world.workers.taskTimes = {{"first", 2s}, {"second", Duration(2s) + std::chrono::milliseconds(offsetMs)}};
+    world.restart(0);
+    world.run(3s);
+    auto step = gang(1);
+    step.gang = false;
+    for (const auto *id : {"first", "second"}) {
+        auto job = simpleJob(id, "queue", step);
+        job.payload = id;
+        world.submit(0, job);
+    }
+    world.run(1s);
+    BOOST_REQUIRE(world.workers.startCount == 2U);
+    world.workers.add("w1", {32'000, 65'536, 8}, "rack1");
+    world.instances[0].engine->workerListed(world.workers.machines.at("w1").info);
+    world.workers.leaving.insert("w0");
+    world.run(30s);
+    BOOST_TEST(world.workers.unreachable.contains("w0"));
+    BOOST_TEST(world.workers.startCount == 2U);
+    for (const auto *id : {"first", "second"}) {
+        BOOST_TEST((world.phase(0, id) == JobPhase::Completed), id);
+    }
+}
+
 struct RemovalCase
 {
     const char *name;
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -282,21 +282,42 @@
                          [this, repeated, term, until, done = std::move(done)] { poll(repeated, term, until, done); });
         return;
     }
-    WorkerReport report;
-    report.incarnation = 1;
-    report.isComplete = machine.endedTasks.size() < maxListedEnds;
-    report.ended.assign(machine.endedTasks.begin(),
-                        machine.endedTasks.begin() + static_cast<std::ptrdiff_t>(std::min(machine.endedTasks.size(), maxListedEnds)));
+    m_clock.schedule(latency, [report = report(machine), done = std::move(done)] { done({false, false, report}); });
+}
+
+auto FakeWorkers::report(Machine &machine) -> WorkerReport
+{
+    WorkerReport out;
+    out.incarnation = 1;
+    out.isComplete = machine.endedTasks.size() < maxListedEnds;
+    out.ended.assign(machine.endedTasks.begin(),
+                     machine.endedTasks.begin() + static_cast<std::ptrdiff_t>(std::min(machine.endedTasks.size(), maxListedEnds)));
     for (const auto &run : machine.runs) {
         if (!run.ended) {
             constexpr int fullPercent = 100;
-            report.running.push_back({run.command.task,
-                                      run.command.run,
-                                      {},
-                                      static_cast<std::uint32_t>((m_clock.now() - run.startedAt) * fullPercent / taskTimeOf(run))});
+            out.running.push_back({run.command.task,
+                                   run.command.run,
+                                   {},
+                                   static_cast<std::uint32_t>((m_clock.now() - run.startedAt) * fullPercent / taskTimeOf(run))});
         }
     }
-    m_clock.schedule(latency, [report = std::move(report), done = std::move(done)] { done({false, false, report}); });
+    if (leaving.contains(machine.info.name.str()) && out.running.empty() && out.isComplete) {
+        unreachable.insert(machine.info.name.str());
+    }
+    return out;
+}
+
+auto FakeWorkers::verify(const PollCommand &command, const std::shared_ptr<bool> &reachable, std::function<void()> next) -> void
+{
+    auto &machine = machines.at(command.worker.str());
+    updateRuns(machine);
+    m_clock.schedule(latency,
+                     [this, command, reachable, sentAt = m_clock.now() - latency, listed = report(machine), next = std::move(next)] {
+                         if (*reachable && command.reported) {
+                             command.reported(listed, sentAt);
+                         }
+                         m_clock.schedule(latency, next);
+                     });
 }
 
 auto FakeWorkers::hooks(const std::shared_ptr<bool> &reachable, std::function<void(bool)> watchWorkers) -> WorkerHooks
@@ -345,7 +366,7 @@
     out.poll = [this, reachable](const PollCommand &command, std::uint64_t term,
                                  const std::function<void(WorkerHooks::PollResponse)> &done) {
         ++calls[command.lease > Duration::zero() ? "renewal" : command.wait > Duration::zero() ? "poll" : "poll without wait"];
-        m_clock.schedule(latency, [this, reachable, command, term, done] {
+        const auto send = [this, reachable, command, term, done] {
             if (!isReachable(reachable, command.worker)) {
                 m_clock.schedule(callTimeout, [done] { done({}); });
                 return;
@@ -353,6 +374,14 @@
             poll(command, term, m_clock.now() + command.wait, [reachable, done](const WorkerHooks::PollResponse &response) {
                 done(*reachable ? response : WorkerHooks::PollResponse{});
             });
+        };
+        m_clock.schedule(latency, [this, reachable, command, send] {
+            const bool acknowledges = command.recordedEnds > 0 && command.lease == Duration::zero();
+            if (closesConnections && acknowledges && isReachable(reachable, command.worker)) {
+                verify(command, reachable, send);
+            } else {
+                send();
+            }
         });
     };
     out.watchWorkers = std::move(watchWorkers);
--- a/tests/workflow/sim_world.h
+++ b/tests/workflow/sim_world.h
@@ -143,6 +143,10 @@
     /// out, but its response is not awaited.
     double startBytesPerSecond = 0;
     std::size_t unansweredStarts = 0;
+    /// Workers close each connection after its response, so that one that is to get an acknowledgement is asked for its runs first.
+    bool closesConnections = false;
+    /// Workers that leave once they run nothing and have listed every end in a report.
+    std::set<std::string> leaving;
     /// Workers that no instance can reach; their tasks run on until the lease expires.
     std::set<std::string> unreachable;
     std::map<std::string, Machine> machines;
@@ -161,6 +165,10 @@
     auto start(const StartCommand &command, std::uint64_t term) -> StartOutcome;
     auto stop(const StopCommand &command, std::uint64_t term) -> WorkerHooks::StopResponse;
     auto poll(const PollCommand &command, std::uint64_t term, TimePoint until, std::function<void(WorkerHooks::PollResponse)> done) -> void;
+    /// Returns the report of a worker, and lets it leave if it is to leave after it.
+    auto report(Machine &machine) -> WorkerReport;
+    /// Asks a worker for its runs, passes its report on, and calls \a next.
+    auto verify(const PollCommand &command, const std::shared_ptr<bool> &reachable, std::function<void()> next) -> void;
     [[nodiscard]] auto isReachable(const std::shared_ptr<bool> &reachable, const WorkerName &worker) const -> bool
     {
         return *reachable && !unreachable.contains(worker.str());
