Count work that an earlier incarnation of a worker reports as done

A task was done twice when its worker restarted while the report of its end was on the way and the restart became known first. Not seen with real processes.

Cause: a report of another incarnation than the present one was ignored as a whole, because its numbers of ends mean nothing for the present one. Its ends are true, and nobody reports them again. The same class as the dropped report of a verification: an answer is read for one thing.

Change: its ends done count like those of a run that was given up; a second run is stopped. Its running list and its numbers are not used.

Ruled out: using an end twice (a unit that is done stays so), and a wrong run (the numbers of a task's runs only rise, over all workers and holders).

Evidence: dispatcher/anEndThatArrivesAfterItsWorkerHasRestartedCounts failed before once the restart was known (no outcome within 1 s of a run of 1 s), and passes now, as do dispatcher, changedWorker, exclusiveRun, engine and startTrace.

--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -266,7 +266,7 @@
     }
 }
 
-/// Returns whether the report comes from the present incarnation of the worker; that of an earlier one has no further effect.
+/// Returns whether the report comes from the present incarnation of the worker; of an earlier one, only work that is done counts.
 auto Dispatcher::State::processReport(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> bool
 {
     worker.unansweredPolls = 0;
@@ -285,6 +285,12 @@
     } else if (worker.isLaterIncarnation(report.incarnation, sentAt)) {
         handleRestart(worker, report.incarnation, "report", now);
     } else if (report.incarnation != worker.incarnation) {
+        // Its numbers of ends are not those of the present incarnation, and nothing that it lists as running still runs.
+        for (const auto &it : report.ended) {
+            if (auto *unit = findUnit(it.task)) {
+                processEarlierEnd(*unit, it, now);
+            }
+        }
         return false;
     }
     processRunning(worker, report, now);
--- a/tests/workflow/dispatcher_test.cpp
+++ b/tests/workflow/dispatcher_test.cpp
@@ -334,6 +334,46 @@
     BOOST_TEST(fleet.violations.empty());
 }
 
+struct LateReportCase
+{
+    const char *name;
+    /// Whether the list shows the restart before the report arrives.
+    bool listed;
+};
+
+auto operator<<(std::ostream &out, const LateReportCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<LateReportCase> lateReportCases{
+    {"once the restart is known", true},
+    {"while the restart is not known", false},
+};
+
+// Guards against work that is done again because a worker restarted while its report of the end was on the way.
+BOOST_DATA_TEST_CASE(anEndThatArrivesAfterItsWorkerHasRestartedCounts, data::make(lateReportCases), c)
+{
+    auto fleet = makeFleet();
+    // The end is the answer to a poll that waits.
+    fleet.duration = [](const TaskId &) { return Duration(1s); };
+    auto step = gangStep(1, 8);
+    step.gang = false;
+    fleet.submit(simpleJob("j1", "normal", step));
+    BOOST_REQUIRE(fleet.runUntil([&] { return !fleet.starts.empty(); }, 1s));
+    const auto name = fleet.starts[0].worker.str();
+    const auto &worker = fleet.workers.at(WorkerName(name));
+    fleet.responseDelay = 200ms;
+    BOOST_REQUIRE(fleet.runUntil([&] { return worker.endCount == 1 && !worker.pendingPoll; }, 3s));
+    fleet.responseDelay = {};
+    fleet.restart(name);
+    if (c.listed) {
+        fleet.list(name);
+    }
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("j1").has_value(); }, 1s));
+    BOOST_TEST((fleet.outcome("j1") == JobPhase::Completed));
+}
+
 struct CrashCase
 {
     const char *name;
