Store the cancellation of a job that is not known before it is acknowledged

Cause: "no" was said without knowing. The store may carry out an append seconds after it got no response. Engine::cancel() read both topics to their ends, did not find the job and answered 410, without asking whether this instance's append of it may still be carried out, as Engine::submit() does; another instance, or this one after a restart, cannot know.

Ruled out: a lost cancellation (none was written); a read that was not up to date (the record was not in the topic yet).

Change: the cancellation of an unknown job is stored, whichever instance is asked, and then acknowledged. The holder keeps it until the submission comes, which is cancelled at once, over takeovers as well, and removes it after the retention time. A question about a job whose submission through the same instance is open gets 503, or cancelled once the cancellation is stored.

The same cause on related paths: - question at the same instance while the append is in progress, or without a response: mended here; - question at another instance, or after a restart: 410 until the append is carried out; cannot be known there; - a repeated submission: 504 as long as an append of this instance may be carried out, never 429 or 503, as before; another instance cannot know; - a cancellation that is read before its submission: ignored by the holder before; mended here.

Cost: one append for each cancellation of an unknown job.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -228,10 +228,14 @@
     auto accept(const JobSpec &spec, TimePoint now, std::chrono::milliseconds unixNow) -> void;
     /// Reports that the job ended in an earlier term; accept() ignores it. \pre none.
     auto markEnded(const JobId &job) -> void;
-    /// Reports that the outcome of a job was removed from the store. \pre the job has ended.
+    /// Reports that the outcome of a job was removed from the store, or the cancellation of one that was never accepted. \pre the job has
+    /// ended or was not accepted.
     auto outcomeRemoved(const JobId &job) -> void;
-    /// Cancels a job; an unknown or ended job is ignored. \pre none.
+    /// Cancels a job. One that is not known is cancelled when it is accepted, as its submission may be stored after the cancellation; an
+    /// ended job is ignored. \pre none.
     auto cancel(const JobId &job, TimePoint now) -> void;
+    /// Returns whether a job was cancelled and has not been accepted. \pre none.
+    [[nodiscard]] auto awaitsSubmission(const JobId &job) const -> bool;
     /// Restores a unit from its record. A unit of an unknown job is ignored. \pre before the first decide().
     auto restore(const UnitId &unit, const UnitRecord &state, TimePoint now) -> void;
 
--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -148,7 +148,7 @@
     Refused,
     /// Likewise, because under the present load the job would end when it has no value any more.
     Rejected,
-    /// There is no such job.
+    /// There is no such job, and if it was submitted before, it will not run.
     NoSuchJob,
     /// The request may be stored.
     Unknown,
@@ -213,10 +213,12 @@
     /// Stores a job so that it will run, or rejects it because of the load; a job that is known, is being stored or may be stored is never
     /// rejected. \a done may be called before this returns. \pre none.
     auto submit(const JobSpec &spec, std::function<void(const SubmitResult &)> done) -> void;
-    /// Cancels a job. \a done may be called before this returns. \pre none.
+    /// Cancels a job. The cancellation of one that is not known is stored as well, since another instance may still store its submission.
+    /// \a done may be called before this returns. \pre none.
     auto cancel(const JobId &job, std::function<void(SubmitOutcome)> done) -> void;
     /// Looks up the present phase of a job; when the store cannot be reached, the phase as of the last contact. Waits for a running job to
-    /// end, for EngineSettings::lookupWait at most. \pre none.
+    /// end, for EngineSettings::lookupWait at most. The result is not up to date while a submission through this instance may still be
+    /// stored. \pre none.
     auto lookup(const JobId &job, std::function<void(const LookupResult &)> done) -> void;
     /// Returns the number of accepted jobs of a queue that have not started. \pre none.
     [[nodiscard]] auto waitingJobs(const QueueName &queue) const -> std::size_t;
--- a/packages/workflow/include/acaciarail/workflow/job_directory.h
+++ b/packages/workflow/include/acaciarail/workflow/job_directory.h
@@ -21,6 +21,9 @@
     /// Removes a job. \pre none.
     auto remove(const JobId &job) -> void;
 
+    /// Returns whether the cancellation of a job is stored, also of one that is not known otherwise. \pre none.
+    [[nodiscard]] auto isCancelled(const JobId &job) const -> bool;
+
     /// Returns the phase that is reported to callers; empty for an unknown job. \pre none.
     [[nodiscard]] auto phase(const JobId &job) const -> std::optional<JobPhase>;
 
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -123,6 +123,9 @@
     if (spec.occurrences == 0) {
         m_state->createOccurrence(*slot, 0, now);
     }
+    if (m_state->cancelledInAdvance.erase(spec.id) > 0) {
+        cancel(spec.id, now);
+    }
 }
 
 auto Dispatcher::markEnded(const JobId &job) -> void
@@ -133,12 +136,19 @@
 auto Dispatcher::outcomeRemoved(const JobId &job) -> void
 {
     m_state->endedJobs.erase(job);
+    m_state->cancelledInAdvance.erase(job);
 }
 
 auto Dispatcher::cancel(const JobId &job, TimePoint now) -> void
 {
     const auto it = m_state->jobs.find(job);
-    if (it == m_state->jobs.end() || it->second->cancelled || it->second->ended) {
+    if (it == m_state->jobs.end()) {
+        if (!m_state->endedJobs.contains(job) && m_state->cancelledInAdvance.insert(job).second) {
+            m_state->emitEvent("job-cancelled-in-advance", job, {});
+        }
+        return;
+    }
+    if (it->second->cancelled || it->second->ended) {
         return;
     }
     it->second->cancelled = true;
@@ -151,6 +161,11 @@
     }
 }
 
+auto Dispatcher::awaitsSubmission(const JobId &job) const -> bool
+{
+    return m_state->cancelledInAdvance.contains(job);
+}
+
 auto Dispatcher::restore(const UnitId &id, const UnitRecord &record, TimePoint now) -> void
 {
     const auto it = m_state->jobs.find(id.job);
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -415,6 +415,8 @@
     std::shared_ptr<const Configuration> configuration;
     std::map<JobId, std::unique_ptr<Job>> jobs;
     std::set<JobId> endedJobs;
+    /// Jobs that were cancelled before they were accepted.
+    std::set<JobId> cancelledInAdvance;
     /// Units by the action they need, so that a decision does not iterate over all units.
     UnitSet waitingUnits;
     UnitSet reservedUnits;
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -592,6 +592,38 @@
         return unansweredAppends.contains(job);
     }
 
+    /// Returns whether a job that is not known may become known, because this instance's append of it is in progress or got no response.
+    auto isSubmissionOpen(const JobId &job) -> bool
+    {
+        return pendingSubmissions.contains(job) || mayBeStored(job);
+    }
+
+    /// Stores the cancellation of a job that has not ended. One that is not known may have been submitted to another instance, whose append
+    /// may be carried out after this one; the record then cancels it as well.
+    auto storeCancellation(const JobId &job, bool isKnown, std::function<void(SubmitOutcome)> done) -> void
+    {
+        if (directory.isCancelled(job)) {
+            done(cancelledOutcome(job, isKnown));
+            return;
+        }
+        AppendRequest request{std::string(submissionsTopic), {cancellationRecord(job)}, std::nullopt, std::nullopt, 0,
+                              settings.submitTimeout};
+        hooks.store.append(std::move(request), [weak = weak_from_this(), job, isKnown, done = std::move(done)](const AppendResult &result) {
+            const auto self = weak.lock();
+            if (!self || result.status != AppendStatus::Stored) {
+                done(outcomeOf(result.status));
+                return;
+            }
+            self->directory.apply(JobEntry{job, std::nullopt});
+            done(self->cancelledOutcome(job, isKnown));
+        });
+    }
+
+    auto cancelledOutcome(const JobId &job, bool isKnown) -> SubmitOutcome
+    {
+        return isKnown || isSubmissionOpen(job) ? SubmitOutcome::Accepted : SubmitOutcome::NoSuchJob;
+    }
+
     EngineSettings settings;
     EngineHooks hooks;
     LogLease lease;
@@ -722,23 +754,13 @@
 {
     m_state->findPhase(job, [weak = std::weak_ptr(m_state), job, done = std::move(done)](const LookupResult &found) {
         const auto self = weak.lock();
-        if (!self || !found.phase) {
-            done(found.upToDate ? SubmitOutcome::NoSuchJob : SubmitOutcome::Refused);
-            return;
-        }
-        if (isFinal(*found.phase)) {
+        if (!self || (!found.phase && !found.upToDate)) {
+            done(SubmitOutcome::Refused);
+        } else if (found.phase && isFinal(*found.phase)) {
             done(SubmitOutcome::Accepted);
-            return;
+        } else {
+            self->storeCancellation(job, found.phase.has_value(), done);
         }
-        AppendRequest request{std::string(submissionsTopic), {cancellationRecord(job)}, std::nullopt, std::nullopt, 0,
-                              self->settings.submitTimeout};
-        self->hooks.store.append(std::move(request), [weak, job, done](const AppendResult &result) {
-            const auto s = weak.lock();
-            if (s && result.status == AppendStatus::Stored) {
-                s->directory.apply(JobEntry{job, std::nullopt});
-            }
-            done(outcomeOf(result.status));
-        });
     });
 }
 
@@ -749,6 +771,9 @@
         const auto self = weak.lock();
         if (self && found.upToDate && found.phase == JobPhase::Running) {
             self->awaitOutcome(job, done);
+        } else if (self && !found.phase && self->isSubmissionOpen(job)) {
+            const bool isCancelled = self->directory.isCancelled(job);
+            done({isCancelled ? std::optional(JobPhase::Cancelled) : std::nullopt, isCancelled});
         } else {
             done(found);
         }
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -132,7 +132,7 @@
     const auto now = m_hooks.clock.now();
     for (const auto &it : m_loadedOutcomes) {
         m_dispatcher->markEnded(it);
-        m_endedJobs.emplace_back(now, it);
+        m_expiringJobs.push_back({now, it});
     }
     const auto submissions = std::exchange(m_loadedSubmissions, {});
     m_loaded = true;
@@ -191,7 +191,11 @@
     if (entry.spec) {
         m_dispatcher->accept(*entry.spec, now, m_hooks.clock.unixNow());
     } else {
+        const bool isKnown = m_dispatcher->awaitsSubmission(entry.job);
         m_dispatcher->cancel(entry.job, now);
+        if (!isKnown && m_dispatcher->awaitsSubmission(entry.job)) {
+            m_expiringJobs.push_back({now, entry.job, true});
+        }
     }
     scheduleStep(m_settings.eventBatchDelay);
 }
@@ -261,7 +265,7 @@
                        const auto stored = self.m_hooks.clock.now();
                        self.m_dispatcher->recordsStored(stored);
                        for (const auto &it : outcomes) {
-                           self.m_endedJobs.emplace_back(stored, it.job);
+                           self.m_expiringJobs.push_back({stored, it.job});
                        }
                    }));
         }
@@ -293,22 +297,29 @@
                }));
         return;
     }
-    if (m_removing || now < m_nextRemoval || m_endedJobs.empty() || now < m_endedJobs.front().first + m_settings.outcomeRetention) {
+    const auto isDue = [&](const ExpiringJob &it) { return now >= it.since + m_settings.outcomeRetention; };
+    if (m_removing || now < m_nextRemoval || m_expiringJobs.empty() || !isDue(m_expiringJobs.front())) {
         return;
     }
-    m_removing = true;
     m_nextRemoval = now + m_settings.removalInterval;
+    // A job that was submitted after its cancellation has ended since, and has an entry of its own.
+    std::erase_if(m_expiringJobs,
+                  [&](const ExpiringJob &it) { return it.cancelledInAdvance && isDue(it) && !m_dispatcher->awaitsSubmission(it.job); });
     AppendRequest request{std::string(submissionsTopic), {}, std::nullopt, std::nullopt, 0, m_settings.appendTimeout};
-    std::vector<JobId> expired;
-    for (const auto &[since, job] : m_endedJobs) {
-        if (now < since + m_settings.outcomeRetention || expired.size() == m_settings.removalBatchSize) {
+    std::vector<ExpiringJob> expired;
+    for (const auto &it : m_expiringJobs) {
+        if (!isDue(it) || expired.size() == m_settings.removalBatchSize) {
             break;
         }
-        expired.push_back(job);
-        for (auto &record : submissionRemovalRecords(job)) {
+        expired.push_back(it);
+        for (auto &record : submissionRemovalRecords(it.job)) {
             request.records.push_back(std::move(record));
         }
     }
+    if (expired.empty()) {
+        return;
+    }
+    m_removing = true;
     // A job whose outcome is removed before its submission would run again. If this append gets no response, both are removed with a later
     // batch.
     m_hooks.store.append(std::move(request), guarded([expired = std::move(expired)](Holder &self, const AppendResult &result) {
@@ -316,9 +327,11 @@
                                  self.m_removing = false;
                                  return;
                              }
-                             self.m_endedJobs.erase(self.m_endedJobs.begin(),
-                                                    self.m_endedJobs.begin() + static_cast<std::ptrdiff_t>(expired.size()));
-                             self.m_outcomesToRemove = expired;
+                             self.m_expiringJobs.erase(self.m_expiringJobs.begin(),
+                                                       self.m_expiringJobs.begin() + static_cast<std::ptrdiff_t>(expired.size()));
+                             for (const auto &it : expired) {
+                                 self.m_outcomesToRemove.push_back(it.job);
+                             }
                              self.scheduleStep(Duration::zero());
                          }));
 }
--- a/packages/workflow/src/holder.h
+++ b/packages/workflow/src/holder.h
@@ -90,6 +90,15 @@
     bool m_loaded = false;
     bool m_paused = false;
     bool m_appending = false;
+    /// A job whose records are removed after the retention time.
+    struct ExpiringJob
+    {
+        /// When this holder learnt that the job had ended or was cancelled.
+        TimePoint since;
+        JobId job;
+        /// It was cancelled, and its submission had not been read then.
+        bool cancelledInAdvance = false;
+    };
     struct QueuedStart
     {
         StartCommand command;
@@ -111,8 +120,8 @@
     TimePoint m_loadedAt;
     LoadSummary m_loadSummary;
     TimePoint m_nextLoadSummary;
-    /// Jobs that have ended, with the time at which this holder learnt of it, the oldest first.
-    std::deque<std::pair<TimePoint, JobId>> m_endedJobs;
+    /// The oldest first.
+    std::deque<ExpiringJob> m_expiringJobs;
     TimePoint m_nextRemoval;
     bool m_removing = false;
     /// Jobs that have been removed from the submissions topic and whose outcomes are removed next.
--- a/packages/workflow/src/job_directory.cpp
+++ b/packages/workflow/src/job_directory.cpp
@@ -42,6 +42,12 @@
     }
 }
 
+auto JobDirectory::isCancelled(const JobId &job) const -> bool
+{
+    const auto it = m_jobs.find(job);
+    return it != m_jobs.end() && it->second.cancelled;
+}
+
 auto JobDirectory::remove(const JobId &job) -> void
 {
     const auto it = m_jobs.find(job);
--- a/tests/workflow/engine_test.cpp
+++ b/tests/workflow/engine_test.cpp
@@ -410,6 +410,163 @@
     BOOST_TEST((second == SubmitOutcome::Unknown));
 }
 
+enum class Fate {
+    Stored,
+    Refused,
+    StoredLate,
+    Lost,
+};
+
+enum class Asked {
+    SameInstance,
+    /// Restarted before it is asked.
+    RestartedInstance,
+    OtherInstance,
+};
+
+struct CancelCase
+{
+    const char *name;
+    Fate submission;
+    /// Time from the submission to the cancellation.
+    Duration cancelAfter;
+    Asked asked = Asked::SameInstance;
+    bool repeated = false;
+    bool holderReplaced = false;
+};
+
+auto operator<<(std::ostream &out, const CancelCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<CancelCase> cancelCases{
+    {"stored", Fate::Stored, 1s},
+    {"stored, at another instance", Fate::Stored, 1s, Asked::OtherInstance},
+    {"refused", Fate::Refused, 1s},
+    {"stored late, while the append is in progress", Fate::StoredLate, 300ms},
+    {"stored late, after the append got no response", Fate::StoredLate, 1s},
+    {"stored late, at the instance after a restart", Fate::StoredLate, 1s, Asked::RestartedInstance},
+    {"stored late, at another instance", Fate::StoredLate, 1s, Asked::OtherInstance},
+    {"stored late, and submitted again", Fate::StoredLate, 1s, Asked::SameInstance, true},
+    {"stored late, and submitted again at another instance", Fate::StoredLate, 1s, Asked::OtherInstance, true},
+    {"stored late, and a new holder", Fate::StoredLate, 1s, Asked::SameInstance, false, true},
+    {"stored late, at another instance, and a new holder", Fate::StoredLate, 1s, Asked::OtherInstance, false, true},
+    {"never stored", Fate::Lost, 1s},
+    {"never stored, at another instance, and a new holder", Fate::Lost, 1s, Asked::OtherInstance, false, true},
+};
+
+// Guards against a job that runs after its cancellation was acknowledged, because its submission was stored only later.
+BOOST_DATA_TEST_CASE(aJobDoesNotRunOnceItsCancellationIsAcknowledged, data::make(cancelCases), c)
+{
+    constexpr Duration lateBy = 5s;
+    constexpr Duration never = 1h;
+    const auto world = makeWorld(3, 1);
+    world->outcomeRetention = 20s;
+    for (std::size_t i = 0; i < 3; ++i) {
+        world->restart(i);
+    }
+    world->run(4s);
+    const auto holder = world->holders().at(0);
+    const auto taker = (holder + 1) % 3;
+    const auto asked = c.asked == Asked::OtherInstance ? (holder + 2) % 3 : taker;
+    const auto submit = [&](std::size_t i) { world->submit(i, simpleJob("00000000000000a0", "queue", gang(4))); };
+    const bool isLate = c.submission == Fate::StoredLate || c.submission == Fate::Lost;
+    bool first = true;
+    world->store.lateAppend = [&](const AppendRequest &request) -> std::optional<Duration> {
+        const bool submits = request.topic == "keyed.intake" && request.records.front().key == "00000000000000a0";
+        return submits && isLate && std::exchange(first, false) ? std::optional(c.submission == Fate::Lost ? never : lateBy) : std::nullopt;
+    };
+    const auto submittedAt = world->clock.now();
+    if (c.submission == Fate::Refused) {
+        world->instances[taker].engine->recordStoreContact(false);
+    }
+    submit(taker);
+    world->run(c.cancelAfter);
+    if (c.asked == Asked::RestartedInstance) {
+        world->restart(taker);
+        world->run(4s - c.cancelAfter);
+    }
+    std::optional<SubmitOutcome> outcome;
+    for (int i = 0; i < 10 && outcome != SubmitOutcome::Accepted && outcome != SubmitOutcome::NoSuchJob; ++i) {
+        world->instances[asked].engine->cancel(JobId("00000000000000a0"), [&outcome](SubmitOutcome o) { outcome = o; });
+        world->run(300ms);
+    }
+    BOOST_REQUIRE((outcome == SubmitOutcome::Accepted || outcome == SubmitOutcome::NoSuchJob));
+    const auto startsBefore = world->workers.startCount;
+    BOOST_TEST(startsBefore == (c.submission == Fate::Stored ? 4U : 0U));
+    if (c.repeated) {
+        submit(asked);
+    }
+    if (c.holderReplaced) {
+        world->kill(holder);
+    }
+    world->run(submittedAt + lateBy + 8s - world->clock.now());
+    BOOST_TEST(world->workers.startCount == startsBefore);
+    BOOST_TEST(world->workers.violations.empty());
+    const bool exists = c.submission == Fate::Stored || c.submission == Fate::StoredLate || c.repeated;
+    for (const auto i : {taker, (holder + 2) % 3}) {
+        BOOST_TEST((world->phase(i, "00000000000000a0") == (exists ? std::optional(JobPhase::Cancelled) : std::nullopt)));
+    }
+    // Nothing of it stays in the store or in the memory of the instances.
+    world->run(40s);
+    std::map<std::string, std::string> newest;
+    for (const auto &it : world->store.topics.at("keyed.intake").records) {
+        newest[it.key] = it.value;
+    }
+    BOOST_TEST(newest["00000000000000a0"].empty());
+    BOOST_TEST(newest["00000000000000a0/cancel"].empty());
+    for (const auto i : {taker, (holder + 2) % 3}) {
+        BOOST_TEST(world->instances[i].engine->instanceState().knownJobs == 0U);
+    }
+}
+
+struct DenialCase
+{
+    const char *name;
+    Fate submission;
+    /// Time from the submission to the question.
+    Duration askedAfter;
+    /// Whether the answer may be that there is no such job.
+    bool mayDeny;
+};
+
+auto operator<<(std::ostream &out, const DenialCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+const std::vector<DenialCase> denialCases{
+    {"refused", Fate::Refused, 1s, true},
+    {"the append is in progress", Fate::StoredLate, 300ms, false},
+    {"the append got no response", Fate::StoredLate, 2s, false},
+    {"the append can no longer be carried out", Fate::Lost, 14s, true},
+};
+
+// Guards against a caller that is told that there is no such job while its own submission may still be stored.
+BOOST_DATA_TEST_CASE(aJobIsNotDeniedWhileItsSubmissionMayBeStored, data::make(denialCases), c)
+{
+    const auto world = makeWorld(2, 1);
+    world->run(4s);
+    const auto taker = 1 - world->holders().at(0);
+    auto &engine = *world->instances[taker].engine;
+    world->store.lateAppend = [&](const AppendRequest &request) -> std::optional<Duration> {
+        const bool submits = request.topic == "keyed.intake" && request.records.front().key == "00000000000000a0";
+        return submits ? std::optional(c.submission == Fate::Lost ? Duration(1h) : Duration(5s)) : std::nullopt;
+    };
+    if (c.submission == Fate::Refused) {
+        engine.recordStoreContact(false);
+    }
+    world->submit(taker, simpleJob("00000000000000a0", "queue", gang(4)));
+    world->run(c.askedAfter);
+    std::optional<LookupResult> found;
+    engine.lookup(JobId("00000000000000a0"), [&found](const LookupResult &result) { found = result; });
+    world->run(100ms);
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST(!found->phase.has_value());
+    BOOST_TEST(found->upToDate == c.mayDeny);
+}
+
 /// Adds two workers in each of two zones.
 auto addZonedWorkers(SimWorld &world) -> void
 {
--- a/tests/workflow/sim_world.cpp
+++ b/tests/workflow/sim_world.cpp
@@ -122,6 +122,11 @@
         ++calls["append " + request.topic];
         const auto failed = [done] { done({AppendStatus::Unknown, 0}); };
         const auto call = [this, request, reachable, done, failed] {
+            if (const auto delay = lateAppend ? lateAppend(request) : std::nullopt) {
+                m_clock.schedule(*delay, [this, request] { append(request); });
+                m_clock.schedule(request.timeout, failed);
+                return;
+            }
             const auto result = append(request);
             const bool responseLost = std::uniform_real_distribution<double>(0, 1)(m_random) < responseLossRate;
             m_clock.schedule(responseLost ? request.timeout : latency, [result, responseLost, reachable, done] {
--- a/tests/workflow/sim_world.h
+++ b/tests/workflow/sim_world.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -66,6 +67,8 @@
     Duration serviceTime = 4ms;
     /// Probability that an append is carried out but its response is lost.
     double responseLossRate = 0;
+    /// Returns how long after its arrival an append is carried out that gets no response; nothing for one that is answered.
+    std::function<std::optional<Duration>(const AppendRequest &)> lateAppend;
     /// The store neither carries out nor answers any call.
     bool down = false;
     /// Calls that read these topics get no response.
