Report no number of waiting jobs before the records have been read

Callers of an instance that had just restarted were told 0 waiting jobs, or a number that included running and ended ones, for up to 2 s.

Cause: the same as that of a job that is denied: an answer without knowing. The directory is empty after a start, and the two topics are read after a random delay each.

--- a/packages/workflow/include/acaciarail/workflow/engine.h
+++ b/packages/workflow/include/acaciarail/workflow/engine.h
@@ -220,8 +220,8 @@
     /// end, for EngineSettings::lookupWait at most. The result is not up to date while a submission through this instance may still be
     /// stored. \pre none.
     auto lookup(const JobId &job, std::function<void(const LookupResult &)> done) -> void;
-    /// Returns the number of accepted jobs of a queue that have not started. \pre none.
-    [[nodiscard]] auto waitingJobs(const QueueName &queue) const -> std::size_t;
+    /// Returns the number of accepted jobs of a queue that have not started; empty until both topics have been read once. \pre none.
+    [[nodiscard]] auto waitingJobs(const QueueName &queue) const -> std::optional<std::size_t>;
 
     /// \pre none.
     auto workerListed(const WorkerInfo &worker) -> void;
--- a/packages/workflow/src/engine.cpp
+++ b/packages/workflow/src/engine.cpp
@@ -107,6 +107,7 @@
 
     auto tick() -> void
     {
+        topicsRead = topicsRead || (submissionsFollower->isLoaded() && stateFollower->isLoaded());
         announceIfDue();
         claimIfDue();
         hooks.clock.schedule(claimCheckInterval, [weak = weak_from_this()] {
@@ -634,6 +635,8 @@
     MainCandidates candidates;
     std::minstd_rand random;
     JobDirectory directory;
+    /// Both topics have been read once, so that the directory contains every job.
+    bool topicsRead = false;
     /// Jobs whose last append got no response, with the time at which it failed.
     std::map<JobId, TimePoint> unansweredAppends;
     std::map<JobId, std::vector<LookupWaiter>> lookupWaiters;
@@ -780,9 +783,10 @@
     });
 }
 
-auto Engine::waitingJobs(const QueueName &queue) const -> std::size_t
+auto Engine::waitingJobs(const QueueName &queue) const -> std::optional<std::size_t>
 {
-    return m_state->directory.waitingJobs(queue);
+    const auto &s = *m_state;
+    return s.topicsRead ? std::optional(s.directory.waitingJobs(queue)) : std::nullopt;
 }
 
 auto Engine::workerListed(const WorkerInfo &worker) -> void
--- a/tests/workflow/engine_test.cpp
+++ b/tests/workflow/engine_test.cpp
@@ -567,6 +567,31 @@
     BOOST_TEST(found->upToDate == c.mayDeny);
 }
 
+// Guards against an instance that reports few waiting jobs, or jobs that have ended as waiting, because it has not read all records yet.
+BOOST_DATA_TEST_CASE(aRestartedInstanceReportsNoNumberOfWaitingJobsBeforeItHasReadThem, data::xrange(1, 9), seed)
+{
+    auto world = makeWorld(2, static_cast<std::uint64_t>(seed));
+    world->run(4s);
+    world->submit(0, simpleJob("00000000000000a0", "queue", gang(2)));
+    world->run(5s);
+    world->workers.taskTime = 60s;
+    // The second gang waits for the workers that the first one fills.
+    auto filling = gang(32);
+    filling.estimate = 60s;
+    world->submit(0, simpleJob("00000000000000a1", "queue", filling));
+    world->run(1s);
+    world->submit(0, simpleJob("00000000000000a2", "queue", filling));
+    world->run(1s);
+    const auto other = 1 - world->holders().at(0);
+    world->restart(other);
+    for (int i = 0; i < 50; ++i) {
+        world->run(100ms);
+        const auto n = world->instances[other].engine->waitingJobs(QueueName("queue"));
+        BOOST_TEST((!n || *n == 1U), "reports " << n.value_or(0) << " after " << i << " tenths of a second");
+    }
+    BOOST_TEST((world->instances[other].engine->waitingJobs(QueueName("queue")) == 1U));
+}
+
 /// Adds two workers in each of two zones.
 auto addZonedWorkers(SimWorld &world) -> void
 {
