Record the ends that a holder has been told when it releases its lease

A task was done twice when its worker reported the end to a holder that was shutting down, and left before the next holder asked it. Not seen with real processes.

Cause: a holder that shuts down waits 100 ms for the answers to its last commands, and decides and records nothing in that time.

Change: the append that releases the lease contains the records of what has ended. Assignments whose starts were not sent are taken back.

Ruled out: a start of the next holder beside a run of this one (units that run are recorded as before, only those that have ended or were never started change).

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -268,6 +268,10 @@
     /// Reports that the records of the last batch are stored. \pre a batch is being stored.
     auto recordsStored(TimePoint now) -> void;
 
+    /// Returns the records of what has ended and is not stored, to be appended when the lease is released. Assignments whose starts were
+    /// not sent are taken back. \pre no batch is being stored; decide() is not called any more.
+    [[nodiscard]] auto takeFinalRecords() -> std::vector<KeyedRecord>;
+
     /// Returns the actions to take next. \pre none.
     [[nodiscard]] auto decide(TimePoint now, std::chrono::milliseconds unixNow, DecisionScope scope) -> Decisions;
 
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -793,6 +793,25 @@
     batchInProgress = !out.records.empty();
 }
 
+auto Dispatcher::takeFinalRecords() -> std::vector<KeyedRecord>
+{
+    auto &s = *m_state;
+    Decisions out;
+    s.closeJobs(out);
+    for (const auto *unit : std::exchange(s.dirtyUnits, {})) {
+        auto record = unit->record;
+        if (unit->recordingAssignment) {
+            record.phase = UnitPhase::Pending;
+            record.workers.clear();
+            --record.run;
+        }
+        if (!unit->job->ended && record.run > 0) {
+            out.records.push_back(unitRecord(unit->id, unit->step->gang, record));
+        }
+    }
+    return std::move(out.records);
+}
+
 auto Dispatcher::State::collectStops(Decisions &out, TimePoint now) -> void
 {
     for (auto it = stoppingUnits.begin(); it != stoppingUnits.end();) {
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -224,7 +224,10 @@
         return;
     }
     m_leaseRecordedAt = m_hooks.clock.now();
-    append({holderRecord(m_lease.record(true))}, std::move(done));
+    // The workers that reported these ends may have left before the next holder asks them.
+    auto records = m_dispatcher->takeFinalRecords();
+    records.push_back(holderRecord(m_lease.record(true)));
+    append(std::move(records), std::move(done));
 }
 
 auto Holder::stats() const -> DispatcherStats
--- a/tests/workflow/engine_test.cpp
+++ b/tests/workflow/engine_test.cpp
@@ -176,6 +176,33 @@
     }
 }
 
+// Guards against work that is done again because the holder released its lease without recording the ends that it had been told.
+BOOST_DATA_TEST_CASE(anEndThatIsReportedToAHolderThatShutsDownCounts, data::xrange(0, 90, 10), offsetMs)
+{
+    const auto world = std::make_unique<SimWorld>(2, 1);
+    world->workers.add("w0", {32'000, 65'536, 8}, "rack0");
+    // The end is the answer to a poll that waits.
+    world->workers.taskTime = 1s;
+    world->restart(0);
+    world->restart(1);
+    world->run(4s);
+    const auto holder = world->holders().at(0);
+    auto step = gang(1);
+    step.gang = false;
+    world->submit(holder, simpleJob("j1", "queue", step));
+    BOOST_REQUIRE(world->workers.startCount == 0U);
+    while (world->workers.startCount == 0) {
+        world->run(1ms);
+    }
+    world->workers.add("w1", {32'000, 65'536, 8}, "rack1");
+    world->workers.leaving.insert("w0");
+    world->run(world->workers.taskTime - std::chrono::milliseconds(offsetMs));
+    world->instances[holder].engine->drain([] {});
+    world->run(30s);
+    BOOST_TEST(world->workers.startCount == 1U);
+    BOOST_TEST((world->phase(1 - holder, "j1") == JobPhase::Completed));
+}
+
 struct RemovalCase
 {
     const char *name;
