Log what bounds the wait for a worker that does not respond

Change: worker-unreachable and worker-lost name the command that bounds the lease (bound_by), the time that is left, and the time since the last report; acaciarail_lost_worker_silence_seconds has the time from that report until the runs of a worker counted as ended.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -148,6 +148,8 @@
     std::optional<PlacementPath> path = std::nullopt;
     /// Of a start that was withheld; such an event is logged as a warning.
     std::optional<StartObstacle> obstacle = std::nullopt;
+    /// Of a worker whose runs are treated as ended: the time since its last report.
+    std::optional<Duration> silence = std::nullopt;
 };
 
 /// Returns the approximate size of a start command with this payload in bytes. \pre none. Thread-safe.
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -160,6 +160,23 @@
     bool ended = false;
 };
 
+/// A command that was not answered and may grant or renew a task lease later.
+struct UnansweredGrant
+{
+    /// When the command was sent, or given up.
+    TimePoint at;
+    /// Whether it starts a run; otherwise it renews the lease.
+    bool isStart = false;
+};
+
+/// Until when the runs on a worker may go on, and the command that this follows from.
+struct LeaseBound
+{
+    TimePoint expiry;
+    /// `answered-command`, `earlier-holder`, `unanswered-renewal` or `unanswered-start`.
+    std::string_view source;
+};
+
 /// Runs and reservations share the ownership, as they may outlive the entry of a worker that has left.
 struct Worker : std::enable_shared_from_this<Worker>
 {
@@ -194,9 +211,8 @@
     std::uint32_t unansweredPolls = 0;
     std::optional<TimePoint> unreachableSince;
     Duration pollRetryDelay{};
-    /// When the latest command that was not answered was sent, or failed, and may grant or renew a task lease later. A response to another
-    /// command does not show what became of it.
-    std::optional<TimePoint> unansweredGrant;
+    /// The latest one. A response to another command does not show what became of it.
+    std::optional<UnansweredGrant> unansweredGrant;
     /// Number of the newest end of a run: reported by the worker, contained in the batch that is being stored, and stored.
     std::uint64_t seenEnds = 0;
     std::uint64_t batchEnds = 0;
@@ -378,7 +394,8 @@
     auto processMissing(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> void;
     auto findMember(Unit &unit, const Worker &worker, const TaskId &task) -> Member *;
     auto findCurrentMember(Unit *unit, const Worker &worker, const TaskId &task, std::uint32_t run) -> Member *;
-    auto leaseExpiry(const Worker &worker) const -> TimePoint;
+    auto leaseBound(const Worker &worker) const -> LeaseBound;
+    auto silenceDetail(const Worker &worker, TimePoint now) const -> std::string;
     auto markWorkerLost(Worker &worker, std::string_view reason, TimePoint now, bool keepUnansweredStarts = false,
                         const std::string &details = {}) -> void;
     auto reportIneligibleStart(const Unit &unit, const TaskId &task, const Worker &worker, StartObstacle obstacle) -> void;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -71,6 +71,13 @@
     return out;
 }
 
+auto noteUnansweredGrant(Worker &worker, const UnansweredGrant &grant) -> void
+{
+    if (!worker.unansweredGrant || worker.unansweredGrant->at <= grant.at) {
+        worker.unansweredGrant = grant;
+    }
+}
+
 } // namespace
 
 auto knownKind(const Worker &worker) -> std::string
@@ -227,14 +234,15 @@
     (renews ? worker.renewalOutstanding : worker.pollOutstanding) = false;
     if (!report) {
         if (renews && maybeSent) {
-            worker.unansweredGrant = std::max(sentAt, worker.unansweredGrant.value_or(sentAt));
+            noteUnansweredGrant(worker, {sentAt, false});
         }
         ++worker.unansweredPolls;
         if (worker.unansweredPolls >= s.settings.unansweredPollLimit && !worker.unreachableSince) {
             worker.unreachableSince = sentAt;
             worker.pollRetryDelay = s.settings.pollRetryDelay;
             s.unverifiedWorkers.insert(command.worker);
-            s.emitEvent("worker-unreachable", {}, workerDetail(worker));
+            s.emitEvent("worker-unreachable", {},
+                        workerDetail(worker) + " units=" + std::to_string(worker.units.size()) + s.silenceDetail(worker, now));
             s.pollRackOf(worker, now);
         }
         worker.nextPoll = now;
@@ -471,7 +479,7 @@
         }
     }
     if (outcome == StartOutcome::Unknown) {
-        worker.unansweredGrant = now;
+        noteUnansweredGrant(worker, {now, true});
     }
     if (outcome == StartOutcome::OtherIncarnation) {
         // Nothing more is placed on the worker until a poll has shown what it is now.
@@ -575,29 +583,54 @@
     return out;
 }
 
-auto Dispatcher::State::leaseExpiry(const Worker &worker) const -> TimePoint
+auto Dispatcher::State::leaseBound(const Worker &worker) const -> LeaseBound
 {
     const auto lease = std::chrono::duration_cast<Duration>(settings.taskLease * (1.0 + settings.workerClockDrift)) + leaseSlack;
-    auto lastGrant = std::max(worker.renewedAt.value_or(latestPreviousGrant), latestPreviousGrant);
+    LeaseBound out{latestPreviousGrant + lease, "earlier-holder"};
+    const auto extend = [&](TimePoint grantedAt, std::string_view source) {
+        if (grantedAt + lease > out.expiry) {
+            out = {grantedAt + lease, source};
+        }
+    };
+    if (worker.renewedAt) {
+        extend(*worker.renewedAt, "answered-command");
+    }
     if (worker.unansweredGrant) {
-        lastGrant = std::max(lastGrant, *worker.unansweredGrant + settings.maxCommandDelay);
+        extend(worker.unansweredGrant->at + settings.maxCommandDelay,
+               worker.unansweredGrant->isStart ? "unanswered-start" : "unanswered-renewal");
     }
     for (const auto *unit : worker.units) {
         for (const auto &it : unit->members) {
             const bool startUnanswered = it.phase == MemberPhase::Starting || it.phase == MemberPhase::Unknown;
             if (startUnanswered && it.worker.get() == &worker) {
-                lastGrant = std::max(lastGrant, it.startedAt + settings.maxCommandDelay);
+                extend(it.startedAt + settings.maxCommandDelay, "unanswered-start");
             }
         }
     }
-    return lastGrant + lease;
+    return out;
+}
+
+/// Returns the fields of a log line about a worker that does not respond, each after a space: how long it has been silent, the command that
+/// bounds the lease of its runs, and how long they may go on.
+auto Dispatcher::State::silenceDetail(const Worker &worker, TimePoint now) const -> std::string
+{
+    const auto bound = leaseBound(worker);
+    auto out = " bound_by=" + std::string(bound.source) + " lease_left_ms=" + std::to_string(toMilliseconds(bound.expiry - now).count());
+    if (worker.lastReport != TimePoint{}) {
+        out += " silent_ms=" + std::to_string(toMilliseconds(now - worker.lastReport).count());
+    }
+    return out;
 }
 
 /// Treats the runs on a worker as ended; with \a keepUnansweredStarts, except for those whose start has not been answered.
 auto Dispatcher::State::markWorkerLost(Worker &worker, std::string_view reason, TimePoint now, bool keepUnansweredStarts,
                                        const std::string &details) -> void
 {
-    emitEvent(reason, {}, workerDetail(worker) + " units=" + std::to_string(worker.units.size()) + details + knownKind(worker));
+    DispatchEvent event{reason, {}, workerDetail(worker) + " units=" + std::to_string(worker.units.size()) + details + knownKind(worker)};
+    if (!worker.units.empty() && worker.lastReport != TimePoint{}) {
+        event.silence = now - worker.lastReport;
+    }
+    observe(event);
     const auto units = worker.units;
     for (auto *unit : units) {
         for (auto &member : unit->members) {
@@ -627,8 +660,8 @@
         auto &w = *it->second;
         const bool noContact = w.unreachableSince || (!w.lastAnsweredPoll && !w.listed);
         // A worker that has announced its shutdown, is not listed and does not answer may be cut off and run on.
-        if (noContact && !w.units.empty() && now > leaseExpiry(w)) {
-            markWorkerLost(w, "worker-lost", now);
+        if (noContact && !w.units.empty() && now > leaseBound(w).expiry) {
+            markWorkerLost(w, "worker-lost", now, false, silenceDetail(w, now));
         }
         const bool removable =
             !w.listed && w.units.empty() && !w.pollOutstanding && !w.renewalOutstanding && w.reservedCapacity == Demand{};
--- a/tests/adapter/instance_metrics_test.cpp
+++ b/tests/adapter/instance_metrics_test.cpp
@@ -63,6 +63,9 @@
     metrics.recordClosedConnection("callers", "unread");
     metrics.recordDecision({"unit-placed", JobId("j1"), {}, 5ms, 0, true, Workflow::PlacementPath::Free});
     metrics.recordDecision({"start-ineligible", JobId("j1"), {}, {}, 0, true, std::nullopt, Workflow::StartObstacle::Label});
+    Workflow::DispatchEvent lost{"worker-lost", {}, {}};
+    lost.silence = 10s;
+    metrics.recordDecision(lost);
     metrics.recordTakeover(100ms);
     metrics.recordSkippedWorkerEntry();
     metrics.recordRejectedJob(Workflow::QueueName("queue"));
