--- a/tests/soak/instances.cpp
+++ b/tests/soak/instances.cpp
@@ -57,12 +57,13 @@
 } // namespace
 
 Instances::Instances(Runtime::EventLoop &loop, Ledger &ledger, StoreServer &store, std::size_t count, std::filesystem::path directory,
-                     bool evacuations)
+                     bool evacuations, Runtime::SocketAddress machineList)
     : m_loop(loop)
     , m_ledger(ledger)
     , m_directory(std::move(directory))
     , m_instances(count)
     , m_evacuations(evacuations)
+    , m_machineList(std::move(machineList))
 {
     for (std::size_t i = 0; i < count; ++i) {
         auto &it = m_instances[i];
@@ -87,8 +88,8 @@
         << "\"\nzone = \"zone-a\"\nregion = \"region\"\ncontracts = [\"base\"" << (m_evacuations ? ", \"places\"" : "")
         << "]\ninternalPorts = [" << it.metricsAddress.port << ", " << it.metricsAddress.port << "]\n[listen]\nfront = \""
         << it.callerAddress.str() << "\"\nreadiness = \"" << it.readinessAddress.str()
-        << "\"\n[limits]\ncpuShare = 0.25\n[platform]\naddress = \"" << it.storeProxy->address().str()
-        << "\"\n[bounds]\nholdMaxMs = 4000\ngraceS = 6\nrevokeMs = 5000\nevacuateMs = 5000\n";
+        << "\"\n[limits]\ncpuShare = 0.25\n[platform]\naddress = \"" << it.storeProxy->address().str() << "\"\n[cloudApi]\naddress = \""
+        << m_machineList.str() << "\"\nratePerS = 60.0\n[bounds]\nholdMaxMs = 4000\ngraceS = 6\nrevokeMs = 5000\nevacuateMs = 5000\n";
 }
 
 auto Instances::start(Instance &it) -> void
--- a/tests/soak/instances.h
+++ b/tests/soak/instances.h
@@ -20,9 +20,9 @@
 {
 public:
     /// \pre the references outlive the object; \a directory exists and receives settings and logs.
-    /// \a evacuations configures that zones may be evacuated.
+    /// \a evacuations configures that zones may be evacuated; \a machineList is where the platform lists its machines.
     Instances(Runtime::EventLoop &loop, Ledger &ledger, StoreServer &store, std::size_t count, std::filesystem::path directory,
-              bool evacuations);
+              bool evacuations, Runtime::SocketAddress machineList);
 
     [[nodiscard]] auto count() const -> std::size_t
     {
@@ -91,6 +91,7 @@
     std::filesystem::path m_directory;
     std::vector<Instance> m_instances;
     bool m_evacuations = true;
+    Runtime::SocketAddress m_machineList;
     bool m_stopping = false;
 };
 
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -48,7 +48,8 @@
     , m_evacuations(settings.seed % 4 != 3)
     , m_store(m_loop, m_ledger, m_settings.instances, settings.seed)
     , m_workers(m_loop, m_ledger, m_store, m_settings.workers, settings.seed)
-    , m_instances(m_loop, m_ledger, m_store, m_settings.instances, settings.directory, m_evacuations)
+    , m_machines(m_loop, m_workers, settings.seed)
+    , m_instances(m_loop, m_ledger, m_store, m_settings.instances, settings.directory, m_evacuations, m_machines.address())
     , m_routes{{"urgent", "urgent.example", "/u/"}, {"normal", "normal.example", "/n/"}, {"background", "normal.example", "/n/back/"}}
     , m_faults(makeFaults())
 {
@@ -381,7 +382,7 @@
 auto Scenario::summary() const -> std::string
 {
     return "instances=" + std::to_string(m_settings.instances) + " workers=" + std::to_string(m_settings.workers) + ' ' + m_ledger.summary()
-        + " disruptions=" + m_injectedFaultNames;
+        + " machine_pages=" + std::to_string(m_machines.pagesServed()) + " disruptions=" + m_injectedFaultNames;
 }
 
 } // namespace Acaciarail::Soak
--- a/tests/soak/scenario.h
+++ b/tests/soak/scenario.h
@@ -3,6 +3,7 @@
 #include "caller.h"
 #include "instances.h"
 #include "ledger.h"
+#include "machine_server.h"
 #include "store_server.h"
 #include "worker_fleet.h"
 
@@ -77,6 +78,7 @@
     Ledger m_ledger;
     StoreServer m_store;
     WorkerFleet m_workers;
+    MachineServer m_machines;
     Instances m_instances;
     std::vector<std::unique_ptr<Caller>> m_callers;
     std::vector<QueueRoute> m_routes;
--- a/tests/soak/worker_fleet.cpp
+++ b/tests/soak/worker_fleet.cpp
@@ -182,6 +182,11 @@
     }
 }
 
+auto machineOf(const WorkerFleet::Worker &worker) -> std::string
+{
+    return "machine-of-" + worker.name;
+}
+
 auto WorkerFleet::publishEntry(Worker &worker) -> void
 {
     worker.listedAt = worker.listedAt.value_or(m_loop.now());
@@ -194,7 +199,8 @@
                {"sequence", worker.endCount},
                {"born", worker.incarnation},
                {"capacity", {{"cpu", worker.size.milliCores}, {"memMb", worker.size.memoryMiB}, {"gpus", worker.size.accelerators}}},
-               {"labels", labels(worker)}};
+               {"labels", labels(worker)},
+               {"machine", machineOf(worker)}};
     if (worker.draining) {
         entry["remainingMs"] = toMilliseconds(std::max(worker.drainEnd - m_loop.now(), Duration::zero())).count();
     }
--- a/tests/soak/worker_fleet.h
+++ b/tests/soak/worker_fleet.h
@@ -139,4 +139,7 @@
     TimePoint m_nextPublication;
 };
 
+/// Returns the name of the machine that a worker runs on. \pre none.
+[[nodiscard]] auto machineOf(const WorkerFleet::Worker &worker) -> std::string;
+
 } // namespace Acaciarail::Soak
