--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -271,8 +271,8 @@
     auto reportReceived(const WorkerName &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now) -> void;
     /// Reports that another worker answers at the address of this one, which has ended. \pre none.
     auto workerReplaced(const PollCommand &command, TimePoint now) -> void;
-    /// Reports which workers run according to the platform, which was asked at \a askedAt; empty when it did not say. \pre
-    /// Decisions::listRunningWorkers was set, and this is the first result since.
+    /// Reports which workers run according to the platform, which was asked at \a askedAt; \a running is empty when it did not say.
+    /// \pre Decisions::listRunningWorkers was set, and this is the first result since.
     auto runningWorkersListed(const std::optional<RunningWorkers> &running, TimePoint askedAt, TimePoint now) -> void;
     /// \pre none.
     auto startAnswered(const StartCommand &command, StartOutcome outcome, TimePoint now) -> void;
--- a/packages/workflow/src/holder.cpp
+++ b/packages/workflow/src/holder.cpp
@@ -524,6 +524,7 @@
         queue.push_back({std::move(it), now});
     }
     sendStarts();
+    // Without the hook there is never a result, and the dispatcher does not ask again.
     if (decisions.listRunningWorkers && m_hooks.workers.listRunningWorkers) {
         m_hooks.workers.listRunningWorkers(guarded([now](Holder &self, const std::optional<RunningWorkers> &running) {
             self.m_dispatcher->runningWorkersListed(running, now, self.m_hooks.clock.now());
