Do not hold up a step because another one has reached its limit per worker

Cause: a placement round skips the units whose shape could not be placed before in the round. The shape has the limit per worker, but which workers are at the limit depends on the step and the occurrence of the job.

Ruled out: capacity and reservations (one priority, 7 of 56 accelerators in use), and the memory of where units fit in an idle fleet, which counts no running tasks.

Change: FailedPlacements takes the place of the set of shapes. A failure of a task with a limit concerns its own step and occurrence, unless the task cannot be placed without the limit either. So a backlog of limited steps on full workers is still tried once.

--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -55,6 +55,16 @@
             step.sameRack,    step.requiredLabel, step.dataRack,    step.maxPerWorker};
 }
 
+/// Returns what the placement of \a unit depends on.
+auto constraintsOf(const Unit &unit) -> PlacementConstraints
+{
+    PlacementConstraints out{shapeOf(unit), std::nullopt};
+    if (unit.step->maxPerWorker > 0 && !unit.step->gang) {
+        out.limitedStep = {unit.id.job, unit.id.occurrence, unit.id.step};
+    }
+    return out;
+}
+
 /// Returns whether a unit has little time left beside its run time, so that it would be late on a slow worker. Both are derived from the
 /// same estimate, so an error of the estimate changes their ratio little.
 auto isShortOfTime(const Unit &unit, TimePoint now) -> bool
@@ -147,15 +157,16 @@
         return !inOneRack || std::any_of(racks.begin(), racks.end(), [&](const auto &it) { return it.second >= needed; });
     }
 
-    /// Returns the workers as candidates for \a unit. Valid until the next call, or the next reservation.
-    auto candidates(const Unit &unit) -> const std::vector<Candidate> &
+    /// Returns the workers as candidates for \a unit under \a constraints, which are its own or without the limit of its step. Valid until
+    /// the next call, or the next reservation.
+    auto candidates(const Unit &unit, const PlacementConstraints &constraints) -> const std::vector<Candidate> &
     {
         // The tasks of a step have the same key and are next to each other in the queue, so the candidates are seldom rebuilt.
         const CandidatesKey key{
-            shapeOf(unit),       unit.job->policy.priority, unit.job->policy.service,  m_now < unit.readySince + unit.step->estimate,
-            unit.step->estimate, ignoresReservations(unit), isShortOfTime(unit, m_now)};
-        if (unit.step->maxPerWorker > 0 || m_candidatesKey != key) {
-            m_candidates = makeCandidates(unit);
+            shapeOf(unit),       unit.job->policy.priority, unit.job->policy.service,   m_now < unit.readySince + unit.step->estimate,
+            unit.step->estimate, ignoresReservations(unit), isShortOfTime(unit, m_now), constraints.limitedStep};
+        if (m_candidatesKey != key) {
+            m_candidates = makeCandidates(unit, constraints);
             m_candidatesKey = key;
         }
         return m_candidates;
@@ -168,6 +179,10 @@
             m_candidates[it].free -= demand;
             m_loads[m_workers[it]->info.service].used += demand;
         }
+        if (m_candidatesKey && std::get<std::optional<StepOccurrence>>(*m_candidatesKey)) {
+            // One of the workers may have reached the limit.
+            invalidateCandidates();
+        }
     }
 
     /// Called when capacity or workers have been reserved.
@@ -247,9 +262,9 @@
     }
 
     /// Reserves workers for a gang, so that less urgent units of this round cannot use them; returns whether there are enough.
-    auto reserveForGang(const Unit &unit) -> bool
+    auto reserveForGang(const Unit &unit, const PlacementConstraints &constraints) -> bool
     {
-        const auto &pool = candidates(unit);
+        const auto &pool = candidates(unit, constraints);
         std::vector<Demand> capacities;
         capacities.reserve(pool.size());
         for (std::size_t i = 0; i < pool.size(); ++i) {
@@ -302,7 +317,7 @@
     }
 
     /// Units with an equal key have the same candidates.
-    using CandidatesKey = std::tuple<Shape, std::uint32_t, ServiceName, bool, Duration, bool, bool>;
+    using CandidatesKey = std::tuple<Shape, std::uint32_t, ServiceName, bool, Duration, bool, bool, std::optional<StepOccurrence>>;
 
     /// The reservations follow the usage of late, which may be far above the present one.
     [[nodiscard]] auto ignoresReservations(const Unit &unit) const -> bool
@@ -315,12 +330,12 @@
         return exclusion == Exclusion::Always || (exclusion == Exclusion::UnlessShortOfTime && !shortOfTime);
     }
 
-    auto makeCandidates(const Unit &unit) const -> std::vector<Candidate>
+    auto makeCandidates(const Unit &unit, const PlacementConstraints &constraints) const -> std::vector<Candidate>
     {
         std::vector<Candidate> out(m_workers.size());
         // On other racks the tasks take several times as long, so waiting for up to one estimated run time is cheaper.
         const bool dataRackOnly = m_now < unit.readySince + unit.step->estimate;
-        const auto stepTasks = tasksPerWorker(unit);
+        const auto stepTasks = constraints.limitedStep ? tasksPerWorker(unit) : std::map<const Worker *, std::uint32_t>();
         const auto priority = unit.job->policy.priority;
         const bool urgent = priority == 0;
         const bool shortOfTime = isShortOfTime(unit, m_now);
@@ -331,7 +346,7 @@
             const auto &step = *unit.step;
             const bool nearData = !dataRackOnly || step.dataRack.empty() || w.info.rack == step.dataRack;
             const auto count = stepTasks.find(&w);
-            const bool crowded = step.maxPerWorker > 0 && count != stepTasks.end() && count->second >= step.maxPerWorker;
+            const bool crowded = count != stepTasks.end() && count->second >= step.maxPerWorker;
             const bool forMoreUrgent = m_reservedFor[i] < priority;
             const bool blocked = mayBeBlocked && forMoreUrgent && excludes(m_exclusions[i], shortOfTime)
                 && (m_reservedFor[i] == 0 || !endsBeforeDrained(unit, w));
@@ -395,12 +410,10 @@
         return priority == 0 ? loss + urgentLossFactor * other.cores() * seconds(other.step->estimate) : loss;
     }
 
+    /// Returns the number of tasks of the unit's step, in its occurrence, on each worker.
     auto tasksPerWorker(const Unit &unit) const -> std::map<const Worker *, std::uint32_t>
     {
         std::map<const Worker *, std::uint32_t> out;
-        if (unit.step->maxPerWorker == 0 || unit.step->gang) {
-            return out;
-        }
         const UnitId first{unit.id.job, unit.id.occurrence, unit.id.step, 0};
         for (auto it = unit.job->units.lower_bound(first); it != unit.job->units.end(); ++it) {
             if (it->first.occurrence != unit.id.occurrence || it->first.step != unit.id.step) {
@@ -675,30 +688,39 @@
     if (settings.reserveForPriorities) {
         round.reserveForPriorities();
     }
-    std::set<Shape> unplaceable;
+    FailedPlacements failed;
     std::size_t reservedGangs = 0;
     for (const auto &it : queue) {
         auto &unit = *it.unit;
         const bool urgent = it.position.priority == 0;
-        if (!urgent && (placementBudget <= 0 || unplaceable.contains(shapeOf(unit)))) {
+        const auto constraints = constraintsOf(unit);
+        if (!urgent && (placementBudget <= 0 || failed.covers(constraints))) {
             continue;
         }
-        if (tryPlace(round, unit, now)) {
+        if (const auto assignment = findPlacement(round, unit, constraints, now)) {
+            assign(unit, round.workersAt(*assignment), PlacementPath::Free, now);
+            round.recordAssignment(*assignment, unit.demand());
             continue;
         }
-        unplaceable.insert(shapeOf(unit));
+        // Unless it is the tasks of its own step that keep the unit off the workers, this holds for the other steps as well.
+        auto withoutLimit = constraints;
+        withoutLimit.limitedStep.reset();
+        const bool isHeldByLimit = constraints.limitedStep && findPlacement(round, unit, withoutLimit, now);
+        failed.add(isHeldByLimit ? constraints : withoutLimit);
         const bool preempts = urgent && settings.preempt;
         if (!preempts && unit.step->gang && !it.position.cannotFinishInTime && reservedGangs < settings.maxReservedGangs) {
-            reservedGangs += round.reserveForGang(unit) ? 1 : 0;
+            reservedGangs += round.reserveForGang(unit, constraints) ? 1 : 0;
         }
         if (preempts && now >= unit.nextPreemption) {
             unit.nextPreemption = now + settings.preemptInterval;
-            tryPreempt(round, unit, it.position.guaranteed, now);
+            tryPreempt(round, unit, constraints, it.position.guaranteed, now);
         }
     }
 }
 
-auto Dispatcher::State::tryPlace(PlacementRound &round, Unit &unit, TimePoint now) -> bool
+/// Returns the workers for a unit by their free capacity, under \a constraints as in PlacementRound::candidates().
+auto Dispatcher::State::findPlacement(PlacementRound &round, const Unit &unit, const PlacementConstraints &constraints, TimePoint now)
+    -> std::optional<Assignment>
 {
     auto request = requestFor(unit);
     const bool hasWaitedLong = round.hasWaitedLong(unit);
@@ -708,7 +730,7 @@
     request.speed = isShortOfTime(unit, now) ? SpeedPreference::Fast : SpeedPreference::Slow;
     std::optional<Assignment> assignment;
     if (round.mayFit(unit, request.sameRack)) {
-        assignment = place(round.candidates(unit), request);
+        assignment = place(round.candidates(unit, constraints), request);
     }
     if (!assignment && hasWaitedLong && request.sameRack && round.isMostlyIdle(unit.job->policy.service)) {
         // A gang that is spread over racks takes longer, but otherwise it may wait forever for a rack with enough capacity while workers
@@ -716,19 +738,16 @@
         auto anywhere = request;
         anywhere.sameRack = false;
         anywhere.useAvoided = true;
-        assignment = place(round.candidates(unit), anywhere);
-    }
-    if (assignment) {
-        assign(unit, round.workersAt(*assignment), PlacementPath::Free, now);
-        round.recordAssignment(*assignment, unit.demand());
+        assignment = place(round.candidates(unit, constraints), anywhere);
     }
-    return assignment.has_value();
+    return assignment;
 }
 
-auto Dispatcher::State::tryPreempt(PlacementRound &round, Unit &unit, bool guaranteed, TimePoint now) -> void
+auto Dispatcher::State::tryPreempt(PlacementRound &round, Unit &unit, const PlacementConstraints &constraints, bool guaranteed,
+                                   TimePoint now) -> void
 {
     auto request = requestFor(unit);
-    const auto &pool = round.candidates(unit);
+    const auto &pool = round.candidates(unit, constraints);
     std::vector<Unit *> victimUnits;
     const auto victims = round.victims(unit, guaranteed, victimUnits);
     const auto gain = unit.cores() * seconds(unit.step->estimate);
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <acaciarail/workflow/dispatcher.h>
+#include <acaciarail/workflow/failed_placements.h>
 #include <acaciarail/workflow/placement.h>
 #include <acaciarail/workflow/worker_speeds.h>
 
@@ -267,9 +268,6 @@
     }
 };
 
-/// What a unit asks for. When one could not be placed, an equal one is not tried again in the same round.
-using Shape = std::tuple<std::uint32_t, std::int64_t, std::int64_t, std::int64_t, bool, std::string, RackName, std::uint32_t>;
-
 /// Where a unit could be placed if nothing else ran.
 enum class IdleFit : std::uint8_t {
     Nowhere,
@@ -418,8 +416,9 @@
 
     // dispatcher_schedule.cpp: placement, records and commands
     auto schedule(TimePoint now) -> void;
-    auto tryPlace(PlacementRound &round, Unit &unit, TimePoint now) -> bool;
-    auto tryPreempt(PlacementRound &round, Unit &unit, bool guaranteed, TimePoint now) -> void;
+    auto findPlacement(PlacementRound &round, const Unit &unit, const PlacementConstraints &constraints, TimePoint now)
+        -> std::optional<Assignment>;
+    auto tryPreempt(PlacementRound &round, Unit &unit, const PlacementConstraints &constraints, bool guaranteed, TimePoint now) -> void;
     auto placeReserved(TimePoint now) -> void;
     auto assign(Unit &unit, const std::vector<std::shared_ptr<Worker>> &assignedWorkers, PlacementPath path, TimePoint now) -> void;
     auto cancelReservation(Unit &unit) -> void;
