Do not hold up the jobs of a service because another service is full

Cause: the failures that a placement round remembers, so as to skip equal units, were compared without the service, though a unit can only run on the workers of its own.

Change: the service is part of the constraints of a failure.

Related paths, all in the table of the test: gangs, gangs in one rack, tasks with a limit per worker, jobs behind more urgent ones.

--- a/packages/workflow/include/acaciarail/workflow/failed_placements.h
+++ b/packages/workflow/include/acaciarail/workflow/failed_placements.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace Acaciarail::Workflow {
@@ -27,6 +28,8 @@
 /// What the placement of a unit depends on beside the workers.
 struct PlacementConstraints
 {
+    /// The service whose workers run the unit's tasks.
+    ServiceName service;
     Shape shape;
     /// The step whose tasks, where they run already, count towards the unit's limit per worker; empty without such a limit.
     std::optional<StepOccurrence> limitedStep;
@@ -44,7 +47,8 @@
     [[nodiscard]] auto covers(const PlacementConstraints &constraints) const -> bool;
 
 private:
-    std::map<Shape, std::vector<PlacementConstraints>> m_failed;
+    /// By service and shape.
+    std::map<std::pair<ServiceName, Shape>, std::vector<PlacementConstraints>> m_failed;
 };
 
 } // namespace Acaciarail::Workflow
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -58,7 +58,7 @@
 /// Returns what the placement of \a unit depends on.
 auto constraintsOf(const Unit &unit) -> PlacementConstraints
 {
-    PlacementConstraints out{shapeOf(unit), std::nullopt};
+    PlacementConstraints out{unit.job->policy.service, shapeOf(unit), std::nullopt};
     if (unit.step->maxPerWorker > 0 && !unit.step->gang) {
         out.limitedStep = {unit.id.job, unit.id.occurrence, unit.id.step};
     }
--- a/tests/workflow/failed_placements_test.cpp
+++ b/tests/workflow/failed_placements_test.cpp
@@ -7,8 +7,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <ostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Acaciarail::Workflow::Tests {
@@ -115,6 +117,60 @@
     BOOST_TEST(fleet.violations.empty());
 }
 
+/// Jobs of an idle service beside equal ones that wait for a service whose workers are all in use.
+struct ServiceCase
+{
+    const char *name;
+    StepSpec step;
+    std::uint32_t busyPriority = 1;
+    std::uint32_t idlePriority = 1;
+};
+
+auto operator<<(std::ostream &out, const ServiceCase &c) -> std::ostream &
+{
+    return out << c.name;
+}
+
+auto asGang(StepSpec step, bool sameRack = false) -> StepSpec
+{
+    step.gang = true;
+    step.sameRack = sameRack;
+    return step;
+}
+
+const std::vector<ServiceCase> serviceCases{
+    {"single tasks", makeStep(1)},
+    {"single tasks after urgent ones", makeStep(1), 0, 1},
+    {"background tasks after others", makeStep(1), 1, 2},
+    {"tasks with a limit per worker", makeStep(2, 1)},
+    {"gangs", asGang(makeStep(4))},
+    {"gangs in one rack", asGang(makeStep(4), true)},
+};
+
+// Guards against jobs that wait beside the idle workers of their service because jobs of equal shape wait for another service.
+BOOST_DATA_TEST_CASE(aFullServiceHoldsUpNoOther, data::make(serviceCases), c)
+{
+    constexpr std::uint32_t busyCapacity = 4 * 8;
+    auto fleet = makeFleet();
+    for (auto &[name, worker] : fleet.workers) {
+        worker.info.service = ServiceName(worker.info.rack == RackName("rack0") ? "busy" : "idle");
+    }
+    addQueue(*fleet.configuration, "busy", c.busyPriority);
+    fleet.configuration->queues.back().policy.service = ServiceName("busy");
+    addQueue(*fleet.configuration, "idle", c.idlePriority);
+    fleet.configuration->queues.back().policy.service = ServiceName("idle");
+    fleet.takeOver();
+    for (std::uint32_t i = 0; i <= busyCapacity / c.step.count; ++i) {
+        fleet.submit(simpleJob("busy" + std::to_string(i), "busy", c.step));
+    }
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.starts.size() == busyCapacity; }, 2s));
+    fleet.run(1s);
+    fleet.submit(simpleJob("idle", "idle", c.step));
+    BOOST_TEST(fleet.runUntil([&] { return startedTasks(fleet, "idle") == c.step.count; }, longestIdleWait));
+    BOOST_TEST(fleet.starts.size() == busyCapacity + c.step.count);
+    BOOST_TEST(fleet.violations.empty());
+}
+
 struct CoverCase
 {
     const char *name;
@@ -130,7 +186,14 @@
 
 auto constraints(std::optional<StepOccurrence> limitedStep = std::nullopt, std::uint32_t maxPerWorker = 1) -> PlacementConstraints
 {
-    return {{1, 1000, 1000, 1, false, "", RackName(), maxPerWorker}, std::move(limitedStep)};
+    return {ServiceName("service"), {1, 1000, 1000, 1, false, "", RackName(), maxPerWorker}, std::move(limitedStep)};
+}
+
+auto ofService(const char *service) -> PlacementConstraints
+{
+    auto out = constraints();
+    out.service = ServiceName(service);
+    return out;
 }
 
 const StepOccurrence firstStep{JobId("j1"), 0, 0};
@@ -142,6 +205,7 @@
     {"another occurrence at its limit", constraints(firstStep), constraints(StepOccurrence{JobId("j1"), 1, 0}), false},
     {"a failure that no limit caused", constraints(), constraints(firstStep)},
     {"another shape", constraints(std::nullopt, 1), constraints(std::nullopt, 2), false},
+    {"another service", ofService("busy"), ofService("idle"), false},
 };
 
 // Guards against a failure that is taken to concern units which can be placed, and against trying all units of a backlog.
