Compare failed placements by all that a placement depends on

A fresh unit that may not use avoided workers holds up one that has waited, and a unit that waits for the rack of its data one that no longer does.

Cause: three memories of a round (failures, candidates, fits in an idle fleet) had keys of their own, and that of the failures lacked priority, avoided workers, reservations, the rack of the data, the time left and the estimate.

Change: PlacementConstraints names all of it once. Candidates are kept for equal constraints; a failure covers units with equal or stricter ones, so a backlog that has waited still covers the fresh units behind it. An estimate counts only where a reservation depends on it.

--- a/benchmarks/dispatch_bench.cpp
+++ b/benchmarks/dispatch_bench.cpp
@@ -37,7 +37,14 @@
 class Pool
 {
 public:
-    Pool(std::size_t workers, std::size_t waiting, std::uint64_t seed)
+    /// Which workers are full at first. Half of the workers are of either kind.
+    enum class Use {
+        All,
+        FirstKind,
+        None,
+    };
+
+    Pool(std::size_t workers, std::size_t waiting, std::uint64_t seed, Use use = Use::All)
         : m_waiting(waiting)
         , m_random(seed)
         , m_dispatcher(
@@ -57,13 +64,23 @@
             info.service = ServiceName("service");
             info.rack = RackName("rack-" + std::to_string(i / workersPerRack));
             info.capacity = {32'000, 65'536, acceleratorsPerWorker};
+            info.labels = {"kind-" + std::to_string(i % 2)};
             info.incarnation = 1;
             m_dispatcher.workerListed(info, m_now);
             m_workers[info.name];
         }
         const auto tasks = static_cast<std::uint32_t>(workers * acceleratorsPerWorker);
-        for (std::uint32_t i = 0; i < tasks; i += tasksPerJob) {
-            submit(2, tasksPerJob, 1);
+        if (use == Use::All) {
+            for (std::uint32_t i = 0; i < tasks; i += tasksPerJob) {
+                submit(2, tasksPerJob, 1);
+            }
+        } else if (use == Use::FirstKind) {
+            StepSpec step;
+            step.count = tasks / 2;
+            step.taskDemand = {3000, 6000, 1};
+            step.estimate = longRunTime;
+            step.requiredLabel = "kind-0";
+            submit(2, step);
         }
     }
 
@@ -95,6 +112,20 @@
         return static_cast<double>(time) * milliseconds / CLOCKS_PER_SEC;
     }
 
+    /// Adds jobs of one step each, whose tasks use one accelerator or a hundredth of a core and may not share a worker.
+    auto submitLimited(std::uint32_t jobs, std::uint32_t tasks, bool useAccelerators, const std::string &label = {}) -> void
+    {
+        StepSpec step;
+        step.count = tasks;
+        step.taskDemand = useAccelerators ? Demand{3000, 6000, 1} : Demand{10, 10, 0};
+        step.estimate = longRunTime;
+        step.maxPerWorker = 1;
+        step.requiredLabel = label;
+        for (std::uint32_t i = 0; i < jobs; ++i) {
+            submit(1, step);
+        }
+    }
+
     [[nodiscard]] auto stats() const -> DispatcherStats
     {
         return m_dispatcher.stats();
@@ -125,17 +156,22 @@
     auto submit(std::uint32_t priority, std::uint32_t count, std::int64_t accelerators) -> void
     {
         constexpr std::array<Duration, 3> runTimes{2100ms, 5800ms, 20s};
-        JobSpec job;
-        job.id = JobId("job-" + std::to_string(++m_jobCount));
-        job.queue = QueueName(queues.at(priority));
-        job.organisation = OrganisationName("organisation");
-        job.acceptedAt = unixNow();
         StepSpec step;
         step.count = count;
         step.taskDemand = {3000, 6000, accelerators};
         step.estimate = runTimes.at(priority);
         step.gang = priority < 2;
         step.sameRack = step.gang && m_random() % 4 != 0;
+        submit(priority, step);
+    }
+
+    auto submit(std::uint32_t priority, const StepSpec &step) -> void
+    {
+        JobSpec job;
+        job.id = JobId("job-" + std::to_string(++m_jobCount));
+        job.queue = QueueName(queues.at(priority));
+        job.organisation = OrganisationName("organisation");
+        job.acceptedAt = unixNow();
         job.steps = {step};
         m_dispatcher.accept(job, m_now, unixNow());
         m_runTimes.emplace(job.id, std::pair(step.estimate, step.gang));
@@ -205,6 +241,7 @@
 
     static constexpr std::array<const char *, 3> queues{"urgent", "normal", "background"};
     static constexpr std::uint32_t tasksPerJob = 400;
+    static constexpr Duration longRunTime = 600s;
 
     std::size_t m_waiting;
     std::mt19937_64 m_random;
@@ -238,6 +275,32 @@
     return {median(times), quantile(times, p95)};
 }
 
+/// Tasks that may not share a worker wait for workers of a kind that is fully used, beside idle ones; or each step waits because it has a
+/// task on each worker.
+auto measureLimitedBacklog(bool haveTasksEverywhere, std::uint64_t seed, std::uint32_t rounds) -> double
+{
+    constexpr std::size_t workers = 350;
+    constexpr std::uint32_t waiting = 5000;
+    constexpr std::uint32_t warmUpRounds = 50;
+    Pool pool(workers, 0, seed, haveTasksEverywhere ? Pool::Use::None : Pool::Use::FirstKind);
+    if (haveTasksEverywhere) {
+        constexpr std::uint32_t steps = 20;
+        pool.submitLimited(steps, workers + waiting / steps, false);
+    } else {
+        pool.submitLimited(waiting, 1, true, "kind-0");
+    }
+    for (std::uint32_t i = 0; i < warmUpRounds; ++i) {
+        pool.round();
+    }
+    std::vector<double> times;
+    for (std::uint32_t i = 0; i < rounds; ++i) {
+        times.push_back(pool.round());
+    }
+    // The pause between placement rounds grows with the backlog, so that most decisions place nothing.
+    constexpr double p95 = 0.95;
+    return quantile(times, p95);
+}
+
 } // namespace
 
 auto measureDispatch(const Options &options, Report &report) -> void
@@ -262,6 +325,15 @@
     report.figure("decision, 6000 workers, 800 waiting units, median, ms", medianWithSpread(twice));
     report.figure("decision, cost ratio at twice the size, twice in a row",
                   decimal(median(full) / median(half)) + ", " + decimal(median(twice) / median(full)));
+    for (const bool haveTasksEverywhere : {false, true}) {
+        std::vector<double> limited;
+        for (std::uint32_t i = 0; i < seeds; ++i) {
+            limited.push_back(measureLimitedBacklog(haveTasksEverywhere, options.seed + i, rounds));
+        }
+        report.figure(haveTasksEverywhere ? "decision, 350 workers, 20 steps of 250 waiting tasks at their limit per worker, p95, ms"
+                                          : "decision, 350 workers, 5000 waiting jobs of one task with a limit per worker, p95, ms",
+                      medianWithSpread(limited));
+    }
     report.note("decision: the pool is full; each 20 ms tasks end, gangs arrive and may preempt, and single tasks are "
                 "added to the backlog; processor time");
 }
--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -135,6 +135,8 @@
     bool placeBySpeed = true;
     /// Workers are reserved for the usage of each priority. Off only in replays, for comparison.
     bool reserveForPriorities = true;
+    /// Units are skipped that an earlier failure of the round shows to be unplaceable. Off only in tests, for comparison.
+    bool skipFailedPlacements = true;
 };
 
 /// A decision.
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -47,22 +47,10 @@
     return lost;
 }
 
-auto shapeOf(const Unit &unit) -> Shape
+auto requirementsOf(const Unit &unit) -> UnitRequirements
 {
-    const auto demand = unit.demand();
     const auto &step = *unit.step;
-    return {unit.taskCount(), demand.milliCores,  demand.memoryMiB, demand.accelerators,
-            step.sameRack,    step.requiredLabel, step.dataRack,    step.maxPerWorker};
-}
-
-/// Returns what the placement of \a unit depends on.
-auto constraintsOf(const Unit &unit) -> PlacementConstraints
-{
-    PlacementConstraints out{unit.job->policy.service, shapeOf(unit), std::nullopt};
-    if (unit.step->maxPerWorker > 0 && !unit.step->gang) {
-        out.limitedStep = {unit.id.job, unit.id.occurrence, unit.id.step};
-    }
-    return out;
+    return {unit.job->policy.service, unit.taskCount(), unit.demand(), step.sameRack, step.requiredLabel, step.maxPerWorker};
 }
 
 /// Returns whether a unit has little time left beside its run time, so that it would be late on a slow worker. Both are derived from the
@@ -157,17 +145,41 @@
         return !inOneRack || std::any_of(racks.begin(), racks.end(), [&](const auto &it) { return it.second >= needed; });
     }
 
+    /// Returns what the placement of \a unit depends on at present.
+    [[nodiscard]] auto constraintsOf(const Unit &unit) const -> PlacementConstraints
+    {
+        const auto &step = *unit.step;
+        PlacementConstraints out;
+        out.requirements = requirementsOf(unit);
+        // On other racks the tasks take several times as long, so waiting for up to one estimated run time is cheaper.
+        if (m_now < unit.readySince + step.estimate) {
+            out.onlyRack = step.dataRack;
+        }
+        out.priority = unit.job->policy.priority;
+        out.shortOfTime = isShortOfTime(unit, m_now);
+        // A worker on which runs just failed or made no progress would otherwise get the same unit repeatedly, as its capacity is the first
+        // to become free.
+        out.mayUseAvoided = hasWaitedLong(unit) && (out.priority != 0 || !m_state.settings.preempt);
+        // The reservations follow the usage of late, which may be far above the present one.
+        out.ignoresReservations = hasWaitedLong(unit) && isMostlyIdle(out.requirements.service);
+        // Only reservations for work that is neither urgent nor of the unit's own priority depend on when the unit ends.
+        if (out.priority > 1 && !out.ignoresReservations) {
+            out.estimate = step.estimate;
+        }
+        if (step.maxPerWorker > 0 && !step.gang) {
+            out.limitedStep = {unit.id.job, unit.id.occurrence, unit.id.step};
+        }
+        return out;
+    }
+
     /// Returns the workers as candidates for \a unit under \a constraints, which are its own or without the limit of its step. Valid until
     /// the next call, or the next reservation.
     auto candidates(const Unit &unit, const PlacementConstraints &constraints) -> const std::vector<Candidate> &
     {
-        // The tasks of a step have the same key and are next to each other in the queue, so the candidates are seldom rebuilt.
-        const CandidatesKey key{
-            shapeOf(unit),       unit.job->policy.priority, unit.job->policy.service,   m_now < unit.readySince + unit.step->estimate,
-            unit.step->estimate, ignoresReservations(unit), isShortOfTime(unit, m_now), constraints.limitedStep};
-        if (m_candidatesKey != key) {
+        // The tasks of a step have the same constraints and are next to each other in the queue, so the candidates are seldom rebuilt.
+        if (m_candidatesFor != constraints) {
             m_candidates = makeCandidates(unit, constraints);
-            m_candidatesKey = key;
+            m_candidatesFor = constraints;
         }
         return m_candidates;
     }
@@ -179,7 +191,7 @@
             m_candidates[it].free -= demand;
             m_loads[m_workers[it]->info.service].used += demand;
         }
-        if (m_candidatesKey && std::get<std::optional<StepOccurrence>>(*m_candidatesKey)) {
+        if (m_candidatesFor && m_candidatesFor->limitedStep) {
             // One of the workers may have reached the limit.
             invalidateCandidates();
         }
@@ -188,7 +200,7 @@
     /// Called when capacity or workers have been reserved.
     auto invalidateCandidates() -> void
     {
-        m_candidatesKey.reset();
+        m_candidatesFor.reset();
     }
 
     /// Returns the units that may be preempted for \a unit as victims, and appends them to \a units in the same order.
@@ -316,15 +328,6 @@
         }
     }
 
-    /// Units with an equal key have the same candidates.
-    using CandidatesKey = std::tuple<Shape, std::uint32_t, ServiceName, bool, Duration, bool, bool, std::optional<StepOccurrence>>;
-
-    /// The reservations follow the usage of late, which may be far above the present one.
-    [[nodiscard]] auto ignoresReservations(const Unit &unit) const -> bool
-    {
-        return hasWaitedLong(unit) && isMostlyIdle(unit.job->policy.service);
-    }
-
     static auto excludes(Exclusion exclusion, bool shortOfTime) -> bool
     {
         return exclusion == Exclusion::Always || (exclusion == Exclusion::UnlessShortOfTime && !shortOfTime);
@@ -333,23 +336,18 @@
     auto makeCandidates(const Unit &unit, const PlacementConstraints &constraints) const -> std::vector<Candidate>
     {
         std::vector<Candidate> out(m_workers.size());
-        // On other racks the tasks take several times as long, so waiting for up to one estimated run time is cheaper.
-        const bool dataRackOnly = m_now < unit.readySince + unit.step->estimate;
         const auto stepTasks = constraints.limitedStep ? tasksPerWorker(unit) : std::map<const Worker *, std::uint32_t>();
-        const auto priority = unit.job->policy.priority;
+        const auto priority = constraints.priority;
         const bool urgent = priority == 0;
-        const bool shortOfTime = isShortOfTime(unit, m_now);
-        const bool hasReservation = m_state.usage.contains({unit.job->policy.service, priority});
-        const bool mayBeBlocked = !ignoresReservations(unit);
+        const bool hasReservation = m_state.usage.contains({constraints.requirements.service, priority});
         for (std::size_t i = 0; i < out.size(); ++i) {
             const auto &w = *m_workers[i];
-            const auto &step = *unit.step;
-            const bool nearData = !dataRackOnly || step.dataRack.empty() || w.info.rack == step.dataRack;
+            const bool nearData = constraints.onlyRack.empty() || w.info.rack == constraints.onlyRack;
             const auto count = stepTasks.find(&w);
-            const bool crowded = count != stepTasks.end() && count->second >= step.maxPerWorker;
+            const bool crowded = count != stepTasks.end() && count->second >= constraints.requirements.maxPerWorker;
             const bool forMoreUrgent = m_reservedFor[i] < priority;
-            const bool blocked = mayBeBlocked && forMoreUrgent && excludes(m_exclusions[i], shortOfTime)
-                && (m_reservedFor[i] == 0 || !endsBeforeDrained(unit, w));
+            const bool blocked = !constraints.ignoresReservations && forMoreUrgent && excludes(m_exclusions[i], constraints.shortOfTime)
+                && (m_reservedFor[i] == 0 || !endsBeforeDrained(constraints.estimate, w));
             const bool allowed = isSuitable(w.info, unit) && nearData && !crowded && !blocked;
             const bool elsewhere = forMoreUrgent || (hasReservation && m_reservedFor[i] != priority);
             out[i] = {w.rack,
@@ -363,13 +361,14 @@
         return out;
     }
 
-    /// Returns whether a unit is expected to end before a worker runs nothing else, so that it does not delay the unit that waits for it.
-    auto endsBeforeDrained(const Unit &unit, const Worker &worker) const -> bool
+    /// Returns whether a unit with this estimate ends before a worker runs nothing else, so that it does not delay the unit that waits for
+    /// it.
+    auto endsBeforeDrained(Duration estimate, const Worker &worker) const -> bool
     {
         if (m_drainTimes.empty()) {
             m_drainTimes = drainTimes();
         }
-        return unit.step->estimate <= m_drainTimes[worker.candidateIndex];
+        return estimate <= m_drainTimes[worker.candidateIndex];
     }
 
     /// Returns for each worker the time until all that it runs now is expected to have ended.
@@ -448,7 +447,8 @@
     std::map<ServiceName, CapacityBounds> m_capacityBounds;
     std::map<ServiceName, Load> m_loads;
     std::vector<Candidate> m_candidates;
-    std::optional<CandidatesKey> m_candidatesKey;
+    /// The constraints that the candidates are for.
+    std::optional<PlacementConstraints> m_candidatesFor;
     std::set<const Job *> m_guaranteed;
     TimePoint m_now;
     std::set<ZoneName> m_slowZones;
@@ -500,7 +500,7 @@
     if (idleFits.size() >= maxIdleFits) {
         idleFits.clear();
     }
-    const auto [it, isNew] = idleFits.try_emplace({unit.job->policy.service, shapeOf(unit)}, IdleFit::Nowhere);
+    const auto [it, isNew] = idleFits.try_emplace(requirementsOf(unit), IdleFit::Nowhere);
     if (isNew) {
         it->second = computeIdleFit(unit);
     }
@@ -693,11 +693,14 @@
     for (const auto &it : queue) {
         auto &unit = *it.unit;
         const bool urgent = it.position.priority == 0;
-        const auto constraints = constraintsOf(unit);
-        if (!urgent && (placementBudget <= 0 || failed.covers(constraints))) {
+        if (!urgent && placementBudget <= 0) {
+            continue;
+        }
+        const auto constraints = round.constraintsOf(unit);
+        if (!urgent && settings.skipFailedPlacements && failed.covers(constraints)) {
             continue;
         }
-        if (const auto assignment = findPlacement(round, unit, constraints, now)) {
+        if (const auto assignment = findPlacement(round, unit, constraints)) {
             assign(unit, round.workersAt(*assignment), PlacementPath::Free, now);
             round.recordAssignment(*assignment, unit.demand());
             continue;
@@ -705,7 +708,7 @@
         // Unless it is the tasks of its own step that keep the unit off the workers, this holds for the other steps as well.
         auto withoutLimit = constraints;
         withoutLimit.limitedStep.reset();
-        const bool isHeldByLimit = constraints.limitedStep && findPlacement(round, unit, withoutLimit, now);
+        const bool isHeldByLimit = constraints.limitedStep && findPlacement(round, unit, withoutLimit);
         failed.add(isHeldByLimit ? constraints : withoutLimit);
         const bool preempts = urgent && settings.preempt;
         if (!preempts && unit.step->gang && !it.position.cannotFinishInTime && reservedGangs < settings.maxReservedGangs) {
@@ -719,20 +722,17 @@
 }
 
 /// Returns the workers for a unit by their free capacity, under \a constraints as in PlacementRound::candidates().
-auto Dispatcher::State::findPlacement(PlacementRound &round, const Unit &unit, const PlacementConstraints &constraints, TimePoint now)
+auto Dispatcher::State::findPlacement(PlacementRound &round, const Unit &unit, const PlacementConstraints &constraints)
     -> std::optional<Assignment>
 {
     auto request = requestFor(unit);
-    const bool hasWaitedLong = round.hasWaitedLong(unit);
-    // A worker on which runs just failed or made no progress would otherwise get the same unit repeatedly, as its capacity is the first to
-    // become free.
-    request.useAvoided = (unit.job->policy.priority != 0 || !settings.preempt) && hasWaitedLong;
-    request.speed = isShortOfTime(unit, now) ? SpeedPreference::Fast : SpeedPreference::Slow;
+    request.useAvoided = constraints.mayUseAvoided;
+    request.speed = constraints.shortOfTime ? SpeedPreference::Fast : SpeedPreference::Slow;
     std::optional<Assignment> assignment;
     if (round.mayFit(unit, request.sameRack)) {
         assignment = place(round.candidates(unit, constraints), request);
     }
-    if (!assignment && hasWaitedLong && request.sameRack && round.isMostlyIdle(unit.job->policy.service)) {
+    if (!assignment && constraints.ignoresReservations && request.sameRack) {
         // A gang that is spread over racks takes longer, but otherwise it may wait forever for a rack with enough capacity while workers
         // are idle.
         auto anywhere = request;
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -416,8 +416,7 @@
 
     // dispatcher_schedule.cpp: placement, records and commands
     auto schedule(TimePoint now) -> void;
-    auto findPlacement(PlacementRound &round, const Unit &unit, const PlacementConstraints &constraints, TimePoint now)
-        -> std::optional<Assignment>;
+    auto findPlacement(PlacementRound &round, const Unit &unit, const PlacementConstraints &constraints) -> std::optional<Assignment>;
     auto tryPreempt(PlacementRound &round, Unit &unit, const PlacementConstraints &constraints, bool guaranteed, TimePoint now) -> void;
     auto placeReserved(TimePoint now) -> void;
     auto assign(Unit &unit, const std::vector<std::shared_ptr<Worker>> &assignedWorkers, PlacementPath path, TimePoint now) -> void;
@@ -474,8 +473,8 @@
     std::uint64_t placementRounds = 0;
     /// What is left of DecisionScope::startBytes in this round.
     std::int64_t placementBudget = 0;
-    /// Of units with these services and shapes; valid until a worker is added, removed, changed or announces its shutdown.
-    std::map<std::pair<ServiceName, Shape>, IdleFit> idleFits;
+    /// Valid until a worker is added, removed, changed or announces its shutdown.
+    std::map<UnitRequirements, IdleFit> idleFits;
     std::map<JobId, EndCounts> gatheredEnds;
     TimePoint nextEndsLog;
     /// By job, occurrence, step and path.
