Count a job as begun once a worker has started one of its tasks

Cause: an instance took the record of an assignment for a start. It is written before the order is sent, and a refusal does not take the run number back.

Ruled out: an instance that lags behind (both give the same number, and had read both topics), an outdated number (it stays at 0 for the whole disruption).

Change: the record of a unit says whether a run of it has begun, which a worker has shown by a confirmation, a report or an end; it is never taken back. The first one of a job is recorded with the next batch, or after 0.5 s. A job waits until a record says so. Records of earlier builds are read as before, and earlier builds ignore the field.

Weighed: recording only the refusals leaves out orders without an answer and holders that end between the record and the order; a list in the load summary is missing while there is no holder.

admissionPolicy/theRecordOfASummaryIsThatOfAUnitThatHasNotRun decoded a summary as a unit of the present build, in place of a build without summaries. The seventh field of a unit is now another one, so it decodes it with the six fields of such a build, and checks all six instead of two.

--- a/packages/workflow/include/acaciarail/workflow/dispatcher.h
+++ b/packages/workflow/include/acaciarail/workflow/dispatcher.h
@@ -80,6 +80,9 @@
     Duration schedulePausePerUnit = 10us;
     /// Interval at which the progress of runs is checked for stalls, slow workers and draining workers.
     Duration progressCheckInterval = 100ms;
+    /// The first start of a job is recorded with the next batch, or after this long. Far below the 2 s by which the number of waiting jobs
+    /// may be outdated.
+    Duration beginRecordDelay = 500ms;
     /// Interval at which the ends of tasks are logged, gathered by job.
     Duration endsLogInterval = 1s;
     /// Delay before a stop command that has had no effect is repeated; covers several round trips between regions and the stop itself.
@@ -218,8 +221,8 @@
 
 /// Decides which task runs on which worker, for one holder during one term. Performs no input or output: the holder reports events, and
 /// decide() returns the actions to take. Every assignment is recorded before its start is sent and every end before it is acknowledged, so
-/// that a later holder knows where each task may run. A run is one start of a unit; a unit is started again after a failure or a loss. Not
-/// thread-safe.
+/// that a later holder knows where each task may run. That a job has begun is recorded once a worker has confirmed it. A run is one start
+/// of a unit; a unit is started again after a failure or a loss. Not thread-safe.
 class Dispatcher
 {
 public:
--- a/packages/workflow/include/acaciarail/workflow/job_directory.h
+++ b/packages/workflow/include/acaciarail/workflow/job_directory.h
@@ -27,7 +27,7 @@
     /// Returns the phase that is reported to callers; empty for an unknown job. \pre none.
     [[nodiscard]] auto phase(const JobId &job) const -> std::optional<JobPhase>;
 
-    /// Returns the number of accepted jobs of a queue that have not started. \pre none.
+    /// Returns the number of accepted jobs of a queue of which no task is known to have started. \pre none.
     [[nodiscard]] auto waitingJobs(const QueueName &queue) const -> std::size_t;
 
     /// Returns the number of known jobs. \pre none.
@@ -39,6 +39,9 @@
         QueueName queue;
         bool accepted = false;
         bool cancelled = false;
+        /// A unit was assigned to workers; whether it has started there is not known yet.
+        bool assigned = false;
+        /// A task has started on a worker.
         bool started = false;
         std::optional<JobPhase> outcome;
 
--- a/packages/workflow/include/acaciarail/workflow/records.h
+++ b/packages/workflow/include/acaciarail/workflow/records.h
@@ -50,6 +50,9 @@
     std::vector<WorkerName> workers;
     /// The newest run whose failure is counted; a later holder may read the report of that failure again.
     std::uint32_t failedRun = 0;
+    /// A run of it is known to have begun on a worker; an assignment alone does not show that. Records of builds without this field are
+    /// decoded with true.
+    bool hasBegun = false;
 };
 
 /// Claim, renewal or release of the holder's lease.
--- a/packages/workflow/src/dispatcher.cpp
+++ b/packages/workflow/src/dispatcher.cpp
@@ -182,6 +182,7 @@
     }
     auto &unit = *found->second;
     unit.record = record;
+    job.hasBegun = job.hasBegun || record.hasBegun;
     if (record.phase == UnitPhase::Done) {
         m_state->setDone(unit, now);
         m_state->dirtyUnits.erase(&unit);
@@ -342,6 +343,18 @@
     return found == it->second->units.end() ? nullptr : found->second.get();
 }
 
+/// Reports that a run of \a unit has begun on a worker.
+auto Dispatcher::State::setBegun(Unit &unit, TimePoint now) -> void
+{
+    if (std::exchange(unit.record.hasBegun, true) || std::exchange(unit.job->hasBegun, true)) {
+        return;
+    }
+    if (newlyBegunUnits.empty()) {
+        beginsRecordedBy = now + settings.beginRecordDelay;
+    }
+    newlyBegunUnits.insert(&unit);
+}
+
 auto Dispatcher::State::setDone(Unit &unit, TimePoint now) -> void
 {
     if (unit.stage == UnitStage::Done) {
@@ -401,7 +414,7 @@
 auto Dispatcher::State::removeFromUnitSets(Job &job) -> void
 {
     for (auto &[id, unit] : job.units) {
-        for (auto *set : {&waitingUnits, &reservedUnits, &stoppingUnits, &dirtyUnits}) {
+        for (auto *set : {&waitingUnits, &reservedUnits, &stoppingUnits, &dirtyUnits, &newlyBegunUnits}) {
             set->erase(unit.get());
         }
     }
--- a/packages/workflow/src/dispatcher_schedule.cpp
+++ b/packages/workflow/src/dispatcher_schedule.cpp
@@ -792,6 +792,10 @@
         return;
     }
     closeJobs(out);
+    const bool recordsOthers = !out.records.empty() || !dirtyUnits.empty() || !workersWithUnrecordedEnds.empty();
+    if (recordsOthers || now >= beginsRecordedBy) {
+        dirtyUnits.merge(std::exchange(newlyBegunUnits, {}));
+    }
     for (auto *unit : std::exchange(dirtyUnits, {})) {
         if (unit->job->ended) {
             continue;
@@ -817,6 +821,7 @@
     auto &s = *m_state;
     Decisions out;
     s.closeJobs(out);
+    s.dirtyUnits.merge(std::exchange(s.newlyBegunUnits, {}));
     for (const auto *unit : std::exchange(s.dirtyUnits, {})) {
         auto record = unit->record;
         if (unit->recordingAssignment) {
--- a/packages/workflow/src/dispatcher_state.h
+++ b/packages/workflow/src/dispatcher_state.h
@@ -158,6 +158,8 @@
     std::map<UnitId, std::unique_ptr<Unit>> units;
     /// Number of units that are not done, by (occurrence, step).
     std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> unfinishedUnits;
+    /// One of its units has begun, and the record of a unit says so or is about to.
+    bool hasBegun = false;
     bool ended = false;
 };
 
@@ -368,6 +370,7 @@
     auto setStage(Unit &unit, UnitStage stage) -> void;
     auto requestStop(Unit &unit, Member &member) -> void;
     auto removeFromUnitSets(Job &job) -> void;
+    auto setBegun(Unit &unit, TimePoint now) -> void;
     auto setDone(Unit &unit, TimePoint now) -> void;
     auto stopUnit(Unit &unit, std::string_view reason) -> void;
     auto requeueIfEnded(Unit &unit, TimePoint now) -> void;
@@ -444,6 +447,10 @@
     UnitSet stoppingUnits;
     /// Their records have changed.
     UnitSet dirtyUnits;
+    /// The first unit of its job that has begun, while no other change of its record is to be stored.
+    UnitSet newlyBegunUnits;
+    /// When these are recorded even if nothing else is.
+    TimePoint beginsRecordedBy;
     /// Workers with ended runs that are not recorded, and those whose ends are in the batch that is being stored.
     std::set<std::shared_ptr<Worker>> workersWithUnrecordedEnds;
     std::set<std::shared_ptr<Worker>> workersWithEndsInBatch;
--- a/packages/workflow/src/dispatcher_workers.cpp
+++ b/packages/workflow/src/dispatcher_workers.cpp
@@ -298,6 +298,7 @@
         // Its numbers of ends are not those of the present incarnation, and nothing that it lists as running still runs.
         for (const auto &it : report.ended) {
             if (auto *unit = findUnit(it.task)) {
+                setBegun(*unit, now);
                 processEarlierEnd(*unit, it, now);
             }
         }
@@ -316,6 +317,9 @@
     worker.orphanUsage = {};
     for (const auto &it : report.running) {
         auto *unit = findUnit(it.task);
+        if (unit != nullptr) {
+            setBegun(*unit, now);
+        }
         auto *member = findCurrentMember(unit, worker, it.task, it.run);
         if (member == nullptr || member->phase == MemberPhase::Ended) {
             if (unit != nullptr) {
@@ -353,6 +357,7 @@
     if (unit == nullptr) {
         return;
     }
+    setBegun(*unit, now);
     if (unit->record.run != end.run) {
         processEarlierEnd(*unit, end, now);
         return;
@@ -490,6 +495,9 @@
         worker.avoidUntil = std::max(worker.avoidUntil, now + s.settings.declineAvoidTime);
     }
     if (outcome == StartOutcome::Started) {
+        if (unit != nullptr) {
+            s.setBegun(*unit, now);
+        }
         worker.renewedAt = now;
         // A repeated start that finds its run started already extends nothing.
         if (member != nullptr && member->phase == MemberPhase::Starting && member->unansweredStarts == 0) {
--- a/packages/workflow/src/job_directory.cpp
+++ b/packages/workflow/src/job_directory.cpp
@@ -33,7 +33,10 @@
 {
     if (const auto *unit = std::get_if<UnitEntry>(&entry)) {
         if (unit->state && unit->state->run > 0) {
-            change(unit->unit.job, [](Entry &e) { e.started = true; });
+            change(unit->unit.job, [unit](Entry &e) {
+                e.assigned = true;
+                e.started = e.started || unit->state->hasBegun;
+            });
         }
     } else if (const auto *outcome = std::get_if<OutcomeEntry>(&entry)) {
         change(outcome->job, [&](Entry &e) { e.outcome = outcome->phase; });
@@ -63,8 +66,8 @@
 auto JobDirectory::phase(const JobId &job) const -> std::optional<JobPhase>
 {
     const auto it = m_jobs.find(job);
-    // Only an accepted job is started, but the two topics are read independently of each other.
-    if (it == m_jobs.end() || (!it->second.accepted && !it->second.started && !it->second.outcome)) {
+    // Only an accepted job is assigned, but the two topics are read independently of each other.
+    if (it == m_jobs.end() || (!it->second.accepted && !it->second.assigned && !it->second.outcome)) {
         return std::nullopt;
     }
     const auto &entry = it->second;
--- a/packages/workflow/src/records.cpp
+++ b/packages/workflow/src/records.cpp
@@ -11,7 +11,7 @@
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::StepSpec, v.count, v.taskDemand, v.estimate, v.dependsOn, v.checkpoints, v.gang, v.sameRack,
                        v.speculative, v.longRunning, v.usesSpareCores, v.requiredLabel, v.dataRack, v.maxPerWorker, v.maxUnavailable);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::QueuePolicy, v.service, v.priority, v.maxAttempts, v.stretch, v.targetLatency);
-ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::UnitRecord, v.phase, v.run, v.failures, v.checkpoint, v.workers, v.failedRun);
+ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::UnitRecord, v.phase, v.run, v.failures, v.checkpoint, v.workers, v.failedRun, v.hasBegun);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::InstanceAnnouncement, v.instance, v.processorShare, v.zone);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::HolderRecord, v.term, v.instance, v.incarnation, v.released);
 ACACIARAIL_WIRE_STRUCT(Acaciarail::Workflow::WaitingWork, v.sizeClass, v.units, v.coreSeconds, v.gibSeconds, v.acceleratorSeconds);
@@ -215,7 +215,9 @@
         return Error::MalformedInput;
     }
     if (!record.value.empty()) {
-        if (const auto ec = decode(record.value, unit.state.emplace())) {
+        // Builds without this field took every assigned unit for one that has begun.
+        unit.state.emplace().hasBegun = true;
+        if (const auto ec = decode(record.value, *unit.state)) {
             return ec;
         }
     }
--- a/tests/workflow/admission_policy_test.cpp
+++ b/tests/workflow/admission_policy_test.cpp
@@ -1,3 +1,5 @@
+#include "earlier_records.h"
+
 #include <acaciarail/workflow/admission_policy.h>
 #include <acaciarail/workflow/records.h>
 
@@ -173,11 +175,12 @@
     BOOST_TEST(!decodeState(record, entry));
     BOOST_TEST((std::get<LoadSummary>(entry) == summary));
     // A build without summaries decodes a record of this form of key as a unit, whose surplus fields it ignores.
-    BOOST_TEST(!decodeState({"0011223344556677" + record.key.substr(record.key.find('/')), record.value}, entry));
-    const auto &unit = std::get<UnitEntry>(entry);
-    BOOST_TEST((unit.state->phase == UnitPhase::Pending));
-    BOOST_TEST(unit.state->run == 0U);
-    BOOST_TEST((unit.unit == UnitId{JobId("0011223344556677"), 0, 0, 0}));
+    EarlierUnitRecord earlier{1, 1, 1, "checkpoint", {"worker"}, 1};
+    BOOST_TEST(!decode(record.value, earlier));
+    BOOST_TEST((earlier == EarlierUnitRecord{static_cast<std::uint64_t>(UnitPhase::Pending), 0, 0, {}, {}, 0}));
+    const auto key = "0011223344556677" + record.key.substr(record.key.find('/'));
+    BOOST_TEST(!decodeState({key, encode(earlier)}, entry));
+    BOOST_TEST((std::get<UnitEntry>(entry).unit == UnitId{JobId("0011223344556677"), 0, 0, 0}));
     // The tail of the topic, with which an instance begins, contains it.
     BOOST_TEST(record.key > std::string(beforeHolderRecord));
 }
--- a/tests/workflow/fake_fleet.cpp
+++ b/tests/workflow/fake_fleet.cpp
@@ -537,6 +537,10 @@
         defer(responseTimeout, [this, command] { m_dispatcher->startAnswered(command, StartOutcome::Unknown, m_now); });
         return;
     }
+    if (worker.refusal) {
+        m_dispatcher->startAnswered(command, *worker.refusal, m_now);
+        return;
+    }
     worker.term = m_term;
     auto response = startRun(worker, command, addressee);
     if (!worker.scriptedResponses.empty()) {
--- a/tests/workflow/fake_fleet.h
+++ b/tests/workflow/fake_fleet.h
@@ -123,6 +123,8 @@
         /// Responses to the next start commands, whether or not they match what the worker did; the first command is carried out. Further
         /// commands are answered correctly.
         std::vector<StartOutcome> scriptedResponses;
+        /// Response to all start commands, which the worker does not carry out.
+        std::optional<StartOutcome> refusal;
         /// Commands that grant or renew a task lease are carried out, but their responses do not arrive.
         bool withholdsResponses = false;
         /// Factor by which tasks take longer than on a healthy worker; 0 for no progress at all.
