Do not let shorter units overtake equal ones

Since a failure covered units with equal or longer estimates only, so a unit with a shorter estimate than an equal one before it was tried on workers that are reserved for more urgent work. Estimates are wrong by up to half, and the more urgent work then waits.

Change: estimates are compared for the candidates only.

--- a/packages/workflow/include/acaciarail/workflow/failed_placements.h
+++ b/packages/workflow/include/acaciarail/workflow/failed_placements.h
@@ -60,7 +60,9 @@
 };
 
 /// The units that could not be placed in a round. Bounds the cost of a round with a long backlog: a unit need not be tried when one whose
-/// constraints are equal or looser has failed. Valid while capacity only shrinks. Not thread-safe.
+/// constraints are equal or looser has failed. A shorter estimate does not count as looser: a unit that overtakes an equal one by its
+/// estimate uses a worker that is reserved for more urgent work, which waits when the estimate is wrong. Valid while capacity only shrinks.
+/// Not thread-safe.
 class FailedPlacements
 {
 public:
--- a/packages/workflow/src/failed_placements.cpp
+++ b/packages/workflow/src/failed_placements.cpp
@@ -13,11 +13,12 @@
                     r.requiredLabel, r.maxPerWorker);
 }
 
-/// Returns whether a unit with \a strict, which has the same requirements, can be placed only where one with \a loose can.
+/// Returns whether a unit with \a strict, which has the same requirements, can be placed only where one with \a loose can, their estimates
+/// aside.
 auto isAtMostAsStrict(const PlacementConstraints &loose, const PlacementConstraints &strict) -> bool
 {
     return (loose.onlyRack.empty() || loose.onlyRack == strict.onlyRack) && loose.priority <= strict.priority
-        && loose.estimate <= strict.estimate && loose.shortOfTime >= strict.shortOfTime && loose.mayUseAvoided >= strict.mayUseAvoided
+        && loose.shortOfTime >= strict.shortOfTime && loose.mayUseAvoided >= strict.mayUseAvoided
         && loose.ignoresReservations >= strict.ignoresReservations && (!loose.limitedStep || loose.limitedStep == strict.limitedStep);
 }
 
